build: set up the workspaces, formatter, linter and test runner

Cause: the project starts empty. Change: npm workspaces by part, one compiler, formatter and linter configuration, a test runner that knows which failures are recorded, and the domain types.

--- /dev/null
+++ b/admin/run-tests.mjs
@@ -0,0 +1,54 @@
+// Runs the test suite and compares its failures with KNOWN-RED.txt: only tests that are listed there may fail, and they
+// are printed. Closes with a line that counts passed and failed tests.
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import process from 'node:process';
+import * as readline from 'node:readline';
+
+const KNOWN_RED_FILE = new URL('../KNOWN-RED.txt', import.meta.url);
+
+const readKnownRed = () =>
+	fs.existsSync(KNOWN_RED_FILE)
+		? fs
+				.readFileSync(KNOWN_RED_FILE, 'utf8')
+				.split('\n')
+				.filter(line => line.startsWith('test: '))
+				.map(line => line.slice('test: '.length).trim())
+		: [];
+
+const knownRed = new Set(readKnownRed());
+const ava = childProcess.spawn('npx', ['--no-install', 'ava', '--tap', ...process.argv.slice(2)], {
+	stdio: ['ignore', 'pipe', 'inherit'],
+});
+const passed = [];
+const failed = [];
+for await (const line of readline.createInterface({input: ava.stdout})) {
+	const match = /^(ok|not ok) \d+ - (.*?)( # .*)?$/.exec(line);
+	if (match) {
+		(match[1] === 'ok' ? passed : failed).push(match[2]);
+	}
+
+	process.stdout.write(`${line}\n`);
+}
+
+const exitCode = await new Promise(resolve => {
+	if (ava.exitCode === null) {
+		ava.once('exit', resolve);
+	} else {
+		resolve(ava.exitCode);
+	}
+});
+const unexpected = failed.filter(title => !knownRed.has(title));
+const expected = failed.filter(title => knownRed.has(title));
+for (const title of expected) {
+	process.stdout.write(`known red: ${title}\n`);
+}
+
+for (const title of unexpected) {
+	process.stdout.write(`failed: ${title}\n`);
+}
+
+// A runner that fails without a failed test has crashed.
+const isCrashed = exitCode !== 0 && failed.length === 0;
+process.stdout.write(`${passed.length} passed, ${unexpected.length} failed\n`);
+process.exitCode = unexpected.length > 0 || isCrashed || passed.length === 0 ? 1 : 0;
--- /dev/null
+++ b/packages/domain/src/index.ts
@@ -0,0 +1,12 @@
+export type * from './call.js';
+export type * from './catalogue-entry.js';
+export * from './catalogue-record.js';
+export * from './endings.js';
+export * from './incarnation.js';
+export * from './member.js';
+export * from './operation.js';
+export * from './outcome.js';
+export * from './refusal-reason.js';
+export * from './retry-reason.js';
+export * from './target-state.js';
+export * from './work-class.js';
