feat: serve a call end to end through separate processes

Cause: the whole path has to stand before its parts are refined. Change: ports, a node composed over them, adapters for HTTP, tRPC, the log and the VM list, daemon, command-line tool, stand-ins and in-process fakes. An edit goes through the log to every node; a call goes through any node to a target.

--- /dev/null
+++ b/packages/adapters/src/front/write-call-ending.ts
@@ -0,0 +1,43 @@
+import {Buffer} from 'node:buffer';
+import type * as http from 'node:http';
+import * as domain from '@bilberrydoor/domain';
+import * as headers from '../http/headers.js';
+import {writeBody} from '../http/write-body.js';
+import {REFUSAL_STATUSES} from './refusal-statuses.js';
+
+const SECOND_MS = 1000;
+
+const writeAnswer = async (outgoing: http.ServerResponse, ending: domain.CompletedEnding): Promise<void> => {
+	const {answer} = ending;
+	outgoing.writeHead(answer.status, {
+		...headers.groupHeaders(headers.removeHopHeaders(answer.headers)),
+		'bilberrydoor-outcome': ending.outcome,
+	});
+	await writeBody(answer.body, outgoing);
+};
+
+const writeRefusal = async (
+	outgoing: http.ServerResponse,
+	ending: domain.NotRunEnding | domain.UnknownEnding,
+): Promise<void> => {
+	const retryAfterMs = ending.outcome === domain.Outcome.NotRun ? ending.retryAfterMs : undefined;
+	const operationId = ending.outcome === domain.Outcome.NotRun ? ending.operationId : undefined;
+	const body = JSON.stringify({outcome: ending.outcome, reason: ending.reason, detail: ending.detail, operationId});
+	const isRequestUnread = !outgoing.req.complete;
+	const head: http.OutgoingHttpHeaders = {
+		'content-type': 'application/json',
+		'content-length': Buffer.byteLength(body),
+		'bilberrydoor-outcome': ending.outcome,
+		'bilberrydoor-reason': ending.reason,
+		...(retryAfterMs !== undefined && {'retry-after': String(Math.ceil(retryAfterMs / SECOND_MS))}),
+		...(operationId !== undefined && {'operation-id': operationId}),
+		// A caller that is still sending a refused body must not keep the connection busy.
+		...(isRequestUnread && {connection: 'close'}),
+	};
+	outgoing.writeHead(REFUSAL_STATUSES[ending.reason], head);
+	outgoing.end(body);
+};
+
+/** Writes a call's ending as the HTTP response. */
+export const writeCallEnding = async (outgoing: http.ServerResponse, ending: domain.CallEnding): Promise<void> =>
+	ending.outcome === domain.Outcome.Completed ? writeAnswer(outgoing, ending) : writeRefusal(outgoing, ending);
--- /dev/null
+++ b/packages/adapters/src/http/http-listener.ts
@@ -0,0 +1,88 @@
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+import * as nodeServer from '@hono/node-server';
+import type * as hono from 'hono';
+
+/** Bindings that give handlers the Node.js request and response, so that bodies stream without copies. */
+export type NodeBindings = {Bindings: nodeServer.HttpBindings};
+
+export type HttpListenerOptions = {
+	/** IP number to listen on. */
+	readonly host: string;
+	/** Port; 0 lets the system choose. */
+	readonly port: number;
+	/** Longest time for a request's headers, in ms. */
+	readonly headersTimeoutMs: number;
+	/** Longest time for a whole request including its body, in ms. */
+	readonly requestTimeoutMs: number;
+	/** Largest request head in bytes. */
+	readonly headerLimitBytes: number;
+	/** Connections that are open at once. */
+	readonly connectionLimit: number;
+	/** How long an idle connection is kept, in ms. */
+	readonly keepAliveMs: number;
+};
+
+export const DEFAULT_HTTP_LISTENER_OPTIONS: HttpListenerOptions = {
+	host: '127.0.0.1',
+	port: 0,
+	headersTimeoutMs: 10_000,
+	requestTimeoutMs: 300_000,
+	headerLimitBytes: 16_384,
+	connectionLimit: 20_000,
+	keepAliveMs: 65_000,
+};
+
+/** A listening HTTP server. */
+export type HttpListener = {
+	/** IP and port. */
+	readonly address: string;
+	/** Closes idle connections and refuses new ones. Resolves when all connections are closed. */
+	close(): Promise<void>;
+	/** Destroys all connections. */
+	destroy(): void;
+};
+
+/** Splits `127.0.0.1:8080` into host and port. */
+export const splitAddress = (address: string): {host: string; port: number} => {
+	const [host = '', port = ''] = address.split(':');
+	return {host, port: Number(port)};
+};
+
+/** Starts an HTTP server for a hono application. Rejects when the address cannot be bound. */
+export const startHttpListener = async <Bindings extends NodeBindings>(
+	app: hono.Hono<Bindings>,
+	given: Partial<HttpListenerOptions>,
+): Promise<HttpListener> => {
+	const options = {...DEFAULT_HTTP_LISTENER_OPTIONS, ...given};
+	const server = nodeServer.createAdaptorServer({
+		fetch: app.fetch,
+		overrideGlobalObjects: false,
+		serverOptions: {
+			headersTimeout: options.headersTimeoutMs,
+			requestTimeout: options.requestTimeoutMs,
+			maxHeaderSize: options.headerLimitBytes,
+			keepAliveTimeout: options.keepAliveMs,
+			connectionsCheckingInterval: Math.min(1000, options.headersTimeoutMs),
+			noDelay: true,
+		},
+	}) as http.Server;
+	server.maxConnections = options.connectionLimit;
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(options.port, options.host, resolve);
+	});
+	const bound = server.address() as net.AddressInfo;
+	return {
+		address: `${bound.address}:${bound.port}`,
+		async close() {
+			await new Promise(resolve => {
+				server.close(resolve);
+				server.closeIdleConnections();
+			});
+		},
+		destroy() {
+			server.closeAllConnections();
+		},
+	};
+};
--- /dev/null
+++ b/packages/adapters/src/http/write-body.ts
@@ -0,0 +1,36 @@
+import type * as http from 'node:http';
+import type * as domain from '@bilberrydoor/domain';
+
+const waitForDrain = async (outgoing: http.ServerResponse): Promise<void> =>
+	new Promise(resolve => {
+		const finish = (): void => {
+			outgoing.off('drain', finish);
+			outgoing.off('close', finish);
+			resolve();
+		};
+
+		outgoing.on('drain', finish);
+		outgoing.on('close', finish);
+	});
+
+/**
+ * Writes a body with back-pressure. When the body breaks off, the connection is destroyed, so that the reader sees a
+ * broken transfer and never takes the part for the whole.
+ */
+export const writeBody = async (body: domain.BodyStream, outgoing: http.ServerResponse): Promise<void> => {
+	try {
+		for await (const chunk of body) {
+			if (outgoing.destroyed) {
+				return;
+			}
+
+			if (!outgoing.write(chunk)) {
+				await waitForDrain(outgoing);
+			}
+		}
+
+		outgoing.end();
+	} catch {
+		outgoing.destroy();
+	}
+};
--- /dev/null
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -0,0 +1,116 @@
+import * as core from '@bilberrydoor/core';
+import * as prometheus from 'prom-client';
+
+type MetricDefinition = {readonly name: string; readonly help: string; readonly labelNames: readonly string[]};
+
+const COUNTERS: Record<core.CounterName, MetricDefinition> = {
+	[core.CounterName.Calls]: {name: 'calls_total', help: 'Calls by ending', labelNames: ['outcome']},
+	[core.CounterName.Refusals]: {
+		name: 'refusals_total',
+		help: 'Calls that ended without an answer, by reason',
+		labelNames: ['reason'],
+	},
+	[core.CounterName.Retries]: {name: 'retries_total', help: 'Retries by reason', labelNames: ['service', 'reason']},
+	[core.CounterName.Attempts]: {name: 'attempts_total', help: 'Attempts at targets', labelNames: ['service']},
+	[core.CounterName.Ejections]: {
+		name: 'ejections_total',
+		help: 'Ejections of targets by reason',
+		labelNames: ['service', 'reason'],
+	},
+	[core.CounterName.LateAnswers]: {
+		name: 'late_answers_total',
+		help: 'Answers dropped because their call had ended',
+		labelNames: ['service'],
+	},
+	[core.CounterName.LinkBytes]: {
+		name: 'link_bytes_total',
+		help: 'Body bytes sent across the region link',
+		labelNames: ['service', 'workClass'],
+	},
+	[core.CounterName.CatalogueEdits]: {
+		name: 'catalogue_edits_total',
+		help: 'Edits read from the log, by verdict',
+		labelNames: ['verdict'],
+	},
+	[core.CounterName.PeerMessages]: {
+		name: 'peer_messages_total',
+		help: 'Control messages by kind and result',
+		labelNames: ['kind', 'result'],
+	},
+};
+
+const GAUGES: Record<core.GaugeName, MetricDefinition> = {
+	[core.GaugeName.AppliedOffset]: {name: 'applied_offset', help: 'Offset of the catalogue in force', labelNames: []},
+	[core.GaugeName.LiveNodes]: {name: 'live_nodes', help: 'Nodes believed alive', labelNames: ['region']},
+	[core.GaugeName.HealthySlots]: {
+		name: 'healthy_slots',
+		help: 'Slots of healthy targets of a group scheduled here',
+		labelNames: ['group'],
+	},
+	[core.GaugeName.FloorSlots]: {name: 'floor_slots', help: 'Floor of a group scheduled here', labelNames: ['group']},
+	[core.GaugeName.QueuedCalls]: {
+		name: 'queued_calls',
+		help: 'Calls waiting for a slot',
+		labelNames: ['group', 'workClass'],
+	},
+	[core.GaugeName.OperationRecords]: {name: 'operation_records', help: 'Records of operations', labelNames: []},
+	[core.GaugeName.CatalogueAtRisk]: {
+		name: 'catalogue_at_risk',
+		help: '1 while neither the log nor enough nodes hold the catalogue',
+		labelNames: [],
+	},
+};
+
+const HISTOGRAMS: Record<core.HistogramName, MetricDefinition> = {
+	[core.HistogramName.CallSeconds]: {
+		name: 'call_seconds',
+		help: 'Time from admission to the head of the answer',
+		labelNames: ['workClass'],
+	},
+	[core.HistogramName.QueueSeconds]: {
+		name: 'queue_seconds',
+		help: 'Time that calls waited for a slot',
+		labelNames: ['workClass'],
+	},
+};
+
+const PREFIX = 'bilberrydoor_';
+const BUCKETS_SECONDS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+
+const mapTable = <Key extends string, Value, Result>(
+	table: Record<Key, Value>,
+	convert: (value: Value) => Result,
+): Record<Key, Result> =>
+	Object.fromEntries(Object.entries<Value>(table).map(([key, value]) => [key, convert(value)])) as Record<Key, Result>;
+
+/** Metrics in a registry of their own. */
+export const createPrometheusMetrics = (): {metrics: core.Metrics; registry: prometheus.Registry} => {
+	const registry = new prometheus.Registry();
+	prometheus.collectDefaultMetrics({register: registry, prefix: PREFIX});
+	const describe = (definition: MetricDefinition) => ({
+		...definition,
+		labelNames: [...definition.labelNames],
+		name: PREFIX + definition.name,
+		registers: [registry],
+	});
+	const counters = mapTable(COUNTERS, definition => new prometheus.Counter(describe(definition)));
+	const gauges = mapTable(GAUGES, definition => new prometheus.Gauge(describe(definition)));
+	const histograms = mapTable(
+		HISTOGRAMS,
+		definition => new prometheus.Histogram({...describe(definition), buckets: BUCKETS_SECONDS}),
+	);
+	return {
+		registry,
+		metrics: {
+			increment(name, labels, by = 1) {
+				counters[name].inc(labels, by);
+			},
+			set(name, labels, value) {
+				gauges[name].set(labels, value);
+			},
+			observe(name, labels, value) {
+				histograms[name].observe(labels, value);
+			},
+		},
+	};
+};
--- /dev/null
+++ b/packages/adapters/src/platform/system-random.ts
@@ -0,0 +1,10 @@
+import * as crypto from 'node:crypto';
+import type * as core from '@bilberrydoor/core';
+
+const TOKEN_LENGTH_BYTES = 16;
+
+/** Randomness of the operating system. */
+export const createSystemRandom = (): core.Random => ({
+	fraction: () => Math.random(),
+	token: () => crypto.randomBytes(TOKEN_LENGTH_BYTES).toString('hex'),
+});
--- /dev/null
+++ b/packages/adapters/src/target/undici-target-client.ts
@@ -0,0 +1,96 @@
+import * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
+import * as neverthrow from 'neverthrow';
+import * as undici from 'undici';
+import * as headers from '../http/headers.js';
+import {isConnectError} from '../http/connect-error.js';
+
+export type UndiciTargetClientOptions = {
+	/** Longest time for opening a connection, in ms. */
+	readonly connectTimeoutMs: number;
+	/** How long an idle connection is kept, in ms. Shorter than the keep-alive of common servers, so that they rarely close first. */
+	readonly keepAliveMs: number;
+};
+
+export const DEFAULT_UNDICI_TARGET_CLIENT_OPTIONS: UndiciTargetClientOptions = {
+	connectTimeoutMs: 1000,
+	keepAliveMs: 4000,
+};
+
+const classifyError = (error: unknown, signal: AbortSignal): core.TargetError => {
+	const detail = String(error);
+	if (isConnectError(error)) {
+		return {kind: core.TargetErrorKind.Unreachable, detail};
+	}
+
+	return {kind: signal.aborted ? core.TargetErrorKind.Cancelled : core.TargetErrorKind.Lost, detail};
+};
+
+const buildHeaders = (request: core.TargetRequest): Record<string, string | string[]> => ({
+	...headers.groupHeaders(request.headers),
+	'bilberrydoor-deadline-ms': String(Math.max(0, Math.floor(request.remainingMs))),
+	...(request.bodyLengthBytes !== undefined && {'content-length': String(request.bodyLengthBytes)}),
+});
+
+/** Target client over HTTP with one connection pool for each target. */
+export const createUndiciTargetClient = (
+	given: Partial<UndiciTargetClientOptions> = {},
+): core.TargetClient & {close(): Promise<void>} => {
+	const options = {...DEFAULT_UNDICI_TARGET_CLIENT_OPTIONS, ...given};
+	const pools = new Map<string, undici.Pool>();
+
+	const openPool = (target: domain.TargetEntry): undici.Pool => {
+		const existing = pools.get(target.address);
+		if (existing) {
+			return existing;
+		}
+
+		const pool = new undici.Pool(`http://${target.address}`, {
+			connections: target.connectionLimit,
+			pipelining: 1,
+			keepAliveTimeout: options.keepAliveMs,
+			// The scheduler owns the deadlines; a second clock here would end calls that it still counts on.
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			connect: {timeout: options.connectTimeoutMs},
+		});
+		pools.set(target.address, pool);
+		return pool;
+	};
+
+	return {
+		async send(target, request, signal) {
+			try {
+				const response = await openPool(target).request({
+					method: request.method,
+					path: request.pathAndQuery,
+					headers: buildHeaders(request),
+					body: request.body as undici.Dispatcher.RequestOptions['body'],
+					signal,
+				});
+				return neverthrow.ok({
+					status: response.statusCode,
+					headers: headers.listGroupedHeaders(response.headers),
+					body: response.body,
+				});
+			} catch (error) {
+				return neverthrow.err(classifyError(error, signal));
+			}
+		},
+		async probe(target, signal) {
+			try {
+				const response = await openPool(target).request({method: 'GET', path: '/healthz', signal});
+				await response.body.dump();
+				return neverthrow.ok({
+					isReady: response.statusCode === 200,
+					isLeaving: response.headers['bilberrydoor-leaving'] !== undefined,
+				});
+			} catch (error) {
+				return neverthrow.err(classifyError(error, signal));
+			}
+		},
+		async close() {
+			await Promise.all([...pools.values()].map(async pool => pool.destroy()));
+		},
+	};
+};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+export * from './commands/apply-entries.js';
+export * from './node-client.js';
--- /dev/null
+++ b/packages/core/src/entry/entry-service.ts
@@ -0,0 +1,113 @@
+import * as domain from '@bilberrydoor/domain';
+import * as ports from '../ports/index.js';
+import type {MemberDirectory} from '../membership/member-directory.js';
+import * as routeTables from '../routing/route-table.js';
+import type {TargetGroup} from '../routing/target-groups.js';
+import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
+import {limitBody} from '../shared/limit-body.js';
+import type {GroupDelivery} from './group-delivery.js';
+
+/** Admits callers' requests and sees each to its ending. */
+export type EntryService = {
+	handleCall(call: domain.CallRequest, signal: AbortSignal): Promise<domain.CallEnding>;
+};
+
+/** Runs work that may be executed at most once. */
+export type SingleWorkHandler = (admitted: AdmittedCall, signal: AbortSignal) => Promise<domain.CallEnding>;
+
+/** A call that has passed the checks at the entry node. */
+export type AdmittedCall = {
+	readonly service: string;
+	readonly route: domain.RouteEntry;
+	readonly call: domain.CallRequest;
+	readonly deadlineAtMs: number;
+};
+
+const ROUTE_MISS_REASONS: Record<routeTables.RouteMiss, domain.RefusalReason> = {
+	[routeTables.RouteMiss.UnknownPath]: domain.RefusalReason.UnknownRoute,
+	[routeTables.RouteMiss.MethodNotAllowed]: domain.RefusalReason.MethodNotAllowed,
+};
+
+/** Chooses a group of the service: in this node's region when there is one, at random in proportion to slots. */
+export const chooseGroup = (
+	groups: readonly TargetGroup[],
+	region: string,
+	fraction: number,
+): TargetGroup | undefined => {
+	const near = groups.filter(group => group.region === region);
+	const candidates = near.length > 0 ? near : groups;
+	const slotCount = candidates.reduce((sum, group) => sum + group.slotCount, 0);
+	let remaining = fraction * slotCount;
+	return (
+		candidates.find(group => {
+			remaining -= group.slotCount;
+			return remaining < 0;
+		}) ?? candidates.at(-1)
+	);
+};
+
+export const createEntryService = (dependencies: {
+	ports: ports.NodePorts;
+	directory: MemberDirectory;
+	routeTable: routeTables.RouteTable;
+	schedulers: SchedulerRegistry;
+	delivery: GroupDelivery;
+	isReady: () => boolean;
+	handleSingleWork: SingleWorkHandler;
+}): EntryService => {
+	const {clock, metrics, random} = dependencies.ports;
+
+	const deliverRepeatable = async (admitted: AdmittedCall, signal: AbortSignal): Promise<domain.CallEnding> => {
+		const groups = dependencies.schedulers.listGroups(admitted.service);
+		const group = chooseGroup(groups, dependencies.directory.self.region, random.fraction());
+		return group
+			? dependencies.delivery.deliver(group, admitted, signal)
+			: domain.notRun(domain.RefusalReason.NoTarget, `service ${admitted.service} has no targets in its entry`);
+	};
+
+	const handlersByRepeatability: Record<domain.Repeatability, SingleWorkHandler> = {
+		[domain.Repeatability.Repeatable]: deliverRepeatable,
+		[domain.Repeatability.Single]: dependencies.handleSingleWork,
+	};
+
+	const admitCall = async (call: domain.CallRequest, signal: AbortSignal): Promise<domain.CallEnding> => {
+		if (!dependencies.isReady()) {
+			return domain.notRun(domain.RefusalReason.NoCatalogue, 'this node has no catalogue yet', {
+				retryAfterMs: 1000,
+			});
+		}
+
+		const found = dependencies.routeTable.findRoute(call.method, call.path);
+		if (found.isErr()) {
+			const detail = `no route accepts ${call.method} ${call.path}; see the routes of the catalogue entries`;
+			return domain.notRun(ROUTE_MISS_REASONS[found.error], detail);
+		}
+
+		const {service, route} = found.value;
+		if ((call.bodyLengthBytes ?? 0) > route.requestBodyLimitBytes) {
+			const detail = `the body has ${call.bodyLengthBytes} bytes; the route accepts at most ${route.requestBodyLimitBytes}`;
+			return domain.notRun(domain.RefusalReason.BodyTooLarge, detail);
+		}
+
+		const deadlineMs = Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs);
+		const admitted: AdmittedCall = {
+			service,
+			route,
+			call: {...call, body: call.body && limitBody(call.body, route.requestBodyLimitBytes)},
+			deadlineAtMs: clock.monotonicMs() + deadlineMs,
+		};
+		return handlersByRepeatability[route.repeatability](admitted, signal);
+	};
+
+	return {
+		async handleCall(call, signal) {
+			const ending = await admitCall(call, signal);
+			metrics.increment(ports.CounterName.Calls, {outcome: ending.outcome});
+			if (ending.outcome !== domain.Outcome.Completed) {
+				metrics.increment(ports.CounterName.Refusals, {reason: ending.reason});
+			}
+
+			return ending;
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/node/call-tracker.ts
@@ -0,0 +1,86 @@
+import * as domain from '@bilberrydoor/domain';
+import type * as ports from '../ports/index.js';
+import {observeBody} from '../shared/observe-body.js';
+
+/** How a planned stop went. */
+export type DrainResult = {
+	/** Calls that were still in flight when the limit had passed. */
+	readonly cutCallCount: number;
+};
+
+/** Knows the calls in flight, so that a planned stop can wait for them. */
+export type CallTracker = {
+	/** Runs a call and counts it as in flight until its answer's body has ended or `signal` is aborted. */
+	track(
+		handle: () => Promise<domain.CallEnding>,
+		signal: AbortSignal,
+		refusal?: domain.NotRunEnding,
+	): Promise<domain.CallEnding>;
+	/** The refusal for new calls once the notice period of a planned stop has passed. */
+	refuseNewCalls(): domain.NotRunEnding | undefined;
+	isDraining(): boolean;
+	inFlightCount(): number;
+	drain(options: {noticeMs: number; limitMs: number}): Promise<DrainResult>;
+};
+
+export const createCallTracker = (dependencies: {clock: ports.Clock}): CallTracker => {
+	const {clock} = dependencies;
+	const idleController = new AbortController();
+	let inFlightCount = 0;
+	let isDraining = false;
+	let isNoticeOver = false;
+
+	const finishCall = (): void => {
+		inFlightCount--;
+		if (isNoticeOver && inFlightCount === 0) {
+			idleController.abort();
+		}
+	};
+
+	const createFinishOnce = (): (() => void) => {
+		let isFinished = false;
+		return () => {
+			if (!isFinished) {
+				isFinished = true;
+				finishCall();
+			}
+		};
+	};
+
+	return {
+		async track(handle, signal, refusal) {
+			if (refusal) {
+				return refusal;
+			}
+
+			inFlightCount++;
+			const finish = createFinishOnce();
+			signal.addEventListener('abort', finish, {once: true});
+			const ending = await handle();
+			if (ending.outcome !== domain.Outcome.Completed) {
+				finish();
+				return ending;
+			}
+
+			return domain.completed({...ending.answer, body: observeBody(ending.answer.body, {onEnd: finish})});
+		},
+		refuseNewCalls: () =>
+			isNoticeOver
+				? domain.notRun(domain.RefusalReason.Draining, 'this node is stopping; another node serves the call', {
+						retryAfterMs: 1000,
+					})
+				: undefined,
+		isDraining: () => isDraining,
+		inFlightCount: () => inFlightCount,
+		async drain({noticeMs, limitMs}) {
+			isDraining = true;
+			await clock.sleep(noticeMs);
+			isNoticeOver = true;
+			if (inFlightCount > 0) {
+				await clock.sleep(limitMs, idleController.signal);
+			}
+
+			return {cutCallCount: inFlightCount};
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/ports/clock.ts
@@ -0,0 +1,9 @@
+/** Time, so that the same code runs in real and in virtual time. */
+export type Clock = {
+	/** Monotonic time in ms; its zero is arbitrary. */
+	monotonicMs(): number;
+	/** Wall-clock time in ms since 1970, for display and message windows only. */
+	wallMs(): number;
+	/** Resolves after `durationMs`, or at once when `signal` is aborted. Never rejects. */
+	sleep(durationMs: number, signal?: AbortSignal): Promise<void>;
+};
--- /dev/null
+++ b/packages/core/src/ports/metrics.ts
@@ -0,0 +1,37 @@
+/** Counters. The label of each is an enum value or a service name. */
+export enum CounterName {
+	Calls = 'calls',
+	Refusals = 'refusals',
+	Retries = 'retries',
+	Attempts = 'attempts',
+	Ejections = 'ejections',
+	LateAnswers = 'lateAnswers',
+	LinkBytes = 'linkBytes',
+	CatalogueEdits = 'catalogueEdits',
+	PeerMessages = 'peerMessages',
+}
+
+export enum GaugeName {
+	AppliedOffset = 'appliedOffset',
+	LiveNodes = 'liveNodes',
+	HealthySlots = 'healthySlots',
+	FloorSlots = 'floorSlots',
+	QueuedCalls = 'queuedCalls',
+	OperationRecords = 'operationRecords',
+	CatalogueAtRisk = 'catalogueAtRisk',
+}
+
+export enum HistogramName {
+	CallSeconds = 'callSeconds',
+	QueueSeconds = 'queueSeconds',
+}
+
+/** Label values by label name. Label names are fixed for each metric by the adapter. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** Numbers for operators. */
+export type Metrics = {
+	increment(name: CounterName, labels: Labels, by?: number): void;
+	set(name: GaugeName, labels: Labels, value: number): void;
+	observe(name: HistogramName, labels: Labels, value: number): void;
+};
--- /dev/null
+++ b/packages/core/src/ports/peer-message.ts
@@ -0,0 +1,132 @@
+import type * as domain from '@bilberrydoor/domain';
+
+/** Kinds of control messages between nodes. */
+export enum PeerMessageKind {
+	Probe = 'probe',
+	IndirectProbe = 'indirectProbe',
+	PullRecords = 'pullRecords',
+	PullSnapshot = 'pullSnapshot',
+	MintOperations = 'mintOperations',
+	ReadOperation = 'readOperation',
+	TakeOverOperations = 'takeOverOperations',
+	ReportLeavingTarget = 'reportLeavingTarget',
+	TestTarget = 'testTarget',
+}
+
+export type ProbeRequest = {
+	readonly sender: domain.NodeDescription;
+	readonly appliedOffset: number;
+	readonly updates: readonly domain.MemberUpdate[];
+};
+
+export type ProbeReply = {
+	readonly node: domain.NodeDescription;
+	readonly appliedOffset: number;
+	readonly updates: readonly domain.MemberUpdate[];
+};
+
+export type IndirectProbeRequest = {
+	readonly sender: domain.NodeDescription;
+	readonly subject: domain.NodeDescription;
+	readonly updates: readonly domain.MemberUpdate[];
+};
+
+export type IndirectProbeReply = {
+	readonly isReached: boolean;
+	readonly updates: readonly domain.MemberUpdate[];
+};
+
+export type PullRecordsRequest = {
+	readonly fromOffset: number;
+	readonly limitCount: number;
+	/** How long the peer may wait for a record, in ms. */
+	readonly waitMs: number;
+};
+
+export type PullRecordsReply = {
+	readonly records: readonly domain.LoggedRecord[];
+	/** Offset up to which the peer has applied the log; -1 when it has nothing. */
+	readonly appliedOffset: number;
+	/** True when the peer no longer holds the records from `fromOffset`, so that a snapshot is needed. */
+	readonly isTruncated: boolean;
+};
+
+export type PullSnapshotRequest = Record<string, never>;
+
+export type PullSnapshotReply = {readonly snapshot?: domain.CatalogueSnapshot};
+
+export type MintOperationsRequest = {readonly service: string; readonly count: number};
+
+export type MintOperationsReply = {
+	/** Empty when the node may not mint now; `detail` tells why. */
+	readonly operationIds: readonly string[];
+	readonly detail?: string;
+};
+
+export type ReadOperationRequest = {readonly operationId: string; readonly workspace: string};
+
+export type ReadOperationReply = {
+	/** Absent when the executor has no record of the id. */
+	readonly state?: domain.OperationState;
+	readonly isExpired: boolean;
+	readonly reason?: domain.RefusalReason;
+	/** Status of the target's answer; present with `Completed`. */
+	readonly answerStatus?: number;
+	readonly detail?: string;
+};
+
+/** One operation record in a hand-over. */
+export type TransferredOperation = {
+	readonly serial: number;
+	readonly service: string;
+	readonly workspace: string;
+	readonly fingerprint: string;
+	readonly state: domain.OperationState;
+	readonly reason?: domain.RefusalReason;
+	readonly answer?: {
+		readonly status: number;
+		readonly headers: domain.HeaderList;
+		/** Body copy in base64; absent when it was larger than the limit. */
+		readonly bodyBase64?: string;
+	};
+	/** Time until the record may be dropped, in ms. */
+	readonly remainingRetentionMs: number;
+};
+
+export type TakeOverOperationsRequest = {
+	readonly from: domain.Incarnation;
+	readonly records: readonly TransferredOperation[];
+	/** True with the last batch. */
+	readonly isLast: boolean;
+};
+
+export type TakeOverOperationsReply = {readonly isAccepted: boolean};
+
+export type ReportLeavingTargetRequest = {readonly service: string; readonly targetId: string};
+
+export type ReportLeavingTargetReply = Record<string, never>;
+
+export type TestTargetRequest = {readonly service: string; readonly targetId: string};
+
+export type TestTargetReply = {readonly isReached: boolean; readonly latencyMs: number};
+
+/** Request and reply of each kind. */
+export type PeerMessages = {
+	[PeerMessageKind.Probe]: {request: ProbeRequest; reply: ProbeReply};
+	[PeerMessageKind.IndirectProbe]: {request: IndirectProbeRequest; reply: IndirectProbeReply};
+	[PeerMessageKind.PullRecords]: {request: PullRecordsRequest; reply: PullRecordsReply};
+	[PeerMessageKind.PullSnapshot]: {request: PullSnapshotRequest; reply: PullSnapshotReply};
+	[PeerMessageKind.MintOperations]: {request: MintOperationsRequest; reply: MintOperationsReply};
+	[PeerMessageKind.ReadOperation]: {request: ReadOperationRequest; reply: ReadOperationReply};
+	[PeerMessageKind.TakeOverOperations]: {request: TakeOverOperationsRequest; reply: TakeOverOperationsReply};
+	[PeerMessageKind.ReportLeavingTarget]: {request: ReportLeavingTargetRequest; reply: ReportLeavingTargetReply};
+	[PeerMessageKind.TestTarget]: {request: TestTargetRequest; reply: TestTargetReply};
+};
+
+/** One handler for each kind of message. */
+export type PeerHandlers = {
+	[Kind in PeerMessageKind]: (
+		request: PeerMessages[Kind]['request'],
+		signal: AbortSignal,
+	) => Promise<PeerMessages[Kind]['reply']>;
+};
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+export * from './load-settings.js';
+export * from './run-daemon.js';
--- /dev/null
+++ b/packages/fakes/src/fake-fleet.ts
@@ -0,0 +1,139 @@
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import {createFakeHost, type FakeHost} from './fake-host.js';
+import {createFakeLogService, type FakeLogService} from './fake-log-service.js';
+import {createFakeNetwork, type FakeNetwork} from './fake-network.js';
+import {createFakeMetrics, createSilentLogger, type FakeMetrics} from './fake-observability.js';
+import {createFakeTarget, type FakeTarget} from './fake-target.js';
+import {createFakeVmList, type FakeVmList} from './fake-vm-list.js';
+import {createSeededRandom} from './seeded-random.js';
+import {createVirtualClock, type VirtualClock} from './virtual-clock.js';
+
+export type FakeNode = {
+	readonly node: core.Node;
+	readonly host: FakeHost;
+	readonly metrics: FakeMetrics;
+	readonly address: string;
+	stop(): void;
+};
+
+/** Real nodes over fake ports and a virtual clock. */
+export type FakeFleet = {
+	readonly clock: VirtualClock;
+	readonly random: core.Random;
+	readonly log: FakeLogService;
+	readonly vmList: FakeVmList;
+	readonly network: FakeNetwork;
+	readonly nodes: readonly FakeNode[];
+	readonly targets: ReadonlyMap<string, FakeTarget>;
+	/** Starts a node. On a used address it is a new incarnation. */
+	startNode(options: {address: string; region: string; availabilityZone: string}): FakeNode;
+	/** Adds the entry's targets to the network. */
+	addTargets(entry: domain.CatalogueEntry): void;
+	/** Appends an edit and lets the nodes apply it. */
+	publishEntry(entry: domain.CatalogueEntry, baseRevision?: number): Promise<void>;
+};
+
+const DIGEST_MODULUS = 2 ** 32;
+
+/** Authenticator for tests: fast, and without any secrecy. */
+const createFakeAuthenticator = (): core.Authenticator => {
+	const digest = (parts: Iterable<string | Uint8Array>): string => {
+		let hash = 7;
+		for (const part of parts) {
+			hash = (hash * 31 + core.hashString(String(part))) % DIGEST_MODULUS;
+		}
+
+		return hash.toString(16);
+	};
+
+	const sign = (text: string): string => digest(['key', text]);
+	return {sign, verify: (text, mac) => sign(text) === mac, digest};
+};
+
+export const createFakeFleet = (options: {seed?: number; settings?: Partial<core.NodeSettings>} = {}): FakeFleet => {
+	const clock = createVirtualClock();
+	const random = createSeededRandom(options.seed ?? 1);
+	const log = createFakeLogService(clock);
+	const vmList = createFakeVmList(clock);
+	const network = createFakeNetwork(clock);
+	const targets = new Map<string, FakeTarget>();
+	const nodes: FakeNode[] = [];
+
+	const buildPorts = (address: string, host: FakeHost, metrics: FakeMetrics): core.NodePorts => ({
+		authenticator: createFakeAuthenticator(),
+		catalogueCodec: {serializeItem: item => JSON.stringify(item)},
+		clock: host.wrapClock(clock),
+		logService: log,
+		logger: createSilentLogger(),
+		metrics,
+		nodeLoad: {eventLoopDelayMs: () => 0, residentBytes: () => 0},
+		peerClient: network.createPeerClient(address, host),
+		random: createSeededRandom(Math.floor(random.fraction() * DIGEST_MODULUS)),
+		targetClient: network.createTargetClient(address, host),
+		vmList,
+	});
+
+	const listNode = (address: string, region: string, availabilityZone: string): void => {
+		const others = vmList.items().filter(item => item.address !== address);
+		const vmId = `vm-${address}`;
+		vmList.replace([...others, {vmId, address, region, availabilityZone, isFleetNode: true, isLeaving: false}]);
+	};
+
+	return {
+		clock,
+		random,
+		log,
+		vmList,
+		network,
+		nodes,
+		targets,
+		startNode({address, region, availabilityZone}) {
+			const host = createFakeHost();
+			const metrics = createFakeMetrics();
+			listNode(address, region, availabilityZone);
+			const node = core.createNode({
+				ports: buildPorts(address, host, metrics),
+				settings: {
+					...options.settings,
+					self: {vmId: `vm-${address}`, address, region, availabilityZone, operationsAddress: ''},
+				},
+			});
+			const controller = new AbortController();
+			const fakeNode: FakeNode = {
+				node,
+				host,
+				metrics,
+				address,
+				stop() {
+					controller.abort();
+				},
+			};
+			nodes.push(fakeNode);
+			network.addNode(address, fakeNode);
+			void node.run(controller.signal);
+			return fakeNode;
+		},
+		addTargets(entry) {
+			entry.targets.forEach(target => {
+				const fake = createFakeTarget({clock, entry: target});
+				targets.set(target.targetId, fake);
+				network.addTarget(fake);
+			});
+		},
+		async publishEntry(entry, baseRevision = 0) {
+			await clock.runUntilSettled(
+				log.append({
+					kind: domain.CatalogueRecordKind.Edit,
+					editId: random.token(),
+					service: entry.service,
+					author: 'operator',
+					baseRevision,
+					entry,
+				}),
+				10_000,
+			);
+			await clock.advance(5000);
+		},
+	};
+};
--- /dev/null
+++ b/packages/fakes/src/fake-network.ts
@@ -0,0 +1,167 @@
+import * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
+import * as neverthrow from 'neverthrow';
+import type {FakeHost} from './fake-host.js';
+import type {FakeTarget} from './fake-target.js';
+
+/** A node as the network reaches it. */
+export type NetworkNode = {
+	readonly host: FakeHost;
+	readonly node: Pick<core.Node, 'self' | 'peerHandlers' | 'handleForwardedCall'>;
+};
+
+/** Connects nodes and targets in memory, with latencies and one-way cuts. */
+export type FakeNetwork = {
+	/** One-way latency between two addresses, in ms. */
+	latencyMs: (from: string, to: string) => number;
+	/** Time after which a connection attempt into a cut fails, in ms. */
+	connectTimeoutMs: number;
+	/** Control messages that a node has sent, by kind. */
+	readonly messageCounts: ReadonlyMap<core.PeerMessageKind, number>;
+	/** Called for each control message with an estimate of its size in bytes, both directions. */
+	onMessage?: (from: string, to: string, sizeBytes: number) => void;
+	addNode(address: string, node: NetworkNode): void;
+	addTarget(target: FakeTarget): void;
+	/** Loses everything from one address to another; the other direction goes on. */
+	cut(from: string, to: string): void;
+	heal(): void;
+	createPeerClient(selfAddress: string, host: FakeHost): core.PeerClient;
+	createTargetClient(selfAddress: string, host: FakeHost): core.TargetClient;
+};
+
+/** Fixed cost of an HTTP exchange with its authentication header, in bytes. */
+const EXCHANGE_OVERHEAD_BYTES = 600;
+
+export const createFakeNetwork = (clock: core.Clock): FakeNetwork => {
+	const nodes = new Map<string, NetworkNode>();
+	const targets = new Map<string, FakeTarget>();
+	const cuts = new Set<string>();
+	const messageCounts = new Map<core.PeerMessageKind, number>();
+	const isCut = (from: string, to: string): boolean => cuts.has(`${from}>${to}`);
+	const unreachable = () => neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'connection failed'});
+	const lost = () => neverthrow.err({kind: core.PeerErrorKind.Lost, detail: 'no reply'});
+
+	const waitForAbort = async (signal: AbortSignal): Promise<void> =>
+		signal.aborted
+			? undefined
+			: new Promise(resolve => {
+					signal.addEventListener(
+						'abort',
+						() => {
+							resolve();
+						},
+						{once: true},
+					);
+				});
+
+	/** Delivers one exchange. A cut towards the peer looks like a connection that cannot be opened. */
+	const exchange = async <T>(
+		from: {address: string; host: FakeHost},
+		to: string,
+		signal: AbortSignal,
+		handle: (receiver: NetworkNode) => Promise<T>,
+	): Promise<neverthrow.Result<T, core.PeerError>> => {
+		await from.host.waitUntilRunning();
+		await clock.sleep(network.latencyMs(from.address, to), signal);
+		const receiver = nodes.get(to);
+		if (!receiver || receiver.host.isDead()) {
+			return unreachable();
+		}
+
+		if (isCut(from.address, to)) {
+			await clock.sleep(network.connectTimeoutMs, signal);
+			return unreachable();
+		}
+
+		const work = async (): Promise<T | undefined> => {
+			await receiver.host.waitUntilRunning();
+			const reply = await handle(receiver);
+			await receiver.host.waitUntilRunning();
+			return reply;
+		};
+
+		const reply = await Promise.race([work(), waitForAbort(signal)]);
+		if (reply === undefined || receiver.host.isDead() || isCut(to, from.address)) {
+			await waitForAbort(signal);
+			return lost();
+		}
+
+		await clock.sleep(network.latencyMs(to, from.address), signal);
+		await from.host.waitUntilRunning();
+		return neverthrow.ok(reply as T);
+	};
+
+	const network: FakeNetwork = {
+		latencyMs: () => 0.5,
+		connectTimeoutMs: 500,
+		messageCounts,
+		addNode(address, node) {
+			nodes.set(address, node);
+		},
+		addTarget(target) {
+			targets.set(target.entry.address, target);
+		},
+		cut(from, to) {
+			cuts.add(`${from}>${to}`);
+		},
+		heal() {
+			cuts.clear();
+		},
+		createPeerClient: (selfAddress, host) => ({
+			async request(address, kind, request, signal) {
+				messageCounts.set(kind, (messageCounts.get(kind) ?? 0) + 1);
+				const result = await exchange({address: selfAddress, host}, address, signal, async ({node}) =>
+					node.peerHandlers[kind](request, signal),
+				);
+				const replySize = result.isOk() ? JSON.stringify(result.value).length : 0;
+				network.onMessage?.(selfAddress, address, JSON.stringify(request).length + replySize + EXCHANGE_OVERHEAD_BYTES);
+				return result;
+			},
+			async forwardCall(address, forwarded, signal) {
+				const required = forwarded.requiredIncarnationId;
+				const result = await exchange({address: selfAddress, host}, address, signal, async ({node}) =>
+					required !== undefined && required !== node.self.incarnationId
+						? undefined
+						: node.handleForwardedCall(forwarded, signal),
+				);
+				return result.andThen<domain.CallEnding, core.PeerError>(ending =>
+					ending
+						? neverthrow.ok(ending)
+						: neverthrow.err({kind: core.PeerErrorKind.Refused, detail: 'another incarnation'}),
+				);
+			},
+		}),
+		createTargetClient: (selfAddress, host) => ({
+			async send(entry, request, signal) {
+				await host.waitUntilRunning();
+				await clock.sleep(network.latencyMs(selfAddress, entry.address), signal);
+				await host.waitUntilRunning();
+				const target = targets.get(entry.address);
+				if (!target || isCut(selfAddress, entry.address)) {
+					return neverthrow.err({kind: core.TargetErrorKind.Unreachable, detail: 'connection failed'});
+				}
+
+				if (signal.aborted) {
+					return neverthrow.err({kind: core.TargetErrorKind.Cancelled, detail: 'cancelled'});
+				}
+
+				const answer = await target.serve(request, signal);
+				if (isCut(entry.address, selfAddress)) {
+					await waitForAbort(signal);
+					return neverthrow.err({kind: core.TargetErrorKind.Cancelled, detail: 'no answer arrived'});
+				}
+
+				await clock.sleep(network.latencyMs(entry.address, selfAddress), signal);
+				await host.waitUntilRunning();
+				return answer;
+			},
+			async probe(entry, signal) {
+				await clock.sleep(network.latencyMs(selfAddress, entry.address) * 2, signal);
+				return targets.has(entry.address)
+					? neverthrow.ok({isReady: true, isLeaving: false})
+					: neverthrow.err({kind: core.TargetErrorKind.Unreachable, detail: 'connection failed'});
+			},
+		}),
+	};
+	return network;
+};
--- /dev/null
+++ b/packages/fakes/src/fake-target.ts
@@ -0,0 +1,151 @@
+import * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
+import * as neverthrow from 'neverthrow';
+
+export enum FakeTargetFault {
+	None = 'none',
+	/** Answers 500 to work. */
+	Errors = 'errors',
+	/** Takes ten times as long. */
+	Slow = 'slow',
+	/** Never answers work. */
+	Stall = 'stall',
+	/** Answers 503 to work, without running it. */
+	Shed = 'shed',
+	/** Refuses connections. */
+	Down = 'down',
+	/** Runs the work, but its answers are lost. */
+	LoseAnswers = 'lose-answers',
+	/** Starts its answers and breaks them off. */
+	Truncate = 'truncate',
+}
+
+const SLOW_FACTOR = 10;
+
+type FaultBehaviour = {readonly status: number; readonly timeFactor: number; readonly isTruncated?: boolean};
+
+const BEHAVIOURS: Record<FakeTargetFault, FaultBehaviour> = {
+	[FakeTargetFault.None]: {status: 200, timeFactor: 1},
+	[FakeTargetFault.Errors]: {status: 500, timeFactor: 1},
+	[FakeTargetFault.Slow]: {status: 200, timeFactor: SLOW_FACTOR},
+	[FakeTargetFault.Stall]: {status: 200, timeFactor: Infinity},
+	[FakeTargetFault.Shed]: {status: 503, timeFactor: 0},
+	[FakeTargetFault.Down]: {status: 0, timeFactor: 0},
+	[FakeTargetFault.LoseAnswers]: {status: 0, timeFactor: 1},
+	[FakeTargetFault.Truncate]: {status: 200, timeFactor: 1, isTruncated: true},
+};
+
+/** Target in memory. Work beyond its slots waits, and beyond its queue is shed with 503. */
+export type FakeTarget = {
+	readonly entry: domain.TargetEntry;
+	fault: FakeTargetFault;
+	/** Time of one piece of work, in ms. */
+	serviceTimeMs: (request: core.TargetRequest) => number;
+	queueLimitCount: number;
+	readonly receivedCount: () => number;
+	readonly busyCount: () => number;
+	/** Executions by the value of the `x-operation` header. */
+	readonly executions: ReadonlyMap<string, number>;
+	serve(request: core.TargetRequest, signal: AbortSignal): Promise<neverthrow.Result<domain.Answer, core.TargetError>>;
+};
+
+const encoder = new TextEncoder();
+
+async function* writeAnswerBody(text: string, isTruncated: boolean): AsyncGenerator<Uint8Array> {
+	yield encoder.encode(isTruncated ? text.slice(0, text.length / 2) : text);
+	if (isTruncated) {
+		throw new Error('the target broke off its answer');
+	}
+}
+
+export const createFakeTarget = (options: {
+	clock: core.Clock;
+	entry: domain.TargetEntry;
+	serviceTimeMs?: (request: core.TargetRequest) => number;
+}): FakeTarget => {
+	const {clock, entry} = options;
+	const executions = new Map<string, number>();
+	let waiting: Array<() => void> = [];
+	let busyCount = 0;
+	let receivedCount = 0;
+
+	const acquireSlot = async (): Promise<void> => {
+		if (busyCount < entry.slotCount) {
+			busyCount++;
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			waiting = [...waiting, resolve];
+		});
+	};
+
+	const releaseSlot = (): void => {
+		const [next, ...rest] = waiting;
+		waiting = rest;
+		if (next) {
+			next();
+		} else {
+			busyCount--;
+		}
+	};
+
+	const work = async (request: core.TargetRequest, timeFactor: number, signal: AbortSignal): Promise<void> => {
+		await acquireSlot();
+		const operation = request.headers.find(([name]) => name === 'x-operation')?.[1];
+		if (operation !== undefined) {
+			executions.set(operation, (executions.get(operation) ?? 0) + 1);
+		}
+
+		const durationMs = target.serviceTimeMs(request) * timeFactor;
+		await (Number.isFinite(durationMs)
+			? clock.sleep(durationMs, signal)
+			: new Promise<void>(resolve => {
+					signal.addEventListener(
+						'abort',
+						() => {
+							resolve();
+						},
+						{once: true},
+					);
+				}));
+		releaseSlot();
+	};
+
+	const buildAnswer = (status: number, request: core.TargetRequest, isTruncated: boolean): domain.Answer => ({
+		status,
+		headers: [['content-type', 'text/plain']],
+		body: writeAnswerBody(`${entry.targetId} ${request.pathAndQuery}`, isTruncated),
+	});
+
+	const target: FakeTarget = {
+		entry,
+		fault: FakeTargetFault.None,
+		serviceTimeMs: options.serviceTimeMs ?? (() => 10),
+		queueLimitCount: 1000,
+		receivedCount: () => receivedCount,
+		busyCount: () => busyCount,
+		executions,
+		async serve(request, signal) {
+			const {status, timeFactor, isTruncated = false} = BEHAVIOURS[target.fault];
+			if (target.fault === FakeTargetFault.Down) {
+				return neverthrow.err({kind: core.TargetErrorKind.Unreachable, detail: 'connection refused'});
+			}
+
+			receivedCount++;
+			if (timeFactor === 0 || waiting.length >= target.queueLimitCount) {
+				return neverthrow.ok(buildAnswer(503, request, false));
+			}
+
+			await work(request, timeFactor, signal);
+			if (signal.aborted) {
+				return neverthrow.err({kind: core.TargetErrorKind.Cancelled, detail: 'the attempt was cancelled'});
+			}
+
+			return status === 0
+				? neverthrow.err({kind: core.TargetErrorKind.Lost, detail: 'the connection broke'})
+				: neverthrow.ok(buildAnswer(status, request, isTruncated));
+		},
+	};
+	return target;
+};
--- /dev/null
+++ b/packages/measures/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './measure.js';
--- /dev/null
+++ b/packages/measures/src/measure.ts
@@ -0,0 +1,9 @@
+/** What a measurement is asked for. */
+export type MeasureOptions = {
+	readonly seed: number;
+	/** Writes a line of progress to standard error. */
+	reportProgress(line: string): void;
+};
+
+/** A measurement. Its result is printed as one JSON object. */
+export type Measure = (options: MeasureOptions) => Promise<Readonly<Record<string, unknown>>>;
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,6 @@
+export * from './log/log-app.js';
+export * from './log/log-store.js';
+export * from './target/target-app.js';
+export * from './vm-list/vm-list-app.js';
+export * from './launch/launch-fleet.js';
+export * from './launch/launched-process.js';
--- /dev/null
+++ b/packages/stand-ins/src/log/log-app.ts
@@ -0,0 +1,57 @@
+import * as hono from 'hono';
+import type * as adapters from '@bilberrydoor/adapters';
+import {createLogStore, type LogStore, type LogStoreOptions} from './log-store.js';
+
+/** Faults of the log service. */
+export enum LogFault {
+	None = 'none',
+	/** Answers 503 to everything. */
+	Down = 'down',
+	/** Takes appends but never answers them. */
+	LoseAppendAnswers = 'lose-append-answers',
+}
+
+const numberOf = (text: string | undefined, fallback: number): number =>
+	text === undefined || text === '' ? fallback : Number(text);
+
+/** Stand-in for the platform's log service, with a control route for its faults. */
+export const createLogApp = (options: Partial<LogStoreOptions> = {}): hono.Hono<adapters.NodeBindings> => {
+	const app = new hono.Hono<adapters.NodeBindings>();
+	const streams = new Map<string, LogStore>();
+	let fault = LogFault.None;
+
+	const openStream = (name: string): LogStore => {
+		const store = streams.get(name) ?? createLogStore(options);
+		streams.set(name, store);
+		return store;
+	};
+
+	app.put('/fault/:fault', context => {
+		fault = context.req.param('fault') as LogFault;
+		return context.json({fault});
+	});
+	app.use('/streams/*', async (context, next) =>
+		fault === LogFault.Down ? context.json({error: 'unavailable'}, 503) : next(),
+	);
+	app.post('/streams/:stream/records', async context => {
+		const offset = openStream(context.req.param('stream')).append(await context.req.json());
+		if (fault === LogFault.LoseAppendAnswers) {
+			context.env.outgoing.destroy();
+		}
+
+		return context.json({offset}, 201);
+	});
+	app.get('/streams/:stream/records', async context => {
+		const store = openStream(context.req.param('stream'));
+		const from = numberOf(context.req.query('from'), 0);
+		const bounds = () => ({firstOffset: store.firstOffset(), endOffset: store.endOffset()});
+		if (from < store.firstOffset()) {
+			return context.json({...bounds(), records: []}, 410);
+		}
+
+		const limit = numberOf(context.req.query('limit'), 100);
+		const records = await store.read(from, limit, numberOf(context.req.query('waitMs'), 0));
+		return context.json({...bounds(), records});
+	});
+	return app;
+};
