feat(health): put an interface between the scheduler and the judgement of targets

Cause: scheduling and health are written apart and meet at one place. Change: group health with attempt results and standings; the scheduler asks it for open slots and tells it how attempts end.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './catalogue/catalogue-store.js';
 export * from './entry/entry-service.js';
 export * from './entry/group-delivery.js';
+export * from './health/group-health.js';
 export * from './membership/member-directory.js';
 export * from './node/call-tracker.js';
 export * from './node/create-node.js';
--- a/packages/core/src/scheduling/group-scheduler.ts
+++ b/packages/core/src/scheduling/group-scheduler.ts
@@ -1,5 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import * as groupHealth from '../health/group-health.js';
 import type {TargetGroup} from '../routing/target-groups.js';
 import {limitBody} from '../shared/limit-body.js';
 import {observeBody} from '../shared/observe-body.js';
@@ -33,13 +34,20 @@
 type TargetSlots = {
 	target: domain.TargetEntry;
 	busySlotCount: number;
-	isLeaving: boolean;
 };
 
 type Waiter = {
 	readonly grant: (slots: TargetSlots | undefined) => void;
 };
 
+const SERVER_ERROR_STATUS = 500;
+
+const ATTEMPT_RESULTS: Record<ports.TargetErrorKind, groupHealth.AttemptResult> = {
+	[ports.TargetErrorKind.Unreachable]: groupHealth.AttemptResult.Unreachable,
+	[ports.TargetErrorKind.Lost]: groupHealth.AttemptResult.Lost,
+	[ports.TargetErrorKind.Cancelled]: groupHealth.AttemptResult.TimedOut,
+};
+
 const CONVERT_TARGET_ERROR: Record<
 	ports.TargetErrorKind,
 	(detail: string) => domain.NotRunEnding | domain.UnknownEnding
@@ -53,6 +61,7 @@
 	const {clock, targetClient, metrics} = dependencies.ports;
 	let {group, entry} = dependencies;
 	let targets = new Map<string, TargetSlots>();
+	const health = groupHealth.createGroupHealth({group});
 	let waiters: Waiter[] = [];
 	let activeCallCount = 0;
 
@@ -60,16 +69,19 @@
 		targets = new Map(
 			group.targets.map(target => {
 				const existing = targets.get(target.targetId);
-				const slots = existing ?? {target, busySlotCount: 0, isLeaving: false};
+				const slots = existing ?? {target, busySlotCount: 0};
 				slots.target = target;
 				return [target.targetId, slots];
 			}),
 		);
 	};
 
+	const openSlotCount = (target: domain.TargetEntry): number =>
+		Math.floor(target.slotCount * health.standingOf(target.targetId).openRatio);
+
 	const findFreeTarget = (): TargetSlots | undefined =>
 		[...targets.values()]
-			.filter(slots => !slots.isLeaving && !slots.target.isDraining && slots.busySlotCount < slots.target.slotCount)
+			.filter(({target, busySlotCount}) => busySlotCount < openSlotCount(target))
 			.toSorted((left, right) => left.busySlotCount - right.busySlotCount)[0];
 
 	const grantNext = (): void => {
@@ -111,6 +123,7 @@
 	): Promise<domain.CallEnding> => {
 		const {call, route} = scheduled;
 		metrics.increment(ports.CounterName.Attempts, {service: group.service});
+		const attempt = health.startAttempt(slots.target.targetId, route.workClass);
 		const sent = await targetClient.send(
 			slots.target,
 			{
@@ -124,11 +137,15 @@
 			signal,
 		);
 		if (sent.isErr()) {
+			attempt.finish(ATTEMPT_RESULTS[sent.error.kind]);
 			releaseSlot(slots);
 			return CONVERT_TARGET_ERROR[sent.error.kind](sent.error.detail);
 		}
 
 		const answer = sent.value;
+		attempt.finish(
+			answer.status >= SERVER_ERROR_STATUS ? groupHealth.AttemptResult.Error : groupHealth.AttemptResult.Success,
+		);
 		const body = limitBody(answer.body, route.answerBodyLimitBytes);
 		return domain.completed({
 			...answer,
@@ -161,6 +178,7 @@
 	};
 
 	loadTargets();
+	health.subscribe(grantNext);
 	return {
 		async schedule(scheduled, signal) {
 			activeCallCount++;
@@ -173,32 +191,31 @@
 		replaceGroup(newGroup, newEntry) {
 			group = newGroup;
 			entry = newEntry;
+			health.replaceGroup(group);
 			loadTargets();
 			grantNext();
 		},
 		markTargetLeaving(targetId) {
-			const slots = targets.get(targetId);
-			if (slots) {
-				slots.isLeaving = true;
-			}
+			health.markLeaving(targetId, 'reported as leaving');
 		},
 		describeTargets: () =>
-			[...targets.values()].map(({target, busySlotCount, isLeaving}) => ({
-				service: entry.service,
-				groupId: group.groupId,
-				targetId: target.targetId,
-				address: target.address,
-				availabilityZone: target.availabilityZone,
-				state: isLeaving || target.isDraining ? domain.TargetState.Draining : domain.TargetState.Healthy,
-				reason: '',
-				sinceMs: 0,
-				slotCount: target.slotCount,
-				openSlotCount: target.slotCount,
-				busySlotCount,
-			})),
+			[...targets.values()].map(({target, busySlotCount}) => {
+				const {state, reason, sinceMs} = health.standingOf(target.targetId);
+				return {
+					service: entry.service,
+					groupId: group.groupId,
+					targetId: target.targetId,
+					address: target.address,
+					availabilityZone: target.availabilityZone,
+					state,
+					reason,
+					sinceMs,
+					slotCount: target.slotCount,
+					openSlotCount: openSlotCount(target),
+					busySlotCount,
+				};
+			}),
 		activeCallCount: () => activeCallCount,
-		async run() {
-			// The group has no background task yet.
-		},
+		run: async signal => health.run(signal),
 	};
 };
