feat(membership): probe members, refute suspicions and spread updates

The directory showed only the VM list, which lags and tells nothing about reachability. Probe messages have a compact encoding. Rankings of groups follow membership changes without a full ranking, and forwarded calls are bounded in time at the caller.

--- a/packages/adapters/src/peer/http-peer-client.ts
+++ b/packages/adapters/src/peer/http-peer-client.ts
@@ -3,6 +3,7 @@
 import * as trpcClient from '@trpc/client';
 import * as neverthrow from 'neverthrow';
 import * as undici from 'undici';
+import * as zod from 'zod';
 import {isConnectError} from '../http/connect-error.js';
 import {decodeEnding, encodeForwardedCall, ENDING_HEADER, FORWARDED_CALL_HEADER} from './forwarded-call-codec.js';
 import {CONTROL_PATH, FORWARD_PATH} from './peer-app.js';
@@ -86,7 +87,8 @@
 	return {
 		async request(address, kind, request, signal) {
 			try {
-				const reply: unknown = await createControlClient(address, signal).mutation(kind, request);
+				const message = zod.encode(PEER_MESSAGE_SCHEMAS[kind].request, request);
+				const reply: unknown = await createControlClient(address, signal).mutation(kind, message);
 				const parsed = PEER_MESSAGE_SCHEMAS[kind].reply.safeParse(reply);
 				return parsed.success
 					? neverthrow.ok(parsed.data)
--- a/packages/adapters/src/peer/peer-message-schemas.ts
+++ b/packages/adapters/src/peer/peer-message-schemas.ts
@@ -2,29 +2,18 @@
 import * as domain from '@bilberrydoor/domain';
 import * as zod from 'zod';
 import {catalogueRecordSchema, catalogueSnapshotSchema} from '../settings/catalogue-record-schema.js';
+import {
+	indirectProbeReplyCodec,
+	indirectProbeRequestCodec,
+	probeReplyCodec,
+	probeRequestCodec,
+} from './probe-message-codecs.js';
 
 const shortText = zod.string().max(128);
 const detailText = zod.string().max(1024).optional();
 
 export const incarnationSchema = zod.object({vmId: shortText, address: shortText, incarnationId: shortText});
 
-const nodeSchema = zod.object({
-	...incarnationSchema.shape,
-	region: shortText,
-	availabilityZone: shortText,
-	operationsAddress: shortText,
-});
-
-const updatesSchema = zod
-	.array(
-		zod.object({
-			node: nodeSchema,
-			state: zod.enum(domain.MemberState),
-			refutationCount: zod.number().int().min(0),
-		}),
-	)
-	.max(64);
-
 const offset = zod.number().int().min(-1);
 const count = zod.number().int().min(0).max(10_000);
 const empty = zod.strictObject({});
@@ -46,21 +35,15 @@
 	remainingRetentionMs: zod.number(),
 });
 
-/** Schemas of request and reply for each kind of control message. */
+/** Schemas of request and reply for each kind of control message. Decoding gives the type of the port. */
 export const PEER_MESSAGE_SCHEMAS: {
 	readonly [Kind in core.PeerMessageKind]: {
 		readonly request: zod.ZodType<core.PeerMessages[Kind]['request']>;
 		readonly reply: zod.ZodType<core.PeerMessages[Kind]['reply']>;
 	};
 } = {
-	[core.PeerMessageKind.Probe]: {
-		request: zod.object({sender: nodeSchema, appliedOffset: offset, updates: updatesSchema}),
-		reply: zod.object({node: nodeSchema, appliedOffset: offset, updates: updatesSchema}),
-	},
-	[core.PeerMessageKind.IndirectProbe]: {
-		request: zod.object({sender: nodeSchema, subject: nodeSchema, updates: updatesSchema}),
-		reply: zod.object({isReached: zod.boolean(), updates: updatesSchema}),
-	},
+	[core.PeerMessageKind.Probe]: {request: probeRequestCodec, reply: probeReplyCodec},
+	[core.PeerMessageKind.IndirectProbe]: {request: indirectProbeRequestCodec, reply: indirectProbeReplyCodec},
 	[core.PeerMessageKind.PullRecords]: {
 		request: zod.object({fromOffset: offset, limitCount: count, waitMs: zod.number().min(0).max(60_000)}),
 		reply: zod.object({
--- a/packages/adapters/src/peer/peer-router.ts
+++ b/packages/adapters/src/peer/peer-router.ts
@@ -1,5 +1,6 @@
 import * as core from '@bilberrydoor/core';
 import * as trpc from '@trpc/server';
+import * as zod from 'zod';
 import {PEER_MESSAGE_SCHEMAS} from './peer-message-schemas.js';
 
 const builder = trpc.initTRPC.context<{signal: AbortSignal}>().create();
@@ -7,7 +8,12 @@
 const createProcedure = <Kind extends core.PeerMessageKind>(kind: Kind, handlers: core.PeerHandlers) =>
 	builder.procedure
 		.input(PEER_MESSAGE_SCHEMAS[kind].request)
-		.mutation(async ({input, ctx}) => handlers[kind](input as core.PeerMessages[Kind]['request'], ctx.signal));
+		.mutation(async ({input, ctx}) =>
+			zod.encode(
+				PEER_MESSAGE_SCHEMAS[kind].reply,
+				await handlers[kind](input as core.PeerMessages[Kind]['request'], ctx.signal),
+			),
+		);
 
 /** tRPC router with one procedure for each kind of control message. */
 export const createPeerRouter = (handlers: core.PeerHandlers) =>
--- /dev/null
+++ b/packages/adapters/src/peer/probe-message-codecs.ts
@@ -0,0 +1,59 @@
+import type * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
+import * as zod from 'zod';
+import {memberUpdateCodec} from './member-update-codec.js';
+
+/** Updates in one message at most. */
+const UPDATE_LIMIT_COUNT = 64;
+
+const updates = zod.array(memberUpdateCodec).max(UPDATE_LIMIT_COUNT);
+const offset = zod.number().int().min(-1);
+const durationMs = zod.number().min(0);
+
+export const probeRequestCodec = zod.codec(
+	zod.tuple([memberUpdateCodec, offset, durationMs, updates]),
+	zod.custom<core.ProbeRequest>(),
+	{
+		decode: ([sender, appliedOffset, silenceMs, list]) => ({sender, appliedOffset, silenceMs, updates: list}),
+		encode: (request): [domain.MemberUpdate, number, number, domain.MemberUpdate[]] => [
+			request.sender,
+			request.appliedOffset,
+			Math.round(request.silenceMs),
+			[...request.updates],
+		],
+	},
+);
+
+export const probeReplyCodec = zod.codec(
+	zod.tuple([memberUpdateCodec, offset, updates]),
+	zod.custom<core.ProbeReply>(),
+	{
+		decode: ([responder, appliedOffset, list]) => ({responder, appliedOffset, updates: list}),
+		encode: (reply): [domain.MemberUpdate, number, domain.MemberUpdate[]] => [
+			reply.responder,
+			reply.appliedOffset,
+			[...reply.updates],
+		],
+	},
+);
+
+export const indirectProbeRequestCodec = zod.codec(
+	zod.tuple([zod.string().max(128), updates]),
+	zod.custom<core.IndirectProbeRequest>(),
+	{
+		decode: ([subjectAddress, list]) => ({subjectAddress, updates: list}),
+		encode: (request): [string, domain.MemberUpdate[]] => [request.subjectAddress, [...request.updates]],
+	},
+);
+
+export const indirectProbeReplyCodec = zod.codec(
+	zod.tuple([zod.boolean(), updates, durationMs.optional()]),
+	zod.custom<core.IndirectProbeReply>(),
+	{
+		decode: ([isReached, list, heardAgoMs]) => ({isReached, heardAgoMs, updates: list}),
+		encode: (reply): [boolean, domain.MemberUpdate[], number?] =>
+			reply.heardAgoMs === undefined
+				? [reply.isReached, [...reply.updates]]
+				: [reply.isReached, [...reply.updates], Math.round(reply.heardAgoMs)],
+	},
+);
--- /dev/null
+++ b/packages/core/src/entry/bounded-forward.ts
@@ -0,0 +1,51 @@
+import * as domain from '@bilberrydoor/domain';
+import * as neverthrow from 'neverthrow';
+import * as ports from '../ports/index.js';
+
+/** The peer ends a call at its deadline. This covers the way back and a slow event loop, in ms. */
+const FORWARD_GRACE_MS = 1000;
+
+/**
+ * Forwards a call and gives up soon after its deadline, also when the peer never replies. The peer's work and the body
+ * of its answer stay bound to `signal`.
+ */
+export const forwardWithinDeadline = async (
+	dependencies: Pick<ports.NodePorts, 'clock' | 'peerClient'>,
+	address: string,
+	forwarded: ports.ForwardedCall,
+	signal: AbortSignal,
+): Promise<neverthrow.Result<domain.CallEnding, ports.PeerError>> => {
+	const {clock, peerClient} = dependencies;
+	const forwardController = new AbortController();
+	const timeoutController = new AbortController();
+	const abortForward = (): void => {
+		forwardController.abort();
+	};
+
+	if (signal.aborted) {
+		abortForward();
+	}
+
+	signal.addEventListener('abort', abortForward, {once: true});
+	const timeoutMs = Math.max(0, forwarded.remainingMs) + FORWARD_GRACE_MS;
+	const waitForTimeout = async () => {
+		await clock.sleep(timeoutMs, timeoutController.signal);
+		const detail = `peer ${address} did not reply within ${timeoutMs} ms`;
+		return neverthrow.err<domain.CallEnding, ports.PeerError>({kind: ports.PeerErrorKind.Lost, detail});
+	};
+
+	const result = await Promise.race([
+		peerClient.forwardCall(address, forwarded, forwardController.signal),
+		waitForTimeout(),
+	]);
+	timeoutController.abort();
+	if (result.isErr()) {
+		abortForward();
+	}
+
+	if (result.isErr() || result.value.outcome !== domain.Outcome.Completed) {
+		signal.removeEventListener('abort', abortForward);
+	}
+
+	return result;
+};
--- a/packages/core/src/entry/group-delivery.ts
+++ b/packages/core/src/entry/group-delivery.ts
@@ -1,10 +1,11 @@
 import * as domain from '@bilberrydoor/domain';
 import type {MemberDirectory} from '../membership/member-directory.js';
 import * as ports from '../ports/index.js';
-import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
 import type {TargetGroup} from '../routing/target-groups.js';
 import type {ScheduledCall} from '../scheduling/scheduled-call.js';
 import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
+import {forwardWithinDeadline} from './bounded-forward.js';
+import {createRankingCache} from './ranking-cache.js';
 
 /** How many nodes of a group's ranking are tried. */
 const RANKING_LIMIT_COUNT = 3;
@@ -22,20 +23,12 @@
 	schedulers: SchedulerRegistry;
 }): GroupDelivery => {
 	const {directory, schedulers} = dependencies;
-	const {clock, metrics, peerClient} = dependencies.ports;
-	const rankings = new Map<string, {version: number; nodes: readonly domain.NodeDescription[]}>();
+	const {clock, metrics} = dependencies.ports;
+	const rankingCache = createRankingCache({directory, limitCount: RANKING_LIMIT_COUNT});
 
 	const rankNodes = (group: TargetGroup): readonly domain.NodeDescription[] => {
-		const cached = rankings.get(group.groupId);
-		if (cached?.version === directory.version()) {
-			return cached.nodes;
-		}
-
-		const eligible = directory.listEligibleNodes(group.region);
-		const nodes =
-			eligible.length === 0 ? [directory.self] : rankByRendezvous(group.groupId, eligible, RANKING_LIMIT_COUNT);
-		rankings.set(group.groupId, {version: directory.version(), nodes});
-		return nodes;
+		const nodes = rankingCache.rank(group.groupId, group.region);
+		return nodes.length === 0 ? [directory.self] : nodes;
 	};
 
 	const scheduleHere = async (
@@ -55,7 +48,8 @@
 		scheduled: ScheduledCall,
 		signal: AbortSignal,
 	) =>
-		peerClient.forwardCall(
+		forwardWithinDeadline(
+			dependencies.ports,
 			node.address,
 			{
 				purpose: ports.ForwardPurpose.Schedule,
@@ -70,7 +64,9 @@
 	const isMovable = (error: ports.PeerError, scheduled: ScheduledCall): boolean =>
 		error.kind === ports.PeerErrorKind.Unreachable ||
 		error.kind === ports.PeerErrorKind.Refused ||
-		(scheduled.route.repeatability === domain.Repeatability.Repeatable && scheduled.call.body === undefined);
+		(clock.monotonicMs() < scheduled.deadlineAtMs &&
+			scheduled.route.repeatability === domain.Repeatability.Repeatable &&
+			scheduled.call.body === undefined);
 
 	return {
 		rankNodes,
--- /dev/null
+++ b/packages/core/src/membership/eligible-nodes.ts
@@ -0,0 +1,86 @@
+import type * as domain from '@bilberrydoor/domain';
+
+export enum EligibilityChangeKind {
+	Joined = 'joined',
+	Left = 'left',
+}
+
+/** One change of the nodes that may schedule groups in a region. */
+export type EligibilityChange = {
+	readonly kind: EligibilityChangeKind;
+	readonly node: domain.NodeDescription;
+};
+
+/** The eligible nodes of each region, with versions and the latest changes. */
+export type EligibleNodes = {
+	version(): number;
+	regionVersion(region: string): number;
+	list(region: string): readonly domain.NodeDescription[];
+	/** Changes after a version of the region; undefined when they are no longer kept. */
+	listChanges(region: string, sinceVersion: number): readonly EligibilityChange[] | undefined;
+	add(node: domain.NodeDescription): void;
+	remove(node: domain.NodeDescription): void;
+};
+
+/** Changes kept for each region: several minutes of restarts at 4,100 nodes. */
+const CHANGE_LIMIT_COUNT = 256;
+
+type Region = {
+	readonly nodes: Map<string, domain.NodeDescription>;
+	version: number;
+	changes: EligibilityChange[];
+	list?: readonly domain.NodeDescription[];
+};
+
+export const createEligibleNodes = (): EligibleNodes => {
+	const regions = new Map<string, Region>();
+	let version = 0;
+
+	const openRegion = (name: string): Region => {
+		const region = regions.get(name) ?? {nodes: new Map(), version: 0, changes: []};
+		regions.set(name, region);
+		return region;
+	};
+
+	const record = (region: Region, change: EligibilityChange): void => {
+		version++;
+		region.version++;
+		region.list = undefined;
+		region.changes.push(change);
+		if (region.changes.length > 2 * CHANGE_LIMIT_COUNT) {
+			region.changes = region.changes.slice(-CHANGE_LIMIT_COUNT);
+		}
+	};
+
+	return {
+		version: () => version,
+		regionVersion: name => regions.get(name)?.version ?? 0,
+		list(name) {
+			const region = regions.get(name);
+			if (!region) {
+				return [];
+			}
+
+			region.list ??= [...region.nodes.values()];
+			return region.list;
+		},
+		listChanges(name, sinceVersion) {
+			const region = openRegion(name);
+			const count = region.version - sinceVersion;
+			return count > region.changes.length ? undefined : region.changes.slice(region.changes.length - count);
+		},
+		add(node) {
+			const region = openRegion(node.region);
+			if (region.nodes.get(node.address)?.incarnationId !== node.incarnationId) {
+				region.nodes.set(node.address, node);
+				record(region, {kind: EligibilityChangeKind.Joined, node});
+			}
+		},
+		remove(node) {
+			const region = openRegion(node.region);
+			if (region.nodes.delete(node.address)) {
+				record(region, {kind: EligibilityChangeKind.Left, node});
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/membership/probe-rings.ts
@@ -0,0 +1,54 @@
+import * as domain from '@bilberrydoor/domain';
+import {hashString, mixHashes} from '../routing/rendezvous-ranking.js';
+import type {Member} from './member-table.js';
+
+/** States in which a member takes part in probing. */
+const IS_PROBED: Record<domain.MemberState, boolean> = {
+	[domain.MemberState.Alive]: true,
+	[domain.MemberState.Suspect]: true,
+	[domain.MemberState.Leaving]: false,
+	[domain.MemberState.Dead]: false,
+	[domain.MemberState.Unheard]: false,
+};
+
+export const isProbed = (member: Member): boolean => IS_PROBED[member.state];
+
+const RANGE = 2 ** 32;
+
+/**
+ * Finds the member that follows `address` on a ring that `salt` determines. Each member has one successor and one
+ * predecessor on a ring, so with k rings each is probed by k others, and the union of the rings spreads updates quickly.
+ */
+export const findRingSuccessor = (
+	members: readonly Member[],
+	address: string,
+	salt: string,
+): domain.NodeDescription | undefined => {
+	const saltHash = hashString(salt);
+	const place = (candidate: string): number => mixHashes(hashString(candidate), saltHash);
+	const own = place(address);
+	let best: Member | undefined;
+	let bestDistance = Infinity;
+	members.forEach(member => {
+		if (member.node.address !== address && isProbed(member)) {
+			const distance = (place(member.node.address) - own + RANGE) % RANGE;
+			if (distance < bestDistance) {
+				best = member;
+				bestDistance = distance;
+			}
+		}
+	});
+	return best?.node;
+};
+
+/** Peers that the member at `address` probes in its region during a ring period. */
+export const listRingSuccessors = (
+	members: readonly Member[],
+	address: string,
+	options: {ringCount: number; period: number},
+): domain.NodeDescription[] => {
+	const found = Array.from({length: options.ringCount}, (_, ring) =>
+		findRingSuccessor(members, address, `${options.period}/${ring}`),
+	).filter(node => node !== undefined);
+	return [...new Map(found.map(node => [node.address, node])).values()];
+};
--- /dev/null
+++ b/packages/core/src/membership/vm-list-reader.ts
@@ -0,0 +1,132 @@
+import * as domain from '@bilberrydoor/domain';
+import type * as ports from '../ports/index.js';
+import {runWithTimeout} from '../shared/run-with-timeout.js';
+import type {MembershipOptions} from './membership-options.js';
+import type {MemberTable} from './member-table.js';
+
+/** Keeps what the VM list tells: which VMs may exist and which are leaving. */
+export type VmListReader = {
+	/** Reads the list once. Returns whether it answered. */
+	refresh(signal: AbortSignal): Promise<boolean>;
+	/** Reads the list until `signal` is aborted. */
+	run(signal: AbortSignal): Promise<void>;
+	isTargetLeaving(address: string): boolean;
+	/** Registers a listener for targets that the list newly calls leaving. */
+	subscribeToLeavingTargets(listener: (address: string) => void): void;
+};
+
+/** Longest wait for the list, in ms. */
+const LIST_TIMEOUT_MS = 2000;
+
+const describeListedNode = (item: ports.VmListItem): domain.NodeDescription => ({
+	vmId: item.vmId,
+	address: item.address,
+	// Only the node itself can tell its incarnation.
+	incarnationId: '',
+	region: item.region,
+	availabilityZone: item.availabilityZone,
+	operationsAddress: '',
+});
+
+export const createVmListReader = (dependencies: {
+	ports: Pick<ports.NodePorts, 'clock' | 'logger' | 'random' | 'vmList'>;
+	table: MemberTable;
+	options: MembershipOptions;
+}): VmListReader => {
+	const {table, options} = dependencies;
+	const {clock, logger, random, vmList} = dependencies.ports;
+	const listeners: Array<(address: string) => void> = [];
+	let leavingTargets = new Set<string>();
+	let leavingVmIds = new Set<string>();
+	let itemCount = 0;
+
+	/**
+	 * Acts once for each VM that the list calls leaving, when its incarnation is known, because a stale list goes on
+	 * doing so after a replacement.
+	 */
+	const applyLeavingNodes = (items: readonly ports.VmListItem[]): void => {
+		const leaving = items.filter(item => item.isLeaving);
+		const applied = new Set<string>();
+		leaving.forEach(item => {
+			const member = table.findMember(item.address);
+			if (!leavingVmIds.has(item.vmId) && member?.node.vmId === item.vmId) {
+				const {node, refutationCount} = member;
+				table.apply({node, refutationCount, state: domain.MemberState.Leaving});
+			}
+
+			if (leavingVmIds.has(item.vmId) || (member?.node.incarnationId ?? '') !== '') {
+				applied.add(item.vmId);
+			}
+		});
+		leavingVmIds = applied;
+	};
+
+	const applyNodes = (items: readonly ports.VmListItem[]): void => {
+		const listed = new Set(items.map(item => item.address));
+		items
+			.filter(item => !table.findMember(item.address))
+			.forEach(item => {
+				table.addListed(describeListedNode(item));
+			});
+		table.list().forEach(member => {
+			member.isListed = listed.has(member.node.address) || member.node.address === table.self().node.address;
+			if (!member.isListed && member.node.incarnationId === '') {
+				table.forget(member.node.address);
+			}
+		});
+		applyLeavingNodes(items);
+	};
+
+	const applyTargets = (items: readonly ports.VmListItem[]): void => {
+		const before = leavingTargets;
+		leavingTargets = new Set(items.filter(item => item.isLeaving).map(item => item.address));
+		[...leavingTargets]
+			.filter(address => !before.has(address))
+			.forEach(address => {
+				listeners.forEach(listener => {
+					listener(address);
+				});
+			});
+	};
+
+	const refresh = async (signal: AbortSignal): Promise<boolean> => {
+		const timed = await runWithTimeout({clock, timeoutMs: LIST_TIMEOUT_MS, signal}, async taskSignal =>
+			vmList.list(taskSignal),
+		);
+		if (timed.isTimedOut || timed.value.isErr()) {
+			const detail = timed.isTimedOut ? `no reply within ${LIST_TIMEOUT_MS} ms` : timed.value._unsafeUnwrapErr().detail;
+			logger.warn('VM list read failed', {detail});
+			return false;
+		}
+
+		const items = timed.value.value;
+		const nodes = items.filter(item => item.isFleetNode);
+		if (nodes.length === 0) {
+			logger.warn('VM list shows no node of the fleet; the last list stays in use');
+			return true;
+		}
+
+		itemCount = items.length;
+		applyNodes(nodes);
+		applyTargets(items.filter(item => !item.isFleetNode));
+		return true;
+	};
+
+	return {
+		refresh,
+		async run(signal) {
+			while (!signal.aborted) {
+				const extraCount = Math.max(0, itemCount - options.vmListItemThresholdCount);
+				const periodMs = options.vmListPeriodMs + extraCount * options.vmListMsPerItem;
+				await clock.sleep(periodMs * (0.75 + 0.5 * random.fraction()), signal);
+				if (!signal.aborted) {
+					await refresh(signal);
+				}
+			}
+		},
+		isTargetLeaving: address => leavingTargets.has(address),
+		subscribeToLeavingTargets(listener) {
+			listeners.push(listener);
+		},
+	};
+};
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -5,6 +5,7 @@
 import {createEntryService} from '../entry/entry-service.js';
 import {createGroupDelivery} from '../entry/group-delivery.js';
 import * as memberDirectory from '../membership/member-directory.js';
+import type {MembershipOptions} from '../membership/membership-options.js';
 import * as ports from '../ports/index.js';
 import {createRouteTable} from '../routing/route-table.js';
 import {createSchedulerRegistry, type SchedulerRegistry} from '../scheduling/scheduler-registry.js';
@@ -16,7 +17,7 @@
 	/** This VM as the fleet knows it; the incarnation id is drawn at start. */
 	readonly self: Omit<domain.NodeDescription, 'incarnationId'>;
 	readonly catalogue?: Partial<catalogueReplicator.CatalogueReplicatorOptions>;
-	readonly membership?: Partial<memberDirectory.MembershipOptions>;
+	readonly membership?: Partial<MembershipOptions>;
 };
 
 /** A node, assembled over its ports. It knows no protocol, codec or real time. */
@@ -63,6 +64,7 @@
 	const membership = memberDirectory.createMembership({
 		ports: dependencies.ports,
 		self,
+		appliedOffset: store.appliedOffset,
 		options: settings.membership,
 	});
 	const {directory} = membership;
@@ -108,7 +110,7 @@
 		directory,
 		schedulers,
 		administration: createAdministration({ports: dependencies.ports, store, replicator, directory, schedulers}),
-		peerHandlers: createPeerHandlers({self, store}),
+		peerHandlers: createPeerHandlers({store, probeHandlers: membership.peerHandlers}),
 		handleCall: async (call, signal) =>
 			callTracker.track(async () => entryService.handleCall(call, signal), signal, callTracker.refuseNewCalls()),
 		handleForwardedCall: async (forwarded, signal) =>
@@ -118,6 +120,13 @@
 		async run(signal) {
 			await Promise.all([replicator.run(signal), membership.run(signal), schedulers.run(signal)]);
 		},
-		drain: async options => callTracker.drain(options),
+		async drain(options) {
+			const controller = new AbortController();
+			// The announcement spreads during the notice period; it must not delay the drain.
+			void membership.announceLeaving(controller.signal);
+			const result = await callTracker.drain(options);
+			controller.abort();
+			return result;
+		},
 	};
 };
--- a/packages/core/src/node/peer-handlers.ts
+++ b/packages/core/src/node/peer-handlers.ts
@@ -1,16 +1,15 @@
-import type * as domain from '@bilberrydoor/domain';
 import type {CatalogueStore} from '../catalogue/catalogue-store.js';
+import type {ProbeHandlers} from '../membership/probe-handlers.js';
 import * as ports from '../ports/index.js';
 
 /** Assembles the table of handlers for peers' control messages. */
 export const createPeerHandlers = (dependencies: {
-	self: domain.NodeDescription;
 	store: CatalogueStore;
+	probeHandlers: ProbeHandlers;
 }): ports.PeerHandlers => {
-	const {self, store} = dependencies;
+	const {store, probeHandlers} = dependencies;
 	return {
-		[ports.PeerMessageKind.Probe]: async () => ({node: self, appliedOffset: store.appliedOffset(), updates: []}),
-		[ports.PeerMessageKind.IndirectProbe]: async () => ({isReached: false, updates: []}),
+		...probeHandlers,
 		[ports.PeerMessageKind.PullRecords]: async () => ({
 			records: [],
 			appliedOffset: store.appliedOffset(),
--- a/packages/core/src/ports/peer-message.ts
+++ b/packages/core/src/ports/peer-message.ts
@@ -14,25 +14,30 @@
 }
 
 export type ProbeRequest = {
-	readonly sender: domain.NodeDescription;
+	/** The sending node's statement about itself. */
+	readonly sender: domain.MemberUpdate;
 	readonly appliedOffset: number;
+	/** How long the sender has heard nothing from the receiver's region, in ms. The reply tells what changed since. */
+	readonly silenceMs: number;
 	readonly updates: readonly domain.MemberUpdate[];
 };
 
 export type ProbeReply = {
-	readonly node: domain.NodeDescription;
+	/** The answering node's statement about itself. */
+	readonly responder: domain.MemberUpdate;
 	readonly appliedOffset: number;
 	readonly updates: readonly domain.MemberUpdate[];
 };
 
 export type IndirectProbeRequest = {
-	readonly sender: domain.NodeDescription;
-	readonly subject: domain.NodeDescription;
+	readonly subjectAddress: string;
 	readonly updates: readonly domain.MemberUpdate[];
 };
 
 export type IndirectProbeReply = {
 	readonly isReached: boolean;
+	/** Time since the subject last sent a message to the answering node, in ms; absent when it sent none. */
+	readonly heardAgoMs?: number;
 	readonly updates: readonly domain.MemberUpdate[];
 };
 
--- a/packages/core/src/routing/rendezvous-ranking.ts
+++ b/packages/core/src/routing/rendezvous-ranking.ts
@@ -19,6 +19,47 @@
 	return (mixed ^ (mixed >>> 16)) >>> 0;
 };
 
+/** A candidate with its score for a key. */
+export type RankedCandidate<T> = {readonly candidate: T; readonly score: number};
+
+/** Score of an address for a key. The highest score ranks first. */
+export const scoreRendezvous = (key: string, address: string): number =>
+	mixHashes(hashString(address), hashString(key));
+
+const isRankedBefore = <T extends {readonly address: string}>(
+	left: RankedCandidate<T>,
+	right: RankedCandidate<T>,
+): boolean =>
+	left.score > right.score || (left.score === right.score && left.candidate.address < right.candidate.address);
+
+/** Puts a candidate in its place in a ranking, which keeps at most `limitCount` candidates. */
+export const insertRanked = <T extends {readonly address: string}>(
+	ranking: ReadonlyArray<RankedCandidate<T>>,
+	added: RankedCandidate<T>,
+	limitCount: number,
+): ReadonlyArray<RankedCandidate<T>> => {
+	const last = ranking.at(-1);
+	if (last && ranking.length >= limitCount && !isRankedBefore(added, last)) {
+		return ranking;
+	}
+
+	const place = ranking.findIndex(existing => isRankedBefore(added, existing));
+	return ranking.toSpliced(place === -1 ? ranking.length : place, 0, added).slice(0, limitCount);
+};
+
+/** Ranks candidates for a key, with their scores. */
+export const rankWithScores = <T extends {readonly address: string}>(
+	key: string,
+	candidates: readonly T[],
+	limitCount: number,
+): ReadonlyArray<RankedCandidate<T>> => {
+	let ranking: ReadonlyArray<RankedCandidate<T>> = [];
+	candidates.forEach(candidate => {
+		ranking = insertRanked(ranking, {candidate, score: scoreRendezvous(key, candidate.address)}, limitCount);
+	});
+	return ranking;
+};
+
 /**
  * Ranks candidates for a key by rendezvous hashing. When a candidate goes, only the keys that it held move.
  *
@@ -28,11 +69,4 @@
 	key: string,
 	candidates: readonly T[],
 	limitCount: number,
-): T[] => {
-	const keyHash = hashString(key);
-	return candidates
-		.map(candidate => ({candidate, score: mixHashes(hashString(candidate.address), keyHash)}))
-		.toSorted((left, right) => right.score - left.score || (left.candidate.address < right.candidate.address ? -1 : 1))
-		.slice(0, limitCount)
-		.map(({candidate}) => candidate);
-};
+): T[] => rankWithScores(key, candidates, limitCount).map(({candidate}) => candidate);
--- a/packages/domain/src/member.ts
+++ b/packages/domain/src/member.ts
@@ -4,6 +4,8 @@
 export enum MemberState {
 	Alive = 'alive',
 	Suspect = 'suspect',
+	/** Sends messages but cannot be reached, so it receives no work. */
+	Unheard = 'unheard',
 	Dead = 'dead',
 	Leaving = 'leaving',
 }
@@ -12,6 +14,9 @@
 export type MemberUpdate = {
 	readonly node: NodeDescription;
 	readonly state: MemberState;
-	/** Raised by the member itself to refute a suspicion. */
+	/**
+	 * Starts at the wall-clock time of the process start in ms, which orders the runs on one address, and is raised by the
+	 * member itself to refute a suspicion.
+	 */
 	readonly refutationCount: number;
 };
