fix(peer): count only proven refusals and bind messages to their receiver

An unauthenticated reply with status 400, 401 or 410 counted as a refusal, so a process outside the fleet could make a caller move a call that had run. A message was valid at every node, so a copy sent to another node was handled twice. Refusals now carry a proof under the fleet key, only for reasons that exclude an effect, and the authentication covers the receiver's address. Replies to control messages are limited in size, and a message that is too large or malformed is refused before it is sent.

--- a/packages/adapters/src/peer/http-peer-client.ts
+++ b/packages/adapters/src/peer/http-peer-client.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
 import * as trpcClient from '@trpc/client';
@@ -6,8 +7,8 @@
 import * as zod from 'zod';
 import {isConnectError} from '../http/connect-error.js';
 import {decodeEnding, encodeForwardedCall, ENDING_HEADER, FORWARDED_CALL_HEADER} from './forwarded-call-codec.js';
-import {CONTROL_PATH, FORWARD_PATH} from './peer-app.js';
-import {AUTHENTICATION_HEADER, type PeerEnvelope} from './peer-envelope.js';
+import {CONTROL_MESSAGE_LIMIT_BYTES, CONTROL_PATH, FORWARD_PATH} from './peer-app.js';
+import {AUTHENTICATION_HEADER, buildPurpose, REFUSAL_HEADER, type PeerEnvelope} from './peer-envelope.js';
 import {PEER_MESSAGE_SCHEMAS} from './peer-message-schemas.js';
 
 export type HttpPeerClientOptions = {
@@ -28,13 +29,48 @@
 	headerLimitBytes: 65_536,
 };
 
-const REFUSED_STATUSES = new Set([400, 401, 410]);
+/** A node of the fleet has proved that the message had no effect, or the message was not sent. */
+class PeerRefusalError extends Error {
+	override readonly name = 'PeerRefusalError';
+}
+
+/** Status of a reply to a control message whose form the peer refused, which it does before any handler runs. */
+const BAD_REQUEST_STATUS = 400;
 
 const classifyError = (error: unknown): core.PeerError => ({
-	kind: isConnectError(error) ? core.PeerErrorKind.Unreachable : core.PeerErrorKind.Lost,
+	kind:
+		error instanceof PeerRefusalError
+			? core.PeerErrorKind.Refused
+			: isConnectError(error)
+				? core.PeerErrorKind.Unreachable
+				: core.PeerErrorKind.Lost,
 	detail: String(error),
 });
 
+/** Room in a request head beside the head of the forwarded call, in bytes. */
+const HEAD_ALLOWANCE_BYTES = 1024;
+
+const readHeader = (response: undici.Dispatcher.ResponseData, name: string): string | undefined => {
+	const value = response.headers[name];
+	return typeof value === 'string' ? value : undefined;
+};
+
+/** Reads a body as text. Throws when it is longer than the limit, which only a process outside the fleet sends. */
+const readLimitedText = async (body: AsyncIterable<Uint8Array>, limitBytes: number): Promise<string> => {
+	const chunks: Uint8Array[] = [];
+	let sizeBytes = 0;
+	for await (const chunk of body) {
+		sizeBytes += chunk.byteLength;
+		if (sizeBytes > limitBytes) {
+			throw new Error(`the reply is larger than ${limitBytes} bytes`);
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString();
+};
+
 /** Client for other nodes over HTTP, with one connection pool for each peer. */
 export const createHttpPeerClient = (
 	envelope: PeerEnvelope,
@@ -51,21 +87,32 @@
 		connect: {timeout: options.connectTimeoutMs},
 	});
 
+	const isProvenRefusal = (authentication: string, response: undici.Dispatcher.ResponseData): boolean =>
+		envelope.openRefusal(authentication, response.statusCode, readHeader(response, REFUSAL_HEADER));
+
 	/** Sends one control message with authentication, and checks that the reply comes from the fleet. */
 	const sendControl = async (url: string, body: string, signal: AbortSignal): Promise<Response> => {
-		const {pathname} = new URL(url);
-		const authentication = envelope.seal(pathname, body);
+		if (Buffer.byteLength(body) > CONTROL_MESSAGE_LIMIT_BYTES) {
+			throw new PeerRefusalError(`the message is larger than ${CONTROL_MESSAGE_LIMIT_BYTES} bytes`);
+		}
+
+		const {host, pathname, origin} = new URL(url);
+		const authentication = envelope.seal(buildPurpose(host, pathname), body);
 		const response = await agent.request({
-			origin: new URL(url).origin,
+			origin,
 			path: pathname,
 			method: 'POST',
 			headers: {'content-type': 'application/json', [AUTHENTICATION_HEADER]: authentication},
 			body,
 			signal,
 		});
-		const reply = await response.body.text();
-		const replyMac = response.headers[AUTHENTICATION_HEADER] as string | undefined;
-		if (!envelope.openReply(authentication, reply, replyMac)) {
+		const reply = await readLimitedText(response.body, CONTROL_MESSAGE_LIMIT_BYTES);
+		const isAuthentic = envelope.openReply(authentication, reply, readHeader(response, AUTHENTICATION_HEADER));
+		if (isProvenRefusal(authentication, response) || (isAuthentic && response.statusCode === BAD_REQUEST_STATUS)) {
+			throw new PeerRefusalError(`the peer refused the message with status ${response.statusCode}`);
+		}
+
+		if (!isAuthentic) {
 			throw new Error(`the reply with status ${response.statusCode} is not authenticated`);
 		}
 
@@ -84,11 +131,35 @@
 			],
 		});
 
+	const sendForwardedCall = async (
+		address: string,
+		{forwarded, head, authentication}: {forwarded: core.ForwardedCall; head: string; authentication: string},
+		signal: AbortSignal,
+	): Promise<undici.Dispatcher.ResponseData> => {
+		const {body, bodyLengthBytes} = forwarded.call;
+		return agent.request({
+			origin: `http://${address}`,
+			path: FORWARD_PATH,
+			method: 'POST',
+			headers: {
+				[FORWARDED_CALL_HEADER]: head,
+				[AUTHENTICATION_HEADER]: authentication,
+				...(body !== undefined && bodyLengthBytes !== undefined && {'content-length': String(bodyLengthBytes)}),
+			},
+			body: body as undici.Dispatcher.RequestOptions['body'],
+			signal,
+		});
+	};
+
 	return {
 		async request(address, kind, request, signal) {
 			try {
-				const message = zod.encode(PEER_MESSAGE_SCHEMAS[kind].request, request);
-				const reply: unknown = await createControlClient(address, signal).mutation(kind, message);
+				const message = zod.safeEncode(PEER_MESSAGE_SCHEMAS[kind].request, request);
+				if (!message.success) {
+					throw new PeerRefusalError(`malformed ${kind} message: ${zod.prettifyError(message.error)}`);
+				}
+
+				const reply: unknown = await createControlClient(address, signal).mutation(kind, message.data);
 				const parsed = PEER_MESSAGE_SCHEMAS[kind].reply.safeParse(reply);
 				return parsed.success
 					? neverthrow.ok(parsed.data)
@@ -101,34 +172,28 @@
 		async forwardCall(address, forwarded, signal) {
 			try {
 				const head = encodeForwardedCall(forwarded);
-				const authentication = envelope.seal(FORWARD_PATH, head);
-				const {body, bodyLengthBytes} = forwarded.call;
-				const response = await agent.request({
-					origin: `http://${address}`,
-					path: FORWARD_PATH,
-					method: 'POST',
-					headers: {
-						[FORWARDED_CALL_HEADER]: head,
-						[AUTHENTICATION_HEADER]: authentication,
-						...(body !== undefined && bodyLengthBytes !== undefined && {'content-length': String(bodyLengthBytes)}),
-					},
-					body: body as undici.Dispatcher.RequestOptions['body'],
-					signal,
-				});
-				const endingHead = String(response.headers[ENDING_HEADER] ?? '');
-				const mac = response.headers[AUTHENTICATION_HEADER] as string | undefined;
-				const ending = decodeEnding(endingHead, response.body);
-				if (ending && envelope.openReply(authentication, endingHead, mac)) {
-					if (ending.outcome !== domain.Outcome.Completed) {
+				if (head.length > options.headerLimitBytes - HEAD_ALLOWANCE_BYTES) {
+					throw new PeerRefusalError(`the head of the call is larger than ${options.headerLimitBytes} bytes`);
+				}
+
+				const authentication = envelope.seal(buildPurpose(address, FORWARD_PATH), head);
+				const response = await sendForwardedCall(address, {forwarded, head, authentication}, signal);
+				const endingHead = readHeader(response, ENDING_HEADER) ?? '';
+				if (envelope.openReply(authentication, endingHead, readHeader(response, AUTHENTICATION_HEADER))) {
+					const ending = decodeEnding(endingHead, response.body);
+					if (ending?.outcome !== domain.Outcome.Completed) {
 						await response.body.dump();
 					}
 
-					return neverthrow.ok(ending);
+					if (ending) {
+						return neverthrow.ok(ending);
+					}
 				}
 
-				await response.body.dump();
-				// A refusal is sent before the call is handled, so nothing has run. Any other reply proves nothing.
-				const kind = REFUSED_STATUSES.has(response.statusCode) ? core.PeerErrorKind.Refused : core.PeerErrorKind.Lost;
+				// Reading an unauthenticated body could take forever.
+				response.body.on('error', () => undefined).destroy();
+				const isRefused = isProvenRefusal(authentication, response);
+				const kind = isRefused ? core.PeerErrorKind.Refused : core.PeerErrorKind.Lost;
 				return neverthrow.err({kind, detail: `peer ${address} answered with status ${response.statusCode}`});
 			} catch (error) {
 				return neverthrow.err(classifyError(error));
--- a/packages/adapters/src/peer/peer-app.ts
+++ b/packages/adapters/src/peer/peer-app.ts
@@ -5,10 +5,17 @@
 import * as trpcFetch from '@trpc/server/adapters/fetch';
 import * as hono from 'hono';
 import * as honoBodyLimit from 'hono/body-limit';
+import * as neverthrow from 'neverthrow';
 import type {NodeBindings} from '../http/http-listener.js';
 import {writeBody} from '../http/write-body.js';
 import {decodeForwardedCall, encodeEnding, ENDING_HEADER, FORWARDED_CALL_HEADER} from './forwarded-call-codec.js';
-import {AUTHENTICATION_HEADER, type PeerEnvelope} from './peer-envelope.js';
+import {
+	AUTHENTICATION_HEADER,
+	buildPurpose,
+	IS_PROOF_OF_NO_EFFECT,
+	REFUSAL_HEADER,
+	type PeerEnvelope,
+} from './peer-envelope.js';
 import {createPeerRouter} from './peer-router.js';
 
 /** Largest control message in bytes. */
@@ -23,34 +30,68 @@
 	readonly logger: core.Logger;
 };
 
-const refuse = (outgoing: http.ServerResponse, status: number, detail: string): void => {
-	outgoing.writeHead(status, {'content-type': 'text/plain', connection: 'close'});
-	outgoing.end(detail);
-};
+type Refusal = {readonly status: number; readonly detail: string; readonly isProof: boolean};
 
-const handleForward = async (
+/** Headers of a refusal, with the proof where there is one. */
+const buildRefusalHeaders = (
 	options: PeerAppOptions,
-	incoming: http.IncomingMessage,
-	outgoing: http.ServerResponse,
-): Promise<void> => {
-	const head = String(incoming.headers[FORWARDED_CALL_HEADER] ?? '');
-	const authentication = incoming.headers[AUTHENTICATION_HEADER] as string | undefined;
-	const opened = options.envelope.open(FORWARD_PATH, head, authentication);
-	if (opened.isErr()) {
-		options.logger.warn('forwarded call refused', {detail: opened.error});
-		refuse(outgoing, 401, opened.error);
-		return;
+	refusal: Refusal,
+	authentication: string | undefined,
+): Record<string, string> => ({
+	'content-type': 'text/plain',
+	connection: 'close',
+	...(refusal.isProof &&
+		authentication !== undefined && {
+			[REFUSAL_HEADER]: options.envelope.sealRefusal(authentication, refusal.status),
+		}),
+});
+
+/** Checks the authentication of a message; a refusal when it is not accepted. */
+const checkAuthentication = (
+	options: PeerAppOptions,
+	path: string,
+	content: string,
+	authentication: string | undefined,
+): Refusal | undefined => {
+	const opened = options.envelope.open(buildPurpose(options.node.self.address, path), content, authentication);
+	if (opened.isOk()) {
+		return undefined;
 	}
 
+	options.logger.warn('peer message refused', {path, ...opened.error});
+	return {status: 401, detail: opened.error.detail, isProof: IS_PROOF_OF_NO_EFFECT[opened.error.kind]};
+};
+
+/** Decodes an authenticated call for this incarnation, or tells why it is refused. */
+const acceptForwardedCall = (
+	options: PeerAppOptions,
+	head: string,
+	incoming: http.IncomingMessage,
+): neverthrow.Result<core.ForwardedCall, Refusal> => {
 	const forwarded = decodeForwardedCall(head, incoming);
 	if (!forwarded) {
-		refuse(outgoing, 400, 'the head of the forwarded call is malformed');
-		return;
+		return neverthrow.err({status: 400, detail: 'the head of the forwarded call is malformed', isProof: true});
 	}
 
 	const required = forwarded.requiredIncarnationId;
-	if (required !== undefined && required !== options.node.self.incarnationId) {
-		refuse(outgoing, 410, 'the call is meant for another incarnation of this node');
+	return required === undefined || required === options.node.self.incarnationId
+		? neverthrow.ok(forwarded)
+		: neverthrow.err({status: 410, detail: 'the call is meant for another incarnation of this node', isProof: true});
+};
+
+const handleForward = async (
+	options: PeerAppOptions,
+	incoming: http.IncomingMessage,
+	outgoing: http.ServerResponse,
+): Promise<void> => {
+	const head = String(incoming.headers[FORWARDED_CALL_HEADER] ?? '');
+	const authentication = incoming.headers[AUTHENTICATION_HEADER] as string | undefined;
+	const unauthenticated = checkAuthentication(options, FORWARD_PATH, head, authentication);
+	const accepted = unauthenticated ? neverthrow.err(unauthenticated) : acceptForwardedCall(options, head, incoming);
+	if (accepted.isErr()) {
+		const refusal = accepted.error;
+		outgoing.writeHead(refusal.status, buildRefusalHeaders(options, refusal, authentication));
+		outgoing.end(refusal.detail);
 		return;
 	}
 
@@ -58,7 +99,7 @@
 	outgoing.on('close', () => {
 		controller.abort();
 	});
-	const ending = await options.node.handleForwardedCall(forwarded, controller.signal);
+	const ending = await options.node.handleForwardedCall(accepted.value, controller.signal);
 	if (outgoing.destroyed) {
 		return;
 	}
@@ -97,10 +138,12 @@
 		const content = await context.req.text();
 		const {pathname} = new URL(context.req.url);
 		const authentication = context.req.header(AUTHENTICATION_HEADER);
-		const opened = options.envelope.open(pathname, content, authentication);
-		if (opened.isErr()) {
-			options.logger.warn('control message refused', {detail: opened.error});
-			return context.text(opened.error, 401);
+		const refusal = checkAuthentication(options, pathname, content, authentication);
+		if (refusal) {
+			return new Response(refusal.detail, {
+				status: refusal.status,
+				headers: buildRefusalHeaders(options, refusal, authentication),
+			});
 		}
 
 		const response = await trpcFetch.fetchRequestHandler({
--- a/packages/adapters/src/peer/peer-envelope.ts
+++ b/packages/adapters/src/peer/peer-envelope.ts
@@ -9,15 +9,44 @@
 /** Largest difference between the clocks of two nodes, in ms. */
 const TIME_WINDOW_MS = 30_000;
 
+/** Header with the proof that a node of the fleet refused a message before any effect. */
+export const REFUSAL_HEADER = 'bilberrydoor-refusal';
+
+export enum EnvelopeFaultKind {
+	WrongVersion = 'wrong-version',
+	WrongKey = 'wrong-key',
+	OutsideWindow = 'outside-window',
+	Replayed = 'replayed',
+}
+
+export type EnvelopeFault = {readonly kind: EnvelopeFaultKind; readonly detail: string};
+
+/**
+ * Whether refusing a message proves that it had no effect. A message that is altered, delayed or repeated on the way is
+ * refused too, after the original may have been accepted.
+ */
+export const IS_PROOF_OF_NO_EFFECT: Record<EnvelopeFaultKind, boolean> = {
+	[EnvelopeFaultKind.WrongVersion]: true,
+	[EnvelopeFaultKind.WrongKey]: false,
+	[EnvelopeFaultKind.OutsideWindow]: false,
+	[EnvelopeFaultKind.Replayed]: false,
+};
+
+/** Binds a message to its receiver and path, so that no other node accepts it. */
+export const buildPurpose = (receiverAddress: string, path: string): string => `${receiverAddress} ${path}`;
+
 /** Authenticates messages between nodes: HMAC over time, nonce, purpose and content. */
 export type PeerEnvelope = {
 	/** Value of the authentication header. */
 	seal(purpose: string, content: string): string;
 	/** Checks a header. Each nonce is accepted once within the time window. */
-	open(purpose: string, content: string, header: string | undefined): neverthrow.Result<string, string>;
+	open(purpose: string, content: string, header: string | undefined): neverthrow.Result<string, EnvelopeFault>;
 	/** Value for a reply, bound to the request's authentication header. */
 	sealReply(requestHeader: string, content: string): string;
 	openReply(requestHeader: string, content: string, header: string | undefined): boolean;
+	/** Proof that the request had no effect, bound to the request's authentication header. */
+	sealRefusal(requestHeader: string, status: number): string;
+	openRefusal(requestHeader: string, status: number, header: string | undefined): boolean;
 };
 
 /** Remembers nonces for at least the time window, in two generations, so that forgetting costs nothing. */
@@ -48,6 +77,8 @@
 	const rememberNonce = createNonceMemory(clock);
 	const joinText = (...parts: readonly string[]): string => parts.join('\n');
 
+	const fail = (kind: EnvelopeFaultKind, detail: string) => neverthrow.err({kind, detail});
+
 	return {
 		seal(purpose, content) {
 			const time = String(Math.floor(clock.wallMs()));
@@ -58,21 +89,29 @@
 		open(purpose, content, header) {
 			const [version = '', time = '', nonce = '', mac = ''] = (header ?? '').split('.');
 			if (version !== String(PEER_PROTOCOL_VERSION)) {
-				return neverthrow.err(`protocol version must be ${PEER_PROTOCOL_VERSION}, got "${version}"`);
+				return fail(
+					EnvelopeFaultKind.WrongVersion,
+					`protocol version must be ${PEER_PROTOCOL_VERSION}, got "${version}"`,
+				);
 			}
 
 			if (!authenticator.verify(joinText(version, purpose, time, nonce, content), mac)) {
-				return neverthrow.err('the authentication code does not match the fleet key');
+				return fail(EnvelopeFaultKind.WrongKey, 'the authentication code does not match the fleet key');
 			}
 
 			if (!(Math.abs(clock.wallMs() - Number(time)) <= TIME_WINDOW_MS)) {
-				return neverthrow.err(`the message is outside the time window of ${TIME_WINDOW_MS} ms`);
+				return fail(EnvelopeFaultKind.OutsideWindow, `the message is outside the time window of ${TIME_WINDOW_MS} ms`);
 			}
 
-			return rememberNonce(nonce) ? neverthrow.ok(nonce) : neverthrow.err('the message has been received before');
+			return rememberNonce(nonce)
+				? neverthrow.ok(nonce)
+				: fail(EnvelopeFaultKind.Replayed, 'the message has been received before');
 		},
 		sealReply: (requestHeader, content) => authenticator.sign(joinText('reply', requestHeader, content)),
 		openReply: (requestHeader, content, header) =>
 			header !== undefined && authenticator.verify(joinText('reply', requestHeader, content), header),
+		sealRefusal: (requestHeader, status) => authenticator.sign(joinText('refusal', requestHeader, String(status))),
+		openRefusal: (requestHeader, status, header) =>
+			header !== undefined && authenticator.verify(joinText('refusal', requestHeader, String(status)), header),
 	};
 };
--- a/packages/core/src/ports/peer-client.ts
+++ b/packages/core/src/ports/peer-client.ts
@@ -7,7 +7,10 @@
 	Unreachable = 'unreachable',
 	/** The message may have arrived, but no reply came. */
 	Lost = 'lost',
-	/** The peer refused the message: wrong version, key or incarnation, or a malformed message. */
+	/**
+	 * The message certainly had no effect: a node of the fleet proved that it refused it, for its version, incarnation or
+	 * form, or the client did not send it, for its size.
+	 */
 	Refused = 'refused',
 }
 
--- a/packages/fakes/src/fake-network.ts
+++ b/packages/fakes/src/fake-network.ts
@@ -18,6 +18,10 @@
 	connectTimeoutMs: number;
 	/** Control messages that a node has sent, by kind. */
 	readonly messageCounts: ReadonlyMap<core.PeerMessageKind, number>;
+	/** Size of a request or reply in bytes, without the fixed cost of its exchange. */
+	measureContent: (kind: core.PeerMessageKind, content: unknown, isReply: boolean) => number;
+	/** Fixed cost of an exchange in bytes. */
+	exchangeOverheadBytes: number;
 	/** Called for each control message with an estimate of its size in bytes, both directions. */
 	onMessage?: (from: string, to: string, sizeBytes: number) => void;
 	addNode(address: string, node: NetworkNode): void;
@@ -30,7 +34,7 @@
 };
 
 /** Fixed cost of an HTTP exchange with its authentication header, in bytes. */
-const EXCHANGE_OVERHEAD_BYTES = 600;
+const DEFAULT_EXCHANGE_OVERHEAD_BYTES = 600;
 
 export const createFakeNetwork = (clock: core.Clock): FakeNetwork => {
 	const nodes = new Map<string, NetworkNode>();
@@ -73,27 +77,29 @@
 			return unreachable();
 		}
 
-		const work = async (): Promise<T | undefined> => {
+		const work = async (): Promise<{readonly reply: T}> => {
 			await receiver.host.waitUntilRunning();
 			const reply = await handle(receiver);
 			await receiver.host.waitUntilRunning();
-			return reply;
+			return {reply};
 		};
 
-		const reply = await Promise.race([work(), waitForAbort(signal)]);
-		if (reply === undefined || receiver.host.isDead() || isCut(to, from.address)) {
+		const worked = await Promise.race([work(), waitForAbort(signal)]);
+		if (worked === undefined || receiver.host.isDead() || isCut(to, from.address)) {
 			await waitForAbort(signal);
 			return lost();
 		}
 
 		await clock.sleep(network.latencyMs(to, from.address), signal);
 		await from.host.waitUntilRunning();
-		return neverthrow.ok(reply as T);
+		return neverthrow.ok(worked.reply);
 	};
 
 	const network: FakeNetwork = {
 		latencyMs: () => 0.5,
 		connectTimeoutMs: 500,
+		measureContent: (_kind, content) => JSON.stringify(content).length,
+		exchangeOverheadBytes: DEFAULT_EXCHANGE_OVERHEAD_BYTES,
 		messageCounts,
 		addNode(address, node) {
 			nodes.set(address, node);
@@ -113,8 +119,12 @@
 				const result = await exchange({address: selfAddress, host}, address, signal, async ({node}) =>
 					node.peerHandlers[kind](request, signal),
 				);
-				const replySize = result.isOk() ? JSON.stringify(result.value).length : 0;
-				network.onMessage?.(selfAddress, address, JSON.stringify(request).length + replySize + EXCHANGE_OVERHEAD_BYTES);
+				if (network.onMessage) {
+					const requestSize = network.measureContent(kind, request, false);
+					const replySize = result.isOk() ? network.measureContent(kind, result.value, true) : 0;
+					network.onMessage(selfAddress, address, requestSize + replySize + network.exchangeOverheadBytes);
+				}
+
 				return result;
 			},
 			async forwardCall(address, forwarded, signal) {
