--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -4,7 +4,10 @@
 import {createCatalogueStore, type CatalogueStore} from '../catalogue/catalogue-store.js';
 import {createEntryService} from '../entry/entry-service.js';
 import {createGroupDelivery} from '../entry/group-delivery.js';
+import type {LinkOptions} from '../link/link-options.js';
+import {createRegionLink, type RegionLink} from '../link/region-link.js';
 import * as memberDirectory from '../membership/member-directory.js';
+import type {MembershipOptions} from '../membership/membership-options.js';
 import * as ports from '../ports/index.js';
 import {createRouteTable} from '../routing/route-table.js';
 import {createSchedulerRegistry, type SchedulerRegistry} from '../scheduling/scheduler-registry.js';
@@ -16,7 +19,8 @@
 	/** This VM as the fleet knows it; the incarnation id is drawn at start. */
 	readonly self: Omit<domain.NodeDescription, 'incarnationId'>;
 	readonly catalogue?: Partial<catalogueReplicator.CatalogueReplicatorOptions>;
-	readonly membership?: Partial<memberDirectory.MembershipOptions>;
+	readonly membership?: Partial<MembershipOptions>;
+	readonly link?: Partial<LinkOptions>;
 };
 
 /** A node, assembled over its ports. It knows no protocol, codec or real time. */
@@ -26,6 +30,7 @@
 	readonly replicator: catalogueReplicator.CatalogueReplicator;
 	readonly directory: memberDirectory.MemberDirectory;
 	readonly schedulers: SchedulerRegistry;
+	readonly link: RegionLink;
 	readonly administration: Administration;
 	readonly peerHandlers: ports.PeerHandlers;
 	/**
@@ -63,10 +68,23 @@
 	const membership = memberDirectory.createMembership({
 		ports: dependencies.ports,
 		self,
+		appliedOffset: store.appliedOffset,
 		options: settings.membership,
 	});
 	const {directory} = membership;
-	const delivery = createGroupDelivery({ports: dependencies.ports, directory, schedulers});
+	const link = createRegionLink({
+		ports: dependencies.ports,
+		countSharers: () => directory.listEligibleNodes(self.region).length,
+		measureRoundTripMs: membership.measureRoundTripMs,
+		options: settings.link,
+	});
+	const delivery = createGroupDelivery({
+		ports: dependencies.ports,
+		directory,
+		schedulers,
+		link,
+		linkWeightOf: service => store.findItem(service)?.entry?.linkWeight ?? 1,
+	});
 	const entryService = createEntryService({
 		ports: dependencies.ports,
 		directory,
@@ -107,8 +125,9 @@
 		replicator,
 		directory,
 		schedulers,
+		link,
 		administration: createAdministration({ports: dependencies.ports, store, replicator, directory, schedulers}),
-		peerHandlers: createPeerHandlers({self, store}),
+		peerHandlers: createPeerHandlers({store, probeHandlers: membership.peerHandlers}),
 		handleCall: async (call, signal) =>
 			callTracker.track(async () => entryService.handleCall(call, signal), signal, callTracker.refuseNewCalls()),
 		handleForwardedCall: async (forwarded, signal) =>
@@ -118,6 +137,13 @@
 		async run(signal) {
 			await Promise.all([replicator.run(signal), membership.run(signal), schedulers.run(signal)]);
 		},
-		drain: async options => callTracker.drain(options),
+		async drain(options) {
+			const controller = new AbortController();
+			// The announcement spreads during the notice period; it must not delay the drain.
+			void membership.announceLeaving(controller.signal);
+			const result = await callTracker.drain(options);
+			controller.abort();
+			return result;
+		},
 	};
 };
