feat(cli): give bilberryctl all commands of the catalogue, with stable exit codes

The tool could only apply files, and an apply that was repeated after an uncertain answer made a second edit.

Each command is one file in a table of commands. Results are tables or JSON.

--- a/packages/adapters/src/operations/administration-routes.ts
+++ b/packages/adapters/src/operations/administration-routes.ts
@@ -104,11 +104,15 @@
 	});
 };
 
+/** Paths whose answers are wrong while the node has no catalogue. */
+const CATALOGUE_PATHS = ['/-/admin/entries', '/-/admin/entries/*', '/-/admin/services', '/-/admin/explain'];
+
 /** Adds the routes for operators. All of them need a bearer token of an operator in the settings. */
 export const addAdministrationRoutes = (
 	app: App,
-	options: {administration: core.Administration; operators: readonly OperatorAccount[]},
+	options: {node: Pick<core.Node, 'isCatalogueReady' | 'administration'>; operators: readonly OperatorAccount[]},
 ): void => {
+	const {node} = options;
 	app.use('/-/admin/*', honoBodyLimit.bodyLimit({maxSize: ADMINISTRATION_LIMIT_BYTES}), async (context, next) => {
 		const operator = findOperator(options.operators, context.req.header('authorization'));
 		if (!operator) {
@@ -118,7 +122,15 @@
 		context.set('operator', operator);
 		return next();
 	});
-	addEditRoutes(app, options.administration);
-	addEntryRoutes(app, options.administration);
-	addStatusRoutes(app, options.administration);
+	// Without a catalogue, "no such entry" would make the operator begin an edit on revision 0.
+	CATALOGUE_PATHS.forEach(path => {
+		app.use(path, async (context, next) =>
+			node.isCatalogueReady()
+				? next()
+				: context.json({error: 'this node has no catalogue yet; ask another node or wait until it is ready'}, 503),
+		);
+	});
+	addEditRoutes(app, node.administration);
+	addEntryRoutes(app, node.administration);
+	addStatusRoutes(app, node.administration);
 };
--- a/packages/adapters/src/operations/operations-app.ts
+++ b/packages/adapters/src/operations/operations-app.ts
@@ -5,7 +5,7 @@
 import type {OperatorAccount} from './operator-accounts.js';
 
 export type OperationsAppOptions = {
-	readonly node: Pick<core.Node, 'isReady' | 'administration'>;
+	readonly node: Pick<core.Node, 'isReady' | 'isCatalogueReady' | 'administration'>;
 	readonly registry: prometheus.Registry;
 	readonly operators: readonly OperatorAccount[];
 };
@@ -20,6 +20,6 @@
 	app.get('/-/metrics', async context =>
 		context.text(await options.registry.metrics(), 200, {'content-type': options.registry.contentType}),
 	);
-	addAdministrationRoutes(app, {administration: options.node.administration, operators: options.operators});
+	addAdministrationRoutes(app, {node: options.node, operators: options.operators});
 	return app;
 };
--- /dev/null
+++ b/packages/cli/src/command-table.ts
@@ -0,0 +1,51 @@
+import type {Command} from './command.js';
+import {catalogueApply} from './commands/catalogue-apply.js';
+import {catalogueDiff} from './commands/catalogue-diff.js';
+import {catalogueGet} from './commands/catalogue-get.js';
+import {catalogueHistory} from './commands/catalogue-history.js';
+import {catalogueLint} from './commands/catalogue-lint.js';
+import {catalogueList} from './commands/catalogue-list.js';
+import {catalogueRevert} from './commands/catalogue-revert.js';
+import {explain} from './commands/explain.js';
+import {fleetStatus} from './commands/fleet-status.js';
+import {operationsShow} from './commands/operations-show.js';
+import {services} from './commands/services.js';
+import {targets} from './commands/targets.js';
+
+/** The commands by the words that call them. */
+export enum CommandName {
+	CatalogueLint = 'catalogue lint',
+	CatalogueDiff = 'catalogue diff',
+	CatalogueApply = 'catalogue apply',
+	CatalogueGet = 'catalogue get',
+	CatalogueList = 'catalogue list',
+	CatalogueHistory = 'catalogue history',
+	CatalogueRevert = 'catalogue revert',
+	FleetStatus = 'fleet status',
+	Targets = 'targets',
+	Services = 'services',
+	OperationsShow = 'operations show',
+	Explain = 'explain',
+}
+
+export const COMMANDS: Record<CommandName, Command> = {
+	[CommandName.CatalogueLint]: catalogueLint,
+	[CommandName.CatalogueDiff]: catalogueDiff,
+	[CommandName.CatalogueApply]: catalogueApply,
+	[CommandName.CatalogueGet]: catalogueGet,
+	[CommandName.CatalogueList]: catalogueList,
+	[CommandName.CatalogueHistory]: catalogueHistory,
+	[CommandName.CatalogueRevert]: catalogueRevert,
+	[CommandName.FleetStatus]: fleetStatus,
+	[CommandName.Targets]: targets,
+	[CommandName.Services]: services,
+	[CommandName.OperationsShow]: operationsShow,
+	[CommandName.Explain]: explain,
+};
+
+/** Descriptions of the words that only group commands. */
+export const GROUP_DESCRIPTIONS: Readonly<Record<string, string>> = {
+	catalogue: 'work with catalogue entries',
+	fleet: 'look at the nodes',
+	operations: 'look at operations that run at most once',
+};
--- /dev/null
+++ b/packages/cli/src/commands/operations-show.ts
@@ -0,0 +1,22 @@
+import type * as core from '@bilberrydoor/core';
+import type {Command} from '../command.js';
+import {ExitCode} from '../exit-code.js';
+
+/** Shows what has become of an operation. */
+export const operationsShow: Command = {
+	usage: '<operation-id>',
+	description: 'show the record of an operation',
+	async run({client, args, print, report}) {
+		const reply = await client.get<core.OperationView>(`/-/admin/operations/${encodeURIComponent(args[0]!)}`);
+		if (reply.isErr()) {
+			report(reply.error.message);
+			return reply.error.exitCode;
+		}
+
+		print({
+			json: reply.value,
+			lines: Object.entries(reply.value).map(([name, value]) => `${name}: ${String(value)}`),
+		});
+		return ExitCode.Ok;
+	},
+};
--- /dev/null
+++ b/packages/cli/src/commands/targets.ts
@@ -0,0 +1,61 @@
+import type * as core from '@bilberrydoor/core';
+import type {Command, CommandContext} from '../command.js';
+import {ExitCode} from '../exit-code.js';
+import {layOutTable} from '../output.js';
+
+type Listed = {readonly targets: readonly core.TargetStatus[]};
+
+/** Asks the other live nodes, because each node knows the targets of the groups that it schedules. */
+const askOthers = async ({client, report}: CommandContext): Promise<core.TargetStatus[]> => {
+	const fleet = await client.get<core.FleetStatus>('/-/admin/fleet');
+	if (fleet.isErr()) {
+		report(fleet.error.message);
+		return [];
+	}
+
+	const {self, nodes} = fleet.value;
+	const others = nodes.map(({node}) => node).filter(node => node.address !== self.address);
+	const replies = await Promise.all(
+		others.map(async node =>
+			node.operationsAddress === ''
+				? undefined
+				: client.withNode(`http://${node.operationsAddress}`).get<Listed>('/-/admin/targets'),
+		),
+	);
+	const missing = others.filter((_, index) => !replies[index]?.isOk());
+	if (missing.length > 0) {
+		report(`no answer from ${missing.map(node => node.vmId).join(', ')}; the list is incomplete`);
+	}
+
+	return replies.flatMap(reply => (reply?.isOk() ? reply.value.targets : []));
+};
+
+/** Shows the targets as the nodes that schedule them judge them. */
+export const targets: Command = {
+	usage: '',
+	description: 'show targets with state, reason, time in the state and slots',
+	async run(context) {
+		const {client, print, report} = context;
+		const own = await client.get<Listed>('/-/admin/targets');
+		if (own.isErr()) {
+			report(own.error.message);
+			return own.error.exitCode;
+		}
+
+		const all = [...own.value.targets, ...(await askOthers(context))];
+		const rows = all.map(target => ({
+			group: target.groupId,
+			target: target.targetId,
+			address: target.address,
+			state: target.state,
+			reason: target.reason,
+			since: Math.round(target.sinceMs),
+			slots: `${target.busySlotCount}/${target.openSlotCount}/${target.slotCount}`,
+		}));
+		print({
+			json: all,
+			lines: layOutTable(['group', 'target', 'address', 'state', 'reason', 'since', 'slots'], rows),
+		});
+		return ExitCode.Ok;
+	},
+};
--- a/packages/cli/src/node-client.ts
+++ b/packages/cli/src/node-client.ts
@@ -1,41 +1,93 @@
 import * as neverthrow from 'neverthrow';
 import * as undici from 'undici';
+import {ExitCode} from './exit-code.js';
 
 export type NodeClientOptions = {
 	/** Operations address of any node, such as `http://127.0.0.1:8082`. */
 	readonly nodeUrl: string;
 	readonly token: string;
+	/** Longest wait for an answer, in ms. An edit waits up to 10 s for its fate. */
+	readonly timeoutMs: number;
 };
 
-/** Talks to the administration API of one node. Errors are lines for the operator. */
+export const DEFAULT_NODE_CLIENT_OPTIONS = {timeoutMs: 20_000};
+
+/** What went wrong, as a line for the operator. */
+export type ClientFailure = {readonly exitCode: ExitCode; readonly message: string};
+
+/** Talks to the administration API of one node. */
 export type NodeClient = {
-	get(path: string): Promise<neverthrow.Result<unknown, string>>;
-	post(path: string, body: unknown): Promise<neverthrow.Result<unknown, string>>;
+	readonly nodeUrl: string;
+	get<Reply>(path: string): Promise<neverthrow.Result<Reply, ClientFailure>>;
+	/** Any reply that `accepts` recognizes counts as an answer, whatever its status. */
+	post<Reply>(
+		path: string,
+		body: unknown,
+		accepts: (reply: unknown) => reply is Reply,
+	): Promise<neverthrow.Result<Reply, ClientFailure>>;
+	/** The same token at another node. */
+	withNode(nodeUrl: string): NodeClient;
+};
+
+const EXIT_CODES_BY_STATUS: ReadonlyMap<number, ExitCode> = new Map([
+	[400, ExitCode.InvalidInput],
+	[401, ExitCode.Unauthorized],
+	[404, ExitCode.NotFound],
+	[405, ExitCode.NotFound],
+	[413, ExitCode.InvalidInput],
+]);
+
+const describeReply = (reply: unknown): string => {
+	const error = (reply as {error?: unknown} | undefined)?.error;
+	return typeof error === 'string' ? error : 'no detail';
+};
+
+const parseReply = (text: string): unknown => {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
 };
 
-export const createNodeClient = (options: NodeClientOptions): NodeClient => {
-	const request = async (
+export const createNodeClient = (
+	given: Partial<NodeClientOptions> & Omit<NodeClientOptions, 'timeoutMs'>,
+): NodeClient => {
+	const options: NodeClientOptions = {...DEFAULT_NODE_CLIENT_OPTIONS, ...given};
+
+	const request = async <Reply>(
 		method: 'GET' | 'POST',
 		path: string,
-		body?: unknown,
-	): Promise<neverthrow.Result<unknown, string>> => {
+		body: unknown,
+		accepts: (reply: unknown) => reply is Reply,
+	): Promise<neverthrow.Result<Reply, ClientFailure>> => {
 		try {
 			const response = await undici.request(options.nodeUrl + path, {
 				method,
 				headers: {authorization: `Bearer ${options.token}`, 'content-type': 'application/json'},
 				body: body === undefined ? undefined : JSON.stringify(body),
+				signal: AbortSignal.timeout(options.timeoutMs),
 			});
-			const reply = (await response.body.json()) as {error?: string};
-			return response.statusCode < 400
-				? neverthrow.ok(reply)
-				: neverthrow.err(`${method} ${path}: status ${response.statusCode}: ${reply.error ?? 'no detail'}`);
+			const reply = parseReply(await response.body.text());
+			if (accepts(reply)) {
+				return neverthrow.ok(reply);
+			}
+
+			const exitCode = EXIT_CODES_BY_STATUS.get(response.statusCode) ?? ExitCode.Unreachable;
+			return neverthrow.err({exitCode, message: `${describeReply(reply)} (status ${response.statusCode})`});
 		} catch (error) {
-			return neverthrow.err(`${options.nodeUrl} cannot be reached: ${String(error)}`);
+			const message = `${options.nodeUrl} cannot be reached: ${String(error)}`;
+			return neverthrow.err({exitCode: ExitCode.Unreachable, message});
 		}
 	};
 
+	const isReply = <Reply>(reply: unknown): reply is Reply =>
+		reply !== null && typeof reply === 'object' && !('error' in reply);
+
 	return {
-		get: async path => request('GET', path),
-		post: async (path, body) => request('POST', path, body),
+		nodeUrl: options.nodeUrl,
+		get: async <Reply>(path: string) => request<Reply>('GET', path, undefined, isReply<Reply>),
+		post: async (path, body, accepts) => request('POST', path, body, accepts),
+		withNode: nodeUrl => createNodeClient({...options, nodeUrl}),
 	};
 };
--- /dev/null
+++ b/packages/cli/src/wait-until-in-force.ts
@@ -0,0 +1,49 @@
+import * as timersPromises from 'node:timers/promises';
+import type * as core from '@bilberrydoor/core';
+import type {CommandContext} from './command.js';
+import {ExitCode} from './exit-code.js';
+
+const POLL_MS = 500;
+/** Nodes that a line of progress names. */
+const NAMED_NODE_COUNT = 5;
+
+const describeProgress = (offset: number, nodes: readonly core.NodeStatus[], missing: readonly core.NodeStatus[]) => {
+	const named = missing.slice(0, NAMED_NODE_COUNT).map(status => status.node.vmId);
+	const rest = missing.length > named.length ? ` and ${missing.length - named.length} more` : '';
+	const waiting = missing.length > 0 ? `; waiting for ${named.join(', ')}${rest}` : '';
+	return `offset ${offset} is in force on ${nodes.length - missing.length} of ${nodes.length} live nodes${waiting}`;
+};
+
+/** Polls until all live nodes have applied the log up to an offset, and reports progress. */
+export const waitUntilInForce = async (
+	context: Pick<CommandContext, 'client' | 'report'>,
+	offset: number,
+	limitMs: number,
+): Promise<ExitCode> => {
+	const endMs = Date.now() + limitMs;
+	let lastLine = '';
+	for (;;) {
+		const fleet = await context.client.get<core.FleetStatus>('/-/admin/fleet');
+		if (fleet.isErr()) {
+			context.report(fleet.error.message);
+		} else {
+			const {nodes} = fleet.value;
+			const missing = nodes.filter(status => (status.appliedOffset ?? -1) < offset);
+			const line = describeProgress(offset, nodes, missing);
+			if (line !== lastLine) {
+				context.report(line);
+				lastLine = line;
+			}
+
+			if (missing.length === 0) {
+				return ExitCode.Ok;
+			}
+		}
+
+		if (Date.now() >= endMs) {
+			return ExitCode.NotInForce;
+		}
+
+		await timersPromises.setTimeout(POLL_MS);
+	}
+};
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -40,6 +40,8 @@
 	inFlightCount(): number;
 	/** Whether the node may receive callers' requests. */
 	isReady(): boolean;
+	/** Whether a catalogue is in force, also while the node is stopping. */
+	isCatalogueReady(): boolean;
 	/** Runs the node's tasks until `signal` is aborted. */
 	run(signal: AbortSignal): Promise<void>;
 	/** Refuses new calls after `noticeMs` and resolves when no call is in flight, or after `limitMs`. */
@@ -123,6 +125,7 @@
 		handleForwardedCall: async (forwarded, signal) =>
 			callTracker.track(async () => forwardHandlers[forwarded.purpose](forwarded, signal), signal),
 		inFlightCount: callTracker.inFlightCount,
+		isCatalogueReady: replicator.isReady,
 		isReady: () => replicator.isReady() && !callTracker.isDraining(),
 		async run(signal) {
 			await Promise.all([replicator.run(signal), membership.run(signal), schedulers.run(signal)]);
