--- a/packages/core/src/catalogue/follower-step.ts
+++ b/packages/core/src/catalogue/follower-step.ts
@@ -37,7 +37,8 @@
 	const backOff = createBackOff({random, firstMs: options.fallbackMs, limitMs: options.fallbackLimitMs});
 	const choice = createRelayChoice(parts);
 	let nextLogReadMs = 0;
-	let isAfterFailure = false;
+	// The first pull does not wait, so that a node on a quiet log is ready at once.
+	let isAfterFailure = true;
 
 	const fallBackToLog = async (signal: AbortSignal): Promise<StepOutcome> => {
 		feed.setFreshness(ports.RelayFreshness.Stale);
--- a/packages/core/src/catalogue/reader-step.ts
+++ b/packages/core/src/catalogue/reader-step.ts
@@ -31,7 +31,9 @@
 	};
 
 	return async signal => {
-		const outcome = await tail.readOnce(options.readWaitMs, signal);
+		// The first read does not wait, so that a node on a quiet log is ready at once.
+		const waitMs = feed.freshness() === ports.RelayFreshness.Log ? options.readWaitMs : 0;
+		const outcome = await tail.readOnce(waitMs, signal);
 		if (outcome === StepOutcome.Failed) {
 			return followOtherReader(signal);
 		}
--- a/packages/fakes/src/fake-log-service.ts
+++ b/packages/fakes/src/fake-log-service.ts
@@ -8,8 +8,15 @@
 	Down = 'down',
 	/** Takes appends and loses their answers. */
 	LoseAppendAnswers = 'lose-append-answers',
+	/** Answers too late for its clients; appends take effect at once. */
+	Slow = 'slow',
+	/** Stores each append twice, as a proxy does that repeats requests. */
+	DuplicateAppends = 'duplicate-appends',
 }
 
+/** How long a client waits for a slow answer, in ms. */
+const CLIENT_TIMEOUT_MS = 3000;
+
 /** Log in memory with faults. */
 export type FakeLogService = core.LogService & {
 	fault: FakeLogFault;
@@ -38,6 +45,17 @@
 
 	const unavailable = () => neverthrow.err({kind: core.LogErrorKind.Unavailable, detail: 'the log service is down'});
 
+	const losesAnswers = (): boolean => log.fault === FakeLogFault.LoseAppendAnswers || log.fault === FakeLogFault.Slow;
+
+	const store = (record: domain.CatalogueRecord): number => {
+		const offset = endOffset++;
+		records.push({offset, record});
+		keepRetained();
+		arrival.abort();
+		arrival = new AbortController();
+		return offset;
+	};
+
 	const log: FakeLogService = {
 		fault: FakeLogFault.None,
 		latencyMs: 1,
@@ -56,19 +74,24 @@
 				return unavailable();
 			}
 
-			const offset = endOffset++;
-			records.push({offset, record});
-			keepRetained();
-			arrival.abort();
-			arrival = new AbortController();
-			await clock.sleep(log.latencyMs);
-			return log.fault === FakeLogFault.LoseAppendAnswers
+			const offset = store(record);
+			if (log.fault === FakeLogFault.DuplicateAppends) {
+				store(record);
+			}
+
+			await clock.sleep(log.fault === FakeLogFault.Slow ? CLIENT_TIMEOUT_MS : log.latencyMs);
+			return losesAnswers()
 				? neverthrow.err({kind: core.LogErrorKind.Uncertain, detail: 'the answer was lost'})
 				: neverthrow.ok(offset);
 		},
 		async read({fromOffset, limitCount, waitMs}, signal) {
 			readCount++;
 			await clock.sleep(log.latencyMs, signal);
+			if (log.fault === FakeLogFault.Slow) {
+				await clock.sleep(CLIENT_TIMEOUT_MS, signal);
+				return unavailable();
+			}
+
 			if (isDown()) {
 				return unavailable();
 			}
--- a/packages/stand-ins/src/log/log-app.ts
+++ b/packages/stand-ins/src/log/log-app.ts
@@ -1,3 +1,4 @@
+import * as timersPromises from 'node:timers/promises';
 import * as hono from 'hono';
 import type * as adapters from '@bilberrydoor/adapters';
 import {createLogStore, type LogStore, type LogStoreOptions} from './log-store.js';
@@ -9,8 +10,15 @@
 	Down = 'down',
 	/** Takes appends but never answers them. */
 	LoseAppendAnswers = 'lose-append-answers',
+	/** Answers only after `SLOW_ANSWER_MS`; appends take effect at once. */
+	Slow = 'slow',
+	/** Stores each append twice, as a proxy does that repeats requests. */
+	DuplicateAppends = 'duplicate-appends',
 }
 
+/** Longer than the clients of the tests wait. */
+const SLOW_ANSWER_MS = 1000;
+
 const numberOf = (text: string | undefined, fallback: number): number =>
 	text === undefined || text === '' ? fallback : Number(text);
 
@@ -33,8 +41,18 @@
 	app.use('/streams/*', async (context, next) =>
 		fault === LogFault.Down ? context.json({error: 'unavailable'}, 503) : next(),
 	);
+	const delayAnswer = async (): Promise<void> =>
+		fault === LogFault.Slow ? timersPromises.setTimeout(SLOW_ANSWER_MS, undefined, {ref: false}) : undefined;
+
 	app.post('/streams/:stream/records', async context => {
-		const offset = openStream(context.req.param('stream')).append(await context.req.json());
+		const store = openStream(context.req.param('stream'));
+		const value: unknown = await context.req.json();
+		const offset = store.append(value);
+		if (fault === LogFault.DuplicateAppends) {
+			store.append(value);
+		}
+
+		await delayAnswer();
 		if (fault === LogFault.LoseAppendAnswers) {
 			context.env.outgoing.destroy();
 		}
@@ -51,6 +69,7 @@
 
 		const limit = numberOf(context.req.query('limit'), 100);
 		const records = await store.read(from, limit, numberOf(context.req.query('waitMs'), 0));
+		await delayAnswer();
 		return context.json({...bounds(), records});
 	});
 	return app;
