--- a/ava.config.js
+++ b/ava.config.js
@@ -1,7 +1,9 @@
 const config = {
 	files: ['packages/*/dist/__tests__/**/*.test.js', 'packages/*/dist/**/__tests__/**/*.test.js'],
 	nodeArguments: ['--enable-source-maps'],
-	timeout: '60s',
+	// A busy machine slows all test files alike, so the limit is generous.
+	timeout: '120s',
+	concurrency: 4,
 };
 
 export default config;
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -1,6 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import {createAdministration, type Administration} from '../administration/administration.js';
 import * as catalogueReplicator from '../catalogue/catalogue-replicator.js';
+import type {CatalogueReplicatorOptions} from '../catalogue/replicator-options.js';
 import {createCatalogueStore, type CatalogueStore} from '../catalogue/catalogue-store.js';
 import {createEntryService} from '../entry/entry-service.js';
 import {createGroupDelivery} from '../entry/group-delivery.js';
@@ -18,7 +19,7 @@
 export type NodeSettings = {
 	/** This VM as the fleet knows it; the incarnation id is drawn at start. */
 	readonly self: Omit<domain.NodeDescription, 'incarnationId'>;
-	readonly catalogue?: Partial<catalogueReplicator.CatalogueReplicatorOptions>;
+	readonly catalogue?: Partial<CatalogueReplicatorOptions>;
 	readonly membership?: Partial<MembershipOptions>;
 	readonly link?: Partial<LinkOptions>;
 };
@@ -44,6 +45,8 @@
 	inFlightCount(): number;
 	/** Whether the node may receive callers' requests. */
 	isReady(): boolean;
+	/** Whether a catalogue is in force, also while the node is stopping. */
+	isCatalogueReady(): boolean;
 	/** Runs the node's tasks until `signal` is aborted. */
 	run(signal: AbortSignal): Promise<void>;
 	/** Refuses new calls after `noticeMs` and resolves when no call is in flight, or after `limitMs`. */
@@ -60,11 +63,6 @@
 		routeTable.replaceServiceRoutes(service, entry?.routes ?? []);
 	});
 	const schedulers = createSchedulerRegistry({ports: dependencies.ports, store});
-	const replicator = catalogueReplicator.createCatalogueReplicator({
-		ports: dependencies.ports,
-		store,
-		options: settings.catalogue,
-	});
 	const membership = memberDirectory.createMembership({
 		ports: dependencies.ports,
 		self,
@@ -72,6 +70,12 @@
 		options: settings.membership,
 	});
 	const {directory} = membership;
+	const replicator = catalogueReplicator.createCatalogueReplicator({
+		ports: dependencies.ports,
+		store,
+		directory,
+		options: settings.catalogue,
+	});
 	const link = createRegionLink({
 		ports: dependencies.ports,
 		countSharers: () => directory.listEligibleNodes(self.region).length,
@@ -126,13 +130,21 @@
 		directory,
 		schedulers,
 		link,
-		administration: createAdministration({ports: dependencies.ports, store, replicator, directory, schedulers}),
-		peerHandlers: createPeerHandlers({store, probeHandlers: membership.peerHandlers}),
+		administration: createAdministration({
+			ports: dependencies.ports,
+			store,
+			replicator,
+			directory,
+			routeTable,
+			schedulers,
+		}),
+		peerHandlers: createPeerHandlers({replicator, probeHandlers: membership.peerHandlers}),
 		handleCall: async (call, signal) =>
 			callTracker.track(async () => entryService.handleCall(call, signal), signal, callTracker.refuseNewCalls()),
 		handleForwardedCall: async (forwarded, signal) =>
 			callTracker.track(async () => forwardHandlers[forwarded.purpose](forwarded, signal), signal),
 		inFlightCount: callTracker.inFlightCount,
+		isCatalogueReady: replicator.isReady,
 		isReady: () => replicator.isReady() && !callTracker.isDraining(),
 		async run(signal) {
 			await Promise.all([replicator.run(signal), membership.run(signal), schedulers.run(signal)]);
--- a/packages/core/src/node/peer-handlers.ts
+++ b/packages/core/src/node/peer-handlers.ts
@@ -1,21 +1,17 @@
-import type {CatalogueStore} from '../catalogue/catalogue-store.js';
+import type {CatalogueReplicator} from '../catalogue/catalogue-replicator.js';
 import type {ProbeHandlers} from '../membership/probe-handlers.js';
 import * as ports from '../ports/index.js';
 
 /** Assembles the table of handlers for peers' control messages. */
 export const createPeerHandlers = (dependencies: {
-	store: CatalogueStore;
+	replicator: Pick<CatalogueReplicator, 'pullRecords' | 'pullSnapshot'>;
 	probeHandlers: ProbeHandlers;
 }): ports.PeerHandlers => {
-	const {store, probeHandlers} = dependencies;
+	const {replicator, probeHandlers} = dependencies;
 	return {
 		...probeHandlers,
-		[ports.PeerMessageKind.PullRecords]: async () => ({
-			records: [],
-			appliedOffset: store.appliedOffset(),
-			isTruncated: true,
-		}),
-		[ports.PeerMessageKind.PullSnapshot]: async () => ({snapshot: store.takeSnapshot()}),
+		[ports.PeerMessageKind.PullRecords]: replicator.pullRecords,
+		[ports.PeerMessageKind.PullSnapshot]: async request => replicator.pullSnapshot(request),
 		[ports.PeerMessageKind.MintOperations]: async () => ({operationIds: [], detail: 'not available'}),
 		[ports.PeerMessageKind.ReadOperation]: async () => ({isExpired: false}),
 		[ports.PeerMessageKind.TakeOverOperations]: async () => ({isAccepted: false}),
--- a/packages/measures/src/__tests__/peer-harness.ts
+++ b/packages/measures/src/__tests__/peer-harness.ts
@@ -66,7 +66,13 @@
 		) as unknown as core.PeerHandlers),
 		async [core.PeerMessageKind.PullRecords]() {
 			await handle();
-			return {records: [], appliedOffset: 7, isTruncated: false};
+			return {
+				records: [],
+				nextOffset: 8,
+				appliedOffset: 7,
+				isTruncated: false,
+				freshness: core.RelayFreshness.Log,
+			};
 		},
 	},
 });
