feat(measures): add the baseline of independent proxies

Cause: crest, blocking and detection compare the fleet with nodes that share nothing. Change: a node with its own queue, power of two choices and ejection after consecutive errors, over the same target client and clock as the product.

--- /dev/null
+++ b/packages/measures/src/baselines/independent-proxy.ts
@@ -0,0 +1,211 @@
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+
+/** Options of the baseline, at common values of widespread proxies. */
+export type IndependentProxyOptions = {
+	/** Consecutive failures after which a target is ejected. */
+	readonly ejectionErrorCount: number;
+	/** First ejection time; each further ejection of the target lasts one such time longer, in ms. */
+	readonly ejectionMs: number;
+	/** Largest share of targets that are ejected at once. */
+	readonly ejectionLimitRatio: number;
+	/** Further attempts of repeatable work after a failure. */
+	readonly retryLimitCount: number;
+};
+
+export const DEFAULT_INDEPENDENT_PROXY_OPTIONS: IndependentProxyOptions = {
+	ejectionErrorCount: 5,
+	ejectionMs: 30_000,
+	ejectionLimitRatio: 0.5,
+	retryLimitCount: 1,
+};
+
+/** A node that knows only the calls that it serves itself. */
+export type IndependentProxy = {
+	handleCall(call: domain.CallRequest, signal: AbortSignal): Promise<domain.CallEnding>;
+	/** Targets that the node has ejected now. */
+	listEjectedTargets(): readonly string[];
+};
+
+type ProxiedTarget = {
+	readonly target: domain.TargetEntry;
+	busyCount: number;
+	consecutiveErrorCount: number;
+	ejectionCount: number;
+	ejectedUntilMs: number;
+};
+
+type Waiter = {readonly grant: (proxied: ProxiedTarget) => void};
+
+const SERVER_ERROR_STATUS = 500;
+
+/** Picks the less busy of two random targets, and ejects targets after consecutive errors. */
+const createTargetChoice = (
+	dependencies: {clock: core.Clock; random: core.Random; entry: domain.CatalogueEntry},
+	options: IndependentProxyOptions,
+) => {
+	const {clock, random, entry} = dependencies;
+	const all = entry.targets.map<ProxiedTarget>(target => ({
+		target,
+		busyCount: 0,
+		consecutiveErrorCount: 0,
+		ejectionCount: 0,
+		ejectedUntilMs: 0,
+	}));
+	const listEjected = (): ProxiedTarget[] => all.filter(({ejectedUntilMs}) => ejectedUntilMs > clock.monotonicMs());
+	return {
+		listEjected,
+		pick(excluded?: ProxiedTarget): ProxiedTarget | undefined {
+			const nowMs = clock.monotonicMs();
+			const free = all.filter(
+				proxied =>
+					proxied !== excluded &&
+					proxied.ejectedUntilMs <= nowMs &&
+					!proxied.target.isDraining &&
+					proxied.busyCount < proxied.target.slotCount,
+			);
+			const drawn = [0, 1].map(() => free[Math.floor(random.fraction() * free.length)]);
+			const [first, second] = drawn;
+			return first && second && second.busyCount < first.busyCount ? second : first;
+		},
+		report(proxied: ProxiedTarget, isFailure: boolean): void {
+			proxied.consecutiveErrorCount = isFailure ? proxied.consecutiveErrorCount + 1 : 0;
+			const mayEject = listEjected().length + 1 <= all.length * options.ejectionLimitRatio;
+			if (proxied.consecutiveErrorCount >= options.ejectionErrorCount && mayEject) {
+				proxied.ejectionCount++;
+				proxied.consecutiveErrorCount = 0;
+				proxied.ejectedUntilMs = clock.monotonicMs() + options.ejectionMs * proxied.ejectionCount;
+			}
+		},
+	};
+};
+
+const isFailure = (ending: domain.CallEnding): boolean =>
+	ending.outcome !== domain.Outcome.Completed || ending.answer.status >= SERVER_ERROR_STATUS;
+
+/**
+ * Creates a node of the baseline: its own queue, power of two choices between targets, ejection after consecutive
+ * errors. A target counts as full for the node when the node itself uses all of the target's slots.
+ */
+export const createIndependentProxy = (dependencies: {
+	clock: core.Clock;
+	random: core.Random;
+	targetClient: core.TargetClient;
+	entry: domain.CatalogueEntry;
+	options?: Partial<IndependentProxyOptions>;
+}): IndependentProxy => {
+	const {clock, targetClient, entry} = dependencies;
+	const options = {...DEFAULT_INDEPENDENT_PROXY_OPTIONS, ...dependencies.options};
+	const choice = createTargetChoice(dependencies, options);
+	const routeTable = core.createRouteTable();
+	routeTable.replaceServiceRoutes(entry.service, entry.routes);
+	let waiters: Waiter[] = [];
+
+	const grantNext = (): void => {
+		for (let proxied = choice.pick(); proxied && waiters.length > 0; proxied = choice.pick()) {
+			proxied.busyCount++;
+			waiters.shift()!.grant(proxied);
+		}
+	};
+
+	const acquire = async (signal: AbortSignal, excluded?: ProxiedTarget): Promise<ProxiedTarget | undefined> => {
+		const proxied = choice.pick(excluded);
+		if (proxied) {
+			proxied.busyCount++;
+			return proxied;
+		}
+
+		return new Promise(resolve => {
+			const waiter: Waiter = {grant: resolve};
+			waiters.push(waiter);
+			signal.addEventListener('abort', () => {
+				waiters = waiters.filter(other => other !== waiter);
+				resolve(undefined);
+			});
+		});
+	};
+
+	const release = (proxied: ProxiedTarget): void => {
+		proxied.busyCount--;
+		grantNext();
+	};
+
+	const attempt = async (
+		proxied: ProxiedTarget,
+		call: domain.CallRequest,
+		limits: {deadlineAtMs: number; signal: AbortSignal},
+	): Promise<domain.CallEnding> => {
+		const sent = await targetClient.send(
+			proxied.target,
+			{
+				method: call.method,
+				pathAndQuery: call.path + call.query,
+				headers: call.headers,
+				body: call.body,
+				bodyLengthBytes: call.bodyLengthBytes,
+				remainingMs: limits.deadlineAtMs - clock.monotonicMs(),
+			},
+			limits.signal,
+		);
+		if (sent.isErr()) {
+			release(proxied);
+			return domain.unknown(domain.RefusalReason.TargetLost, sent.error.detail);
+		}
+
+		const body = core.observeBody(sent.value.body, {
+			onEnd() {
+				release(proxied);
+			},
+		});
+		return domain.completed({...sent.value, body});
+	};
+
+	const runAttempts = async (
+		call: domain.CallRequest,
+		limits: {deadlineAtMs: number; signal: AbortSignal},
+	): Promise<domain.CallEnding> => {
+		let previous: ProxiedTarget | undefined;
+		for (let retryCount = 0; ; retryCount++) {
+			const proxied = await acquire(limits.signal, previous);
+			if (!proxied) {
+				return domain.notRun(domain.RefusalReason.DeadlineExceeded, 'no target was free before the deadline');
+			}
+
+			const ending = await attempt(proxied, call, limits);
+			choice.report(proxied, isFailure(ending));
+			const mayRetry = retryCount < options.retryLimitCount && !call.body && !limits.signal.aborted;
+			if (!isFailure(ending) || !mayRetry) {
+				return ending;
+			}
+
+			if (ending.outcome === domain.Outcome.Completed) {
+				await ending.answer.body[Symbol.asyncIterator]().return?.();
+			}
+
+			previous = proxied;
+		}
+	};
+
+	return {
+		async handleCall(call, signal) {
+			const found = routeTable.findRoute(call.method, call.path);
+			if (found.isErr()) {
+				return domain.notRun(domain.RefusalReason.UnknownRoute, 'no route accepts the call');
+			}
+
+			if (waiters.length >= entry.queue.limitCount) {
+				return domain.notRun(domain.RefusalReason.QueueFull, 'the queue of this node is full');
+			}
+
+			const deadlineMs = Math.min(found.value.route.deadlineMs, call.deadlineMs ?? Infinity);
+			const limits = {deadlineAtMs: clock.monotonicMs() + deadlineMs};
+			const result = await core.runWithTimeout({clock, timeoutMs: deadlineMs, signal}, async attemptSignal =>
+				runAttempts(call, {...limits, signal: attemptSignal}),
+			);
+			return result.isTimedOut
+				? domain.unknown(domain.RefusalReason.TargetTimedOut, 'the time for the call was up')
+				: result.value;
+		},
+		listEjectedTargets: () => choice.listEjected().map(({target}) => target.targetId),
+	};
+};
