feat(scheduling): admit, queue, limit and retry calls at the scheduling node

Cause: the first scheduler had one unbounded queue, no limits, no retries and no deadline after dispatch, and lost a slot when the caller left with the body of the answer unread. Change: admission, fair queues by class of work, shares of slots with lending, adaptive slot limits, token buckets, retry budget, resendable bodies, attempts with deadline and reclaim, node guard, each in a module of its own behind the same GroupScheduler.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,8 @@
 export * from './routing/route-table.js';
 export * from './routing/target-groups.js';
 export * from './scheduling/group-scheduler.js';
+export * from './scheduling/node-guard.js';
+export * from './scheduling/scheduler-options.js';
 export type * from './scheduling/scheduled-call.js';
 export * from './scheduling/scheduler-registry.js';
 export * from './shared/limit-body.js';
--- /dev/null
+++ b/packages/core/src/scheduling/call-runner.ts
@@ -0,0 +1,219 @@
+import * as domain from '@bilberrydoor/domain';
+import * as ports from '../ports/index.js';
+import {AttemptEnd, type AttemptOutcome, type AttemptRunner} from './attempt.js';
+import {createResendableBody, type ResendableBody} from './resendable-body.js';
+import type {RetryBudget} from './retry-budget.js';
+import type {ScheduledCall} from './scheduled-call.js';
+import type {SchedulerOptions} from './scheduler-options.js';
+import type {ServiceTimes} from './service-times.js';
+import {isSlotGrant, type SlotBroker, type SlotGrant, type SlotRequest} from './slot-broker.js';
+import {SlotUse, type SlotShares} from './slot-shares.js';
+import type {TargetPool} from './target-pool.js';
+
+/** Runs admitted calls: waits for slots, makes attempts and repeats them where that is allowed. */
+export type CallRunner = {
+	run(
+		scheduled: ScheduledCall,
+		need: {weight: number; sizeBytes: number},
+		signal: AbortSignal,
+	): Promise<domain.CallEnding>;
+};
+
+const RETRY_REASONS: Partial<Record<AttemptEnd, domain.RetryReason>> = {
+	[AttemptEnd.Error]: domain.RetryReason.TargetError,
+	[AttemptEnd.Refused]: domain.RetryReason.TargetRefused,
+	[AttemptEnd.Unreachable]: domain.RetryReason.TargetUnreachable,
+	[AttemptEnd.Lost]: domain.RetryReason.TargetLost,
+	[AttemptEnd.TimedOut]: domain.RetryReason.TargetTimedOut,
+	[AttemptEnd.Reclaimed]: domain.RetryReason.SlotReclaimed,
+};
+
+/** Ends that prove that the target did not run the work. */
+const PROVABLY_NOT_RUN: ReadonlySet<AttemptEnd> = new Set([AttemptEnd.Refused, AttemptEnd.Unreachable]);
+
+const REFUSAL_REASONS: Record<AttemptEnd, domain.RefusalReason> = {
+	[AttemptEnd.Answered]: domain.RefusalReason.Internal,
+	[AttemptEnd.Error]: domain.RefusalReason.TargetLost,
+	[AttemptEnd.Refused]: domain.RefusalReason.TargetRefused,
+	[AttemptEnd.Unreachable]: domain.RefusalReason.TargetUnreachable,
+	[AttemptEnd.Lost]: domain.RefusalReason.TargetLost,
+	[AttemptEnd.TimedOut]: domain.RefusalReason.TargetTimedOut,
+	[AttemptEnd.Cancelled]: domain.RefusalReason.CallerCancelled,
+	[AttemptEnd.Reclaimed]: domain.RefusalReason.TargetTimedOut,
+};
+
+/** What is known of a call between its attempts. */
+type CallState = {
+	readonly scheduled: ScheduledCall;
+	readonly body?: ResendableBody;
+	readonly need: {weight: number; sizeBytes: number};
+	readonly signal: AbortSignal;
+	attemptCount: number;
+	/** True when a target may have run the work. */
+	mayHaveRun: boolean;
+	wasReclaimed: boolean;
+	lastTargetId?: string;
+};
+
+export const createCallRunner = (dependencies: {
+	ports: Pick<ports.NodePorts, 'clock' | 'metrics'>;
+	attempts: AttemptRunner;
+	broker: SlotBroker;
+	budget: RetryBudget;
+	pool: TargetPool;
+	shares: SlotShares;
+	serviceTimes: ServiceTimes;
+	service: string;
+	options: SchedulerOptions;
+	retryAfterMs: () => number;
+}): CallRunner => {
+	const {attempts, broker, budget, pool, shares, serviceTimes, service, options} = dependencies;
+	const {clock, metrics} = dependencies.ports;
+
+	const isRepeatable = ({scheduled}: CallState): boolean =>
+		scheduled.route.repeatability === domain.Repeatability.Repeatable;
+
+	const buildRequest = (state: CallState): SlotRequest => ({
+		workspace: state.scheduled.call.workspace,
+		weight: state.need.weight,
+		sizeBytes: state.need.sizeBytes,
+		workClass: state.scheduled.route.workClass,
+		deadlineAtMs: state.scheduled.deadlineAtMs,
+		isRepeatable: isRepeatable(state),
+		// Only work that can be made again gives a borrowed slot back in time, and it does so at most once.
+		mayBorrow: isRepeatable(state) && (state.body?.canResend() ?? true) && !state.wasReclaimed,
+		isRetry: state.attemptCount > 0,
+		excludedTargetId: state.lastTargetId,
+	});
+
+	const mayRetry = (state: CallState, excludedTargetId: string): boolean =>
+		isRepeatable(state) &&
+		state.attemptCount < options.attemptLimitCount &&
+		!state.signal.aborted &&
+		state.scheduled.deadlineAtMs - clock.monotonicMs() > serviceTimes.typicalHeadMs(state.scheduled.route.workClass) &&
+		(state.body?.canResend() ?? true) &&
+		budget.hasRetry() &&
+		pool.hasCandidate({isRepeatable: true, excludedTargetId});
+
+	const findSoftTimeoutAt = (state: CallState): number => {
+		const typicalMs = serviceTimes.typicalHeadMs(state.scheduled.route.workClass);
+		const limitMs = Math.max(options.attemptTimeoutFloorMs, typicalMs * options.attemptTimeoutFactor);
+		return isRepeatable(state) && typicalMs > 0 ? clock.monotonicMs() + limitMs : Infinity;
+	};
+
+	const makeAttempt = async (state: CallState, grant: SlotGrant): Promise<AttemptOutcome> => {
+		const {targetId} = grant.slots.target;
+		const {workClass} = state.scheduled.route;
+		if (state.attemptCount === 0) {
+			budget.recordFirstAttempt();
+		}
+
+		state.attemptCount++;
+		state.lastTargetId = targetId;
+		const outcome = await attempts.run({
+			grant,
+			scheduled: state.scheduled,
+			body: state.body?.open(),
+			softTimeoutAtMs: findSoftTimeoutAt(state),
+			mayRetryNow: () =>
+				mayRetry(state, targetId) && pool.pick({isRepeatable: true, excludedTargetId: targetId}) !== undefined,
+			isReclaimDue: () =>
+				grant.use === SlotUse.Borrowed && shares.isLenderWaiting(workClass) && mayRetry(state, targetId),
+			signal: state.signal,
+		});
+		state.wasReclaimed ||= outcome.end === AttemptEnd.Reclaimed;
+		state.mayHaveRun ||= !PROVABLY_NOT_RUN.has(outcome.end);
+		return outcome;
+	};
+
+	const endCall = (state: CallState, outcome: AttemptOutcome): domain.CallEnding => {
+		if (outcome.answer && outcome.end !== AttemptEnd.Refused) {
+			return domain.completed(outcome.answer);
+		}
+
+		outcome.discard();
+		const reason = REFUSAL_REASONS[outcome.end];
+		return state.mayHaveRun
+			? domain.unknown(reason, outcome.detail)
+			: domain.notRun(reason, outcome.detail, {retryAfterMs: dependencies.retryAfterMs()});
+	};
+
+	/** Finds the slot of the next attempt, or undefined when the call ends with this outcome. */
+	const acquireForRetry = async (
+		state: CallState,
+		outcome: AttemptOutcome,
+	): Promise<SlotGrant | domain.NotRunEnding | undefined> => {
+		const reason = RETRY_REASONS[outcome.end];
+		if (reason === undefined || !mayRetry(state, state.lastTargetId!)) {
+			return undefined;
+		}
+
+		// A server error is an answer that the caller may have, so it is only given up for a slot that is free now.
+		const free = outcome.end === AttemptEnd.Error ? broker.acquireNow(buildRequest(state)) : undefined;
+		if (outcome.end === AttemptEnd.Error && !free) {
+			return undefined;
+		}
+
+		budget.take();
+		metrics.increment(ports.CounterName.Retries, {service, reason});
+		outcome.discard();
+		return free ?? broker.acquire(buildRequest(state), state.signal);
+	};
+
+	/** Releases the slot when the dispatch is refused, or when asking for it fails. */
+	const refuseDispatch = (scheduled: ScheduledCall, grant: SlotGrant): domain.NotRunEnding | undefined => {
+		let isAllowed = false;
+		try {
+			const refusal = scheduled.beforeDispatch?.();
+			isAllowed = refusal === undefined;
+			return refusal;
+		} finally {
+			if (!isAllowed) {
+				grant.release();
+			}
+		}
+	};
+
+	const runAttempts = async (state: CallState): Promise<domain.CallEnding> => {
+		let acquired = await broker.acquire(buildRequest(state), state.signal);
+		const refusal = isSlotGrant(acquired) ? refuseDispatch(state.scheduled, acquired) : acquired;
+		if (refusal) {
+			return refusal;
+		}
+
+		for (;;) {
+			const outcome = await makeAttempt(state, acquired as SlotGrant);
+			const next = await acquireForRetry(state, outcome);
+			if (next === undefined) {
+				return endCall(state, outcome);
+			}
+
+			if (!isSlotGrant(next)) {
+				return state.mayHaveRun ? domain.unknown(REFUSAL_REASONS[outcome.end], next.detail) : next;
+			}
+
+			acquired = next;
+		}
+	};
+
+	return {
+		async run(scheduled, need, signal) {
+			const {body} = scheduled.call;
+			const state: CallState = {
+				scheduled,
+				need,
+				signal,
+				body: body && createResendableBody(body, options.resendLimitBytes),
+				attemptCount: 0,
+				mayHaveRun: false,
+				wasReclaimed: false,
+			};
+			const ending = await runAttempts(state);
+			if (state.attemptCount > 0 && ending.outcome !== domain.Outcome.Completed) {
+				state.body?.dispose();
+			}
+
+			return ending;
+		},
+	};
+};
--- a/packages/core/src/scheduling/group-scheduler.ts
+++ b/packages/core/src/scheduling/group-scheduler.ts
@@ -1,11 +1,22 @@
 import * as domain from '@bilberrydoor/domain';
-import * as ports from '../ports/index.js';
+import type * as ports from '../ports/index.js';
 import * as groupHealth from '../health/group-health.js';
 import type {TargetGroup} from '../routing/target-groups.js';
-import {limitBody} from '../shared/limit-body.js';
 import {observeBody} from '../shared/observe-body.js';
-import {runWithTimeout} from '../shared/run-with-timeout.js';
+import {createAdmission, type CallNeed} from './admission.js';
+import {createAttemptRunner} from './attempt.js';
+import {createCallRunner} from './call-runner.js';
+import {createNodeGuard} from './node-guard.js';
+import {createRateLimits, findWorkspaceLimit} from './rate-limits.js';
+import {drawRetryAfter} from './retry-after.js';
+import {createRetryBudget} from './retry-budget.js';
 import type {ScheduledCall, TargetStatus} from './scheduled-call.js';
+import {DEFAULT_SCHEDULER_OPTIONS, type SchedulerOptions} from './scheduler-options.js';
+import {createServiceTimes} from './service-times.js';
+import {createSlotBroker, type SlotBroker} from './slot-broker.js';
+import {createSlotShares} from './slot-shares.js';
+import {createTargetPool, type TargetSlots} from './target-pool.js';
+import {createWaitQueue} from './wait-queue.js';
 
 /** Schedules calls on the targets of one group. */
 export type GroupScheduler = {
@@ -21,7 +32,9 @@
 	describeTargets(): readonly TargetStatus[];
 	/** Number of calls waiting or in flight. */
 	activeCallCount(): number;
-	/** Runs the group's background tasks until `signal` is aborted. */
+	/** Calls that wait for a slot. */
+	queuedCallCount(): number;
+	/** Runs the group's background tasks until `signal` is aborted, and then ends the calls that still wait. */
 	run(signal: AbortSignal): Promise<void>;
 };
 
@@ -29,193 +42,180 @@
 	readonly ports: ports.NodePorts;
 	readonly group: TargetGroup;
 	readonly entry: domain.CatalogueEntry;
+	readonly options?: Partial<SchedulerOptions>;
 };
 
-type TargetSlots = {
-	target: domain.TargetEntry;
-	busySlotCount: number;
-};
-
-type Waiter = {
-	readonly grant: (slots: TargetSlots | undefined) => void;
-};
-
-const SERVER_ERROR_STATUS = 500;
+const REFUSED_RETRY_AFTER_MS = 1000;
 
-const ATTEMPT_RESULTS: Record<ports.TargetErrorKind, groupHealth.AttemptResult> = {
-	[ports.TargetErrorKind.Unreachable]: groupHealth.AttemptResult.Unreachable,
-	[ports.TargetErrorKind.Lost]: groupHealth.AttemptResult.Lost,
-	[ports.TargetErrorKind.Cancelled]: groupHealth.AttemptResult.TimedOut,
-};
-
-const CONVERT_TARGET_ERROR: Record<
-	ports.TargetErrorKind,
-	(detail: string) => domain.NotRunEnding | domain.UnknownEnding
-> = {
-	[ports.TargetErrorKind.Unreachable]: detail => domain.notRun(domain.RefusalReason.TargetUnreachable, detail),
-	[ports.TargetErrorKind.Lost]: detail => domain.unknown(domain.RefusalReason.TargetLost, detail),
-	[ports.TargetErrorKind.Cancelled]: detail => domain.unknown(domain.RefusalReason.TargetTimedOut, detail),
-};
+/** Smallest weight of any workspace of an entry; other weights count as multiples of it. */
+const findWeightUnit = (entry: domain.CatalogueEntry): number =>
+	Math.min(entry.defaultWorkspaceLimit.weight, ...Object.values(entry.workspaceLimits).map(limit => limit.weight));
 
 export const createGroupScheduler = (dependencies: GroupSchedulerDependencies): GroupScheduler => {
-	const {clock, targetClient, metrics} = dependencies.ports;
+	const options = {...DEFAULT_SCHEDULER_OPTIONS, ...dependencies.options};
+	const {clock, metrics, random} = dependencies.ports;
 	let {group, entry} = dependencies;
-	let targets = new Map<string, TargetSlots>();
-	const health = groupHealth.createGroupHealth({group});
-	let waiters: Waiter[] = [];
+	let weightUnit = findWeightUnit(entry);
 	let activeCallCount = 0;
+	let isClosed = false;
+	const {service} = group;
+	const health = groupHealth.createGroupHealth({group});
+	const serviceTimes = createServiceTimes();
+	const rateLimits = createRateLimits({clock, group, entry});
+	const budget = createRetryBudget({budgetRatio: entry.retryBudgetRatio, burstCount: options.retryBurstCount});
+	const pool = createTargetPool({clock, group, health, options: options.adaptiveLimit});
+	const queue = createWaitQueue({metrics, groupId: group.groupId});
+	const shares = createSlotShares({
+		clock,
+		options,
+		openSlotCount: pool.openSlotCount,
+		waitingCounts: queue.counts,
+		shortReserveRatio: () => entry.shortReserveRatio,
+	});
+	const admission = createAdmission({
+		ports: dependencies.ports,
+		guard: createNodeGuard({ports: dependencies.ports, options: options.nodeGuard}),
+		pool,
+		queue,
+		rateLimits,
+		serviceTimes,
+		shares,
+		queueLimit: () => entry.queue,
+	});
+	const broker: SlotBroker = createSlotBroker({
+		ports: dependencies.ports,
+		pool,
+		queue,
+		shares,
+		serviceTimes,
+		refuseLateCall: admission.refuseLateCall,
+	});
+	const attempts = createAttemptRunner({
+		ports: dependencies.ports,
+		health,
+		serviceTimes,
+		service,
+		refusalStatuses: () => entry.refusalStatuses,
+		borrowedSlotLimitMs: options.borrowedSlotLimitMs,
+		answerBodyTimeoutMs: options.answerBodyTimeoutMs,
+	});
+	const calls = createCallRunner({
+		ports: dependencies.ports,
+		attempts,
+		broker,
+		budget,
+		pool,
+		shares,
+		serviceTimes,
+		service,
+		options,
+		retryAfterMs: () => drawRetryAfter(random, REFUSED_RETRY_AFTER_MS),
+	});
+
+	const refuseWithoutTarget = (detail: string): domain.NotRunEnding =>
+		domain.notRun(domain.RefusalReason.NoTarget, detail, {
+			retryAfterMs: drawRetryAfter(random, REFUSED_RETRY_AFTER_MS),
+		});
 
-	const loadTargets = (): void => {
-		targets = new Map(
-			group.targets.map(target => {
-				const existing = targets.get(target.targetId);
-				const slots = existing ?? {target, busySlotCount: 0};
-				slots.target = target;
-				return [target.targetId, slots];
-			}),
-		);
-	};
-
-	const openSlotCount = (target: domain.TargetEntry): number =>
-		Math.floor(target.slotCount * health.standingOf(target.targetId).openRatio);
-
-	const findFreeTarget = (): TargetSlots | undefined =>
-		[...targets.values()]
-			.filter(({target, busySlotCount}) => busySlotCount < openSlotCount(target))
-			.toSorted((left, right) => left.busySlotCount - right.busySlotCount)[0];
-
-	const grantNext = (): void => {
-		while (waiters.length > 0) {
-			const slots = findFreeTarget();
-			if (!slots) {
-				return;
-			}
-
-			slots.busySlotCount++;
-			waiters.shift()!.grant(slots);
-		}
+	const describeNeed = ({call}: ScheduledCall): CallNeed => ({
+		weight: findWorkspaceLimit(entry, call.workspace).weight / weightUnit,
+		sizeBytes: call.body ? Math.min(call.bodyLengthBytes ?? 0, options.resendLimitBytes) : 0,
+	});
+
+	const admitCall = async (scheduled: ScheduledCall, signal: AbortSignal): Promise<domain.CallEnding> => {
+		const need = describeNeed(scheduled);
+		const refusal = isClosed
+			? refuseWithoutTarget(`group ${group.groupId} is no longer scheduled here`)
+			: admission.refuseCall(scheduled, need);
+		return refusal ?? calls.run(scheduled, need, signal);
 	};
 
-	const releaseSlot = (slots: TargetSlots): void => {
-		slots.busySlotCount--;
-		grantNext();
+	const describeTarget = (slots: TargetSlots): TargetStatus => {
+		const {target, busySlotCount} = slots;
+		const {state, reason, sinceMs} = health.standingOf(target.targetId);
+		return {
+			service: entry.service,
+			groupId: group.groupId,
+			targetId: target.targetId,
+			address: target.address,
+			availabilityZone: target.availabilityZone,
+			state,
+			reason,
+			sinceMs,
+			slotCount: target.slotCount,
+			openSlotCount: pool.openSlotCountOf(slots),
+			busySlotCount,
+		};
 	};
 
-	const waitForSlot = async (signal: AbortSignal): Promise<TargetSlots | undefined> =>
-		new Promise(resolve => {
-			const waiter: Waiter = {grant: resolve};
-			waiters.push(waiter);
-			signal.addEventListener(
-				'abort',
-				() => {
-					waiters = waiters.filter(other => other !== waiter);
-					resolve(undefined);
-				},
-				{once: true},
-			);
-			grantNext();
-		});
-
-	const sendToTarget = async (
-		slots: TargetSlots,
-		scheduled: ScheduledCall,
+	/** Counts a call as active until it has ended: with its refusal, its answer's body, or the caller's departure. */
+	const trackCall = async (
+		handle: () => Promise<domain.CallEnding>,
 		signal: AbortSignal,
 	): Promise<domain.CallEnding> => {
-		const {call, route} = scheduled;
-		metrics.increment(ports.CounterName.Attempts, {service: group.service});
-		const attempt = health.startAttempt(slots.target.targetId, route.workClass);
-		const sent = await targetClient.send(
-			slots.target,
-			{
-				method: call.method,
-				pathAndQuery: call.path + call.query,
-				headers: call.headers,
-				body: call.body,
-				bodyLengthBytes: call.bodyLengthBytes,
-				remainingMs: scheduled.deadlineAtMs - clock.monotonicMs(),
-			},
-			signal,
-		);
-		if (sent.isErr()) {
-			attempt.finish(ATTEMPT_RESULTS[sent.error.kind]);
-			releaseSlot(slots);
-			return CONVERT_TARGET_ERROR[sent.error.kind](sent.error.detail);
+		let isActive = true;
+		const finish = (): void => {
+			activeCallCount -= isActive ? 1 : 0;
+			isActive = false;
+			signal.removeEventListener('abort', finish);
+		};
+
+		activeCallCount++;
+		let ending: domain.CallEnding | undefined;
+		try {
+			ending = await handle();
+		} finally {
+			if (ending?.outcome !== domain.Outcome.Completed || signal.aborted) {
+				finish();
+			}
 		}
 
-		const answer = sent.value;
-		attempt.finish(
-			answer.status >= SERVER_ERROR_STATUS ? groupHealth.AttemptResult.Error : groupHealth.AttemptResult.Success,
-		);
-		const body = limitBody(answer.body, route.answerBodyLimitBytes);
-		return domain.completed({
-			...answer,
-			body: observeBody(body, {
-				onEnd() {
-					releaseSlot(slots);
-				},
-			}),
-		});
-	};
-
-	const scheduleWithinDeadline = async (scheduled: ScheduledCall, signal: AbortSignal): Promise<domain.CallEnding> => {
-		const waited = await runWithTimeout(
-			{clock, timeoutMs: scheduled.deadlineAtMs - clock.monotonicMs(), signal},
-			waitForSlot,
-		);
-		if (waited.isTimedOut || !waited.value) {
-			return domain.notRun(domain.RefusalReason.DeadlineExceeded, 'no slot was free before the deadline', {
-				retryAfterMs: scheduled.route.deadlineMs,
-			});
+		if (ending.outcome !== domain.Outcome.Completed || !isActive) {
+			return ending;
 		}
 
-		const refusal = scheduled.beforeDispatch?.();
-		if (refusal) {
-			releaseSlot(waited.value);
-			return refusal;
-		}
+		signal.addEventListener('abort', finish, {once: true});
+		return domain.completed({...ending.answer, body: observeBody(ending.answer.body, {onEnd: finish})});
+	};
 
-		return sendToTarget(waited.value, scheduled, signal);
+	const runMaintenance = async (signal: AbortSignal): Promise<void> => {
+		while (!signal.aborted) {
+			await clock.sleep(options.adaptiveLimit.probePeriodMs, signal);
+			attempts.breakOverdueBodies();
+			if (pool.probeSlots()) {
+				broker.grantNext();
+			}
+		}
 	};
 
-	loadTargets();
-	health.subscribe(grantNext);
+	health.subscribe(broker.grantNext);
 	return {
-		async schedule(scheduled, signal) {
-			activeCallCount++;
-			try {
-				return await scheduleWithinDeadline(scheduled, signal);
-			} finally {
-				activeCallCount--;
-			}
-		},
+		schedule: async (scheduled, signal) => trackCall(async () => admitCall(scheduled, signal), signal),
 		replaceGroup(newGroup, newEntry) {
 			group = newGroup;
 			entry = newEntry;
+			weightUnit = findWeightUnit(entry);
 			health.replaceGroup(group);
-			loadTargets();
-			grantNext();
+			pool.replaceGroup(group);
+			rateLimits.replaceGroup(group, entry);
+			budget.setBudgetRatio(entry.retryBudgetRatio);
+			serviceTimes.keepTargets(new Set(group.targets.map(target => target.targetId)));
+			if (group.targets.length === 0) {
+				queue.refuseAll(refuseWithoutTarget(`group ${group.groupId} has no targets left`));
+			}
+
+			broker.grantNext();
 		},
 		markTargetLeaving(targetId) {
 			health.markLeaving(targetId, 'reported as leaving');
 		},
-		describeTargets: () =>
-			[...targets.values()].map(({target, busySlotCount}) => {
-				const {state, reason, sinceMs} = health.standingOf(target.targetId);
-				return {
-					service: entry.service,
-					groupId: group.groupId,
-					targetId: target.targetId,
-					address: target.address,
-					availabilityZone: target.availabilityZone,
-					state,
-					reason,
-					sinceMs,
-					slotCount: target.slotCount,
-					openSlotCount: openSlotCount(target),
-					busySlotCount,
-				};
-			}),
+		describeTargets: () => pool.listTargets().map(describeTarget),
 		activeCallCount: () => activeCallCount,
-		run: async signal => health.run(signal),
+		queuedCallCount: queue.totalCount,
+		async run(signal) {
+			await Promise.all([health.run(signal), runMaintenance(signal)]);
+			isClosed = true;
+			queue.refuseAll(refuseWithoutTarget(`group ${group.groupId} has been closed`));
+		},
 	};
 };
--- /dev/null
+++ b/packages/core/src/scheduling/resendable-body.ts
@@ -0,0 +1,77 @@
+import type * as domain from '@bilberrydoor/domain';
+
+/** A request body that can be sent more than once while it is small. */
+export type ResendableBody = {
+	/** The body from its start. Only one of the opened bodies is read at a time. */
+	open(): domain.BodyStream;
+	/** Whether another attempt can send the whole body. */
+	canResend(): boolean;
+	/** Stops reading from the caller. */
+	dispose(): void;
+};
+
+/** Reads the source step by step on behalf of one opened body after the other. */
+const createSharedReader = (source: domain.BodyStream, limitBytes: number) => {
+	const iterator = source[Symbol.asyncIterator]();
+	let chunks: Uint8Array[] = [];
+	let seenBytes = 0;
+	let isWhole = true;
+	let isRead = false;
+	let pending: Promise<IteratorResult<Uint8Array>> | undefined;
+
+	const readNext = async (): Promise<IteratorResult<Uint8Array>> => {
+		isRead = true;
+		const result = await iterator.next();
+		pending = undefined;
+		if (!result.done) {
+			seenBytes += result.value.byteLength;
+			isWhole &&= seenBytes <= limitBytes;
+			chunks = isWhole ? [...chunks, result.value] : [];
+		}
+
+		return result;
+	};
+
+	return {
+		canResend: () => isWhole || !isRead,
+		chunkAt: (index: number) => chunks[index],
+		async next(): Promise<IteratorResult<Uint8Array>> {
+			pending ??= readNext();
+			return pending;
+		},
+		async close(): Promise<void> {
+			await iterator.return?.();
+		},
+	};
+};
+
+/**
+ * Keeps up to `limitBytes` of a body while it is sent. Nothing is read before a target asks for it, so a refused call
+ * leaves its body unread.
+ */
+export const createResendableBody = (source: domain.BodyStream, limitBytes: number): ResendableBody => {
+	const reader = createSharedReader(source, limitBytes);
+	return {
+		open: () => ({
+			[Symbol.asyncIterator]() {
+				let index = 0;
+				let isClosed = false;
+				return {
+					async next() {
+						const chunk = reader.chunkAt(index++);
+						return chunk && !isClosed ? {done: false, value: chunk} : reader.next();
+					},
+					async return() {
+						// Another attempt may go on reading, so the source stays open until the call ends.
+						isClosed = true;
+						return {done: true, value: undefined};
+					},
+				};
+			},
+		}),
+		canResend: reader.canResend,
+		dispose() {
+			void reader.close();
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/scheduling/slot-broker.ts
@@ -0,0 +1,171 @@
+import * as domain from '@bilberrydoor/domain';
+import * as ports from '../ports/index.js';
+import type {ServiceTimes} from './service-times.js';
+import type {SlotShares, SlotUse} from './slot-shares.js';
+import type {TargetPool, TargetSlots} from './target-pool.js';
+import type {Waiter, WaitQueue} from './wait-queue.js';
+
+/** A slot that a call holds. */
+export type SlotGrant = {
+	readonly slots: TargetSlots;
+	readonly use: SlotUse;
+	/** Frees the slot. Further calls have no effect. */
+	release(): void;
+};
+
+/** What a call asks for when it wants a slot. */
+export type SlotRequest = Omit<Waiter, 'settle' | 'enqueuedAtMs'>;
+
+/** Gives slots to waiting calls. */
+export type SlotBroker = {
+	/** Waits for a slot until the deadline, or until `signal` is aborted. */
+	acquire(request: SlotRequest, signal: AbortSignal): Promise<SlotGrant | domain.NotRunEnding>;
+	/** Takes a slot that is free now; undefined when none is. */
+	acquireNow(request: SlotRequest): SlotGrant | undefined;
+	/** Gives free slots to waiting calls. */
+	grantNext(): void;
+};
+
+const SECOND_MS = 1000;
+
+export const isSlotGrant = (result: SlotGrant | domain.NotRunEnding): result is SlotGrant => 'release' in result;
+
+export const createSlotBroker = (dependencies: {
+	ports: Pick<ports.NodePorts, 'clock' | 'metrics'>;
+	pool: TargetPool;
+	queue: WaitQueue;
+	shares: SlotShares;
+	serviceTimes: ServiceTimes;
+	refuseLateCall: (detail: string) => domain.NotRunEnding;
+}): SlotBroker => {
+	const {pool, queue, shares, serviceTimes} = dependencies;
+	const {clock, metrics} = dependencies.ports;
+
+	const takeSlot = (slots: TargetSlots, workClass: domain.WorkClass, use: SlotUse): SlotGrant => {
+		const takenAtMs = clock.monotonicMs();
+		let isReleased = false;
+		slots.busySlotCount++;
+		shares.start(workClass);
+		return {
+			slots,
+			use,
+			release() {
+				if (!isReleased) {
+					isReleased = true;
+					slots.busySlotCount--;
+					shares.finish(workClass);
+					serviceTimes.recordHold(workClass, clock.monotonicMs() - takenAtMs);
+					grantNext();
+				}
+			},
+		};
+	};
+
+	/** Work that would not finish in time is refused before it takes a slot from work that would. */
+	const isTooLate = (waiter: Waiter): boolean =>
+		shares.busyCountOf(waiter.workClass) > 0 &&
+		clock.monotonicMs() + serviceTimes.typicalHeadMs(waiter.workClass) > waiter.deadlineAtMs;
+
+	const tryGrant = (waiter: Waiter): boolean => {
+		if (isTooLate(waiter)) {
+			queue.remove(waiter);
+			waiter.settle(dependencies.refuseLateCall('too little time was left when a slot became free'));
+			return true;
+		}
+
+		const grant = acquireNow(waiter);
+		if (!grant) {
+			return false;
+		}
+
+		queue.remove(waiter);
+		metrics.observe(
+			ports.HistogramName.QueueSeconds,
+			{workClass: waiter.workClass},
+			(clock.monotonicMs() - waiter.enqueuedAtMs) / SECOND_MS,
+		);
+		waiter.settle(grant);
+		return true;
+	};
+
+	const acquireNow = (request: SlotRequest): SlotGrant | undefined => {
+		const use = shares.findUse(request.workClass, request.mayBorrow);
+		const slots = use && pool.pick(request);
+		return slots && takeSlot(slots, request.workClass, use);
+	};
+
+	const grantOne = (): boolean =>
+		shares.listClassesInOrder().some(workClass => queue.listCandidates(workClass).some(tryGrant));
+
+	const grantNext = (): void => {
+		while (queue.totalCount() > 0 && grantOne()) {
+			// Each step gives one slot or ends one call.
+		}
+
+		shares.recordDemand();
+	};
+
+	const waitForSettlement = async (
+		settled: Promise<SlotGrant | domain.NotRunEnding>,
+		waiter: Waiter,
+		signal: AbortSignal,
+	): Promise<SlotGrant | domain.NotRunEnding> => {
+		const sleepController = new AbortController();
+		const leave = (ending: domain.NotRunEnding): void => {
+			queue.remove(waiter);
+			waiter.settle(ending);
+		};
+
+		const onAbort = (): void => {
+			leave(domain.notRun(domain.RefusalReason.CallerCancelled, 'the caller left while the call waited'));
+		};
+
+		const leaveAtDeadline = async (): Promise<void> => {
+			await clock.sleep(waiter.deadlineAtMs - clock.monotonicMs(), sleepController.signal);
+			if (!sleepController.signal.aborted) {
+				leave(dependencies.refuseLateCall('no slot was free before the deadline'));
+			}
+		};
+
+		signal.addEventListener('abort', onAbort, {once: true});
+		void leaveAtDeadline();
+		try {
+			return await settled;
+		} finally {
+			sleepController.abort();
+			signal.removeEventListener('abort', onAbort);
+		}
+	};
+
+	return {
+		async acquire(request, signal) {
+			if (signal.aborted) {
+				return domain.notRun(domain.RefusalReason.CallerCancelled, 'the caller left before the call was queued');
+			}
+
+			let result: SlotGrant | domain.NotRunEnding | undefined;
+			let resolveSettled: ((settled: SlotGrant | domain.NotRunEnding) => void) | undefined;
+			const waiter: Waiter = {
+				...request,
+				enqueuedAtMs: clock.monotonicMs(),
+				settle(settled) {
+					result ??= settled;
+					resolveSettled?.(result);
+				},
+			};
+			queue.push(waiter);
+			shares.recordDemand();
+			grantNext();
+			if (result) {
+				return result;
+			}
+
+			const settled = new Promise<SlotGrant | domain.NotRunEnding>(resolve => {
+				resolveSettled = resolve;
+			});
+			return waitForSettlement(settled, waiter, signal);
+		},
+		acquireNow,
+		grantNext,
+	};
+};
--- /dev/null
+++ b/packages/core/src/scheduling/target-pool.ts
@@ -0,0 +1,129 @@
+import type * as domain from '@bilberrydoor/domain';
+import type * as groupHealth from '../health/group-health.js';
+import type * as ports from '../ports/index.js';
+import type {TargetGroup} from '../routing/target-groups.js';
+import {createAdaptiveLimit, type AdaptiveLimit} from './adaptive-limit.js';
+import type {AdaptiveLimitOptions} from './scheduler-options.js';
+
+/** Slots of one target. */
+export type TargetSlots = {
+	target: domain.TargetEntry;
+	readonly limit: AdaptiveLimit;
+	busySlotCount: number;
+	/** False once the entry names the target no more; calls in flight still finish. */
+	isListed: boolean;
+};
+
+/** What a call needs of its target. */
+export type TargetRequirements = {
+	readonly isRepeatable: boolean;
+	/** Target of the attempt before, which is not chosen again. */
+	readonly excludedTargetId?: string;
+};
+
+/** Targets of a group with their slots. Groups have at most 64 targets, so going through them is constant. */
+export type TargetPool = {
+	/** Slots that are open now over all targets. */
+	openSlotCount(): number;
+	openSlotCountOf(slots: TargetSlots): number;
+	/** The free target with the lowest load for its weight. */
+	pick(requirements: TargetRequirements): TargetSlots | undefined;
+	/** Whether another target than the excluded one has open slots, free or busy. */
+	hasCandidate(requirements: TargetRequirements): boolean;
+	listTargets(): readonly TargetSlots[];
+	replaceGroup(group: TargetGroup): void;
+	/** Lets the limits of all targets open further. Returns whether one did. */
+	probeSlots(): boolean;
+};
+
+/** Rounding error of a ratio times a slot count. */
+const EPSILON = 1e-9;
+
+export const createTargetPool = (dependencies: {
+	clock: ports.Clock;
+	group: TargetGroup;
+	health: groupHealth.GroupHealth;
+	options: AdaptiveLimitOptions;
+}): TargetPool => {
+	const {clock, health, options} = dependencies;
+	let byTargetId = new Map<string, TargetSlots>();
+	let listed: TargetSlots[] = [];
+	let turn = 0;
+
+	const createSlots = (target: domain.TargetEntry): TargetSlots => ({
+		target,
+		limit: createAdaptiveLimit({
+			slotCount: target.slotCount,
+			startRatio: options.startRatio,
+			options,
+			nowMs: clock.monotonicMs(),
+		}),
+		busySlotCount: 0,
+		isListed: true,
+	});
+
+	const replaceGroup = (group: TargetGroup): void => {
+		const before = byTargetId;
+		listed = group.targets.map(target => {
+			const slots = before.get(target.targetId) ?? createSlots(target);
+			slots.target = target;
+			slots.limit.setSlotCount(target.slotCount);
+			slots.isListed = true;
+			return slots;
+		});
+		const listedIds = new Set(group.targets.map(target => target.targetId));
+		// A removed target that is still busy is kept, so that its slots are not counted anew when it comes back.
+		const departed = [...before.values()].filter(
+			slots => !listedIds.has(slots.target.targetId) && slots.busySlotCount > 0,
+		);
+		departed.forEach(slots => {
+			slots.isListed = false;
+		});
+		byTargetId = new Map([...listed, ...departed].map(slots => [slots.target.targetId, slots]));
+	};
+
+	const openSlotCountOf = (slots: TargetSlots): number => {
+		const {openRatio} = health.standingOf(slots.target.targetId);
+		// A share above zero opens at least one slot; otherwise a target on probation with few slots gets no work.
+		const allowedCount = Math.ceil(slots.target.slotCount * openRatio - EPSILON);
+		return Math.min(slots.limit.limitCount(), allowedCount);
+	};
+
+	const scoreTarget = (slots: TargetSlots, requirements: TargetRequirements): number => {
+		const {targetId} = slots.target;
+		const standing = health.standingOf(targetId);
+		const isExcluded =
+			targetId === requirements.excludedTargetId || (standing.isRepeatableOnly && !requirements.isRepeatable);
+		const openCount = isExcluded ? 0 : openSlotCountOf(slots);
+		return openCount * standing.weight === 0 ? Infinity : (slots.busySlotCount + 1) / (openCount * standing.weight);
+	};
+
+	replaceGroup(dependencies.group);
+	return {
+		openSlotCount: () => listed.reduce((sum, slots) => sum + openSlotCountOf(slots), 0),
+		openSlotCountOf,
+		pick(requirements) {
+			// Starting at another target each time spreads work over targets with equal scores.
+			turn = listed.length === 0 ? 0 : (turn + 1) % listed.length;
+			let best: TargetSlots | undefined;
+			let bestScore = Infinity;
+			for (let index = 0; index < listed.length; index++) {
+				const slots = listed[(turn + index) % listed.length]!;
+				const score = scoreTarget(slots, requirements);
+				if (score < bestScore && slots.busySlotCount < openSlotCountOf(slots)) {
+					best = slots;
+					bestScore = score;
+				}
+			}
+
+			return best;
+		},
+		hasCandidate: requirements => listed.some(slots => scoreTarget(slots, requirements) < Infinity),
+		listTargets: () => listed,
+		replaceGroup,
+		probeSlots() {
+			const nowMs = clock.monotonicMs();
+			return listed.map(slots => slots.limit.probe(nowMs)).includes(true);
+		},
+	};
+};
--- a/packages/domain/src/retry-reason.ts
+++ b/packages/domain/src/retry-reason.ts
@@ -5,6 +5,8 @@
 	TargetLost = 'target-lost',
 	TargetTimedOut = 'target-timed-out',
 	TargetError = 'target-error',
+	/** The class of work that lent the slot needed it back. */
+	SlotReclaimed = 'slot-reclaimed',
 	PeerUnreachable = 'peer-unreachable',
 	PeerLost = 'peer-lost',
 }
