feat(entry): offer refused calls to another group, and test the scheduler by faults

Cause: a call that one group refused failed although another group had room; a forwarded call had no time limit; a peer's refusal after a lost transfer was reported as not-run although the first peer might have run the call. Change: one second offer for repeatable calls with an unread body, a time limit for forwarded calls, the dispatch check asked once, truthful endings after a lost transfer. The fake target reads request bodies and frees a stalled slot whose attempt was cancelled early.

--- a/packages/core/src/entry/entry-service.ts
+++ b/packages/core/src/entry/entry-service.ts
@@ -2,9 +2,12 @@
 import * as ports from '../ports/index.js';
 import type {MemberDirectory} from '../membership/member-directory.js';
 import * as routeTables from '../routing/route-table.js';
-import type {TargetGroup} from '../routing/target-groups.js';
 import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
+import {createNodeGuard} from '../scheduling/node-guard.js';
+import type {NodeGuardOptions} from '../scheduling/scheduler-options.js';
 import {limitBody} from '../shared/limit-body.js';
+import {trackReading} from '../shared/track-reading.js';
+import {createGroupOffers} from './group-offers.js';
 import type {GroupDelivery} from './group-delivery.js';
 
 /** Admits callers' requests and sees each to its ending. */
@@ -21,6 +24,8 @@
 	readonly route: domain.RouteEntry;
 	readonly call: domain.CallRequest;
 	readonly deadlineAtMs: number;
+	/** Whether nothing of the request body has been read yet. */
+	readonly isBodyUnread: () => boolean;
 };
 
 const ROUTE_MISS_REASONS: Record<routeTables.RouteMiss, domain.RefusalReason> = {
@@ -28,24 +33,6 @@
 	[routeTables.RouteMiss.MethodNotAllowed]: domain.RefusalReason.MethodNotAllowed,
 };
 
-/** Chooses a group of the service: in this node's region when there is one, at random in proportion to slots. */
-export const chooseGroup = (
-	groups: readonly TargetGroup[],
-	region: string,
-	fraction: number,
-): TargetGroup | undefined => {
-	const near = groups.filter(group => group.region === region);
-	const candidates = near.length > 0 ? near : groups;
-	const slotCount = candidates.reduce((sum, group) => sum + group.slotCount, 0);
-	let remaining = fraction * slotCount;
-	return (
-		candidates.find(group => {
-			remaining -= group.slotCount;
-			return remaining < 0;
-		}) ?? candidates.at(-1)
-	);
-};
-
 export const createEntryService = (dependencies: {
 	ports: ports.NodePorts;
 	directory: MemberDirectory;
@@ -54,19 +41,18 @@
 	delivery: GroupDelivery;
 	isReady: () => boolean;
 	handleSingleWork: SingleWorkHandler;
+	nodeGuard?: Partial<NodeGuardOptions>;
 }): EntryService => {
-	const {clock, metrics, random} = dependencies.ports;
+	const {clock, metrics} = dependencies.ports;
+	const offers = createGroupOffers(dependencies);
+	const guard = createNodeGuard({ports: dependencies.ports, options: dependencies.nodeGuard});
 
-	const deliverRepeatable = async (admitted: AdmittedCall, signal: AbortSignal): Promise<domain.CallEnding> => {
-		const groups = dependencies.schedulers.listGroups(admitted.service);
-		const group = chooseGroup(groups, dependencies.directory.self.region, random.fraction());
-		return group
-			? dependencies.delivery.deliver(group, admitted, signal)
-			: domain.notRun(domain.RefusalReason.NoTarget, `service ${admitted.service} has no targets in its entry`);
-	};
+	/** Single work is not refused here, because only its executor can tell whether an earlier submission ran. */
+	const handleRepeatable = async (admitted: AdmittedCall, signal: AbortSignal): Promise<domain.CallEnding> =>
+		guard.refuseCall() ?? offers.deliver(admitted, signal);
 
 	const handlersByRepeatability: Record<domain.Repeatability, SingleWorkHandler> = {
-		[domain.Repeatability.Repeatable]: deliverRepeatable,
+		[domain.Repeatability.Repeatable]: handleRepeatable,
 		[domain.Repeatability.Single]: dependencies.handleSingleWork,
 	};
 
@@ -90,10 +76,12 @@
 		}
 
 		const deadlineMs = Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs);
+		const tracked = call.body && trackReading(call.body);
 		const admitted: AdmittedCall = {
 			service,
 			route,
-			call: {...call, body: call.body && limitBody(call.body, route.requestBodyLimitBytes)},
+			call: {...call, body: tracked && limitBody(tracked.body, route.requestBodyLimitBytes)},
+			isBodyUnread: () => tracked?.isUnread() ?? true,
 			deadlineAtMs: clock.monotonicMs() + deadlineMs,
 		};
 		return handlersByRepeatability[route.repeatability](admitted, signal);
--- a/packages/core/src/entry/group-delivery.ts
+++ b/packages/core/src/entry/group-delivery.ts
@@ -3,12 +3,19 @@
 import * as ports from '../ports/index.js';
 import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
 import type {TargetGroup} from '../routing/target-groups.js';
+import {drawRetryAfter} from '../scheduling/retry-after.js';
 import type {ScheduledCall} from '../scheduling/scheduled-call.js';
 import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
 
 /** How many nodes of a group's ranking are tried. */
 const RANKING_LIMIT_COUNT = 3;
 
+/** Time beyond a call's deadline in which the ending of a scheduling node in another region arrives, in ms. */
+const ENDING_GRACE_MS = 100;
+
+/** When a caller may try again after no scheduling node could be reached, in ms. */
+const RETRY_AFTER_MS = 1000;
+
 /** Brings calls to the scheduling node of a group. */
 export type GroupDelivery = {
 	deliver(group: TargetGroup, scheduled: ScheduledCall, signal: AbortSignal): Promise<domain.CallEnding>;
@@ -22,7 +29,7 @@
 	schedulers: SchedulerRegistry;
 }): GroupDelivery => {
 	const {directory, schedulers} = dependencies;
-	const {clock, metrics, peerClient} = dependencies.ports;
+	const {clock, metrics, peerClient, random} = dependencies.ports;
 	const rankings = new Map<string, {version: number; nodes: readonly domain.NodeDescription[]}>();
 
 	const rankNodes = (group: TargetGroup): readonly domain.NodeDescription[] => {
@@ -67,50 +74,115 @@
 			signal,
 		);
 
-	const isMovable = (error: ports.PeerError, scheduled: ScheduledCall): boolean =>
-		error.kind === ports.PeerErrorKind.Unreachable ||
-		error.kind === ports.PeerErrorKind.Refused ||
-		(scheduled.route.repeatability === domain.Repeatability.Repeatable && scheduled.call.body === undefined);
+	/** Forwards the call and gives up some time after its deadline, when the peer's own ending is overdue. */
+	const forwardWithinDeadline = async (
+		node: domain.NodeDescription,
+		group: TargetGroup,
+		scheduled: ScheduledCall,
+		signal: AbortSignal,
+	) => {
+		const controller = new AbortController();
+		const watchController = new AbortController();
+		const cancel = (): void => {
+			controller.abort();
+		};
+
+		const cancelWhenOverdue = async (): Promise<void> => {
+			const remainingMs = scheduled.deadlineAtMs - clock.monotonicMs();
+			await clock.sleep(remainingMs + ENDING_GRACE_MS, watchController.signal);
+			if (!watchController.signal.aborted) {
+				cancel();
+			}
+		};
+
+		if (signal.aborted) {
+			cancel();
+		}
+
+		// The listener stays, because the signal also ends the transfer of the answer's body.
+		signal.addEventListener('abort', cancel, {once: true});
+		void cancelWhenOverdue();
+		try {
+			return await forwardToPeer(node, group, scheduled, controller.signal);
+		} finally {
+			watchController.abort();
+		}
+	};
+
+	const isBodyUnread = ({call, isBodyUnread}: ScheduledCall): boolean =>
+		call.body === undefined || (isBodyUnread?.() ?? false);
+
+	/** Whether the next node may get a call that this peer did not end. */
+	const isMovable = (error: ports.PeerError, scheduled: ScheduledCall, signal: AbortSignal): boolean => {
+		const isRepeatable = scheduled.route.repeatability === domain.Repeatability.Repeatable;
+		const mayHaveArrived = error.kind === ports.PeerErrorKind.Lost;
+		const isInTime = clock.monotonicMs() < scheduled.deadlineAtMs && !signal.aborted;
+		return isInTime && isBodyUnread(scheduled) && (!mayHaveArrived || isRepeatable);
+	};
+
+	/** Asks for the dispatch once, whichever node the call goes to. */
+	const askOnce = (scheduled: ScheduledCall): ScheduledCall => {
+		let isAsked = false;
+		return {
+			...scheduled,
+			beforeDispatch() {
+				const refusal = isAsked ? undefined : scheduled.beforeDispatch?.();
+				isAsked = true;
+				return refusal;
+			},
+		};
+	};
+
+	const endUndelivered = (error: ports.PeerError, mayHaveArrived: boolean): domain.CallEnding =>
+		mayHaveArrived
+			? domain.unknown(domain.RefusalReason.PeerLost, error.detail)
+			: domain.notRun(domain.RefusalReason.PeerUnreachable, error.detail, {
+					retryAfterMs: drawRetryAfter(random, RETRY_AFTER_MS),
+				});
+
+	/** After a peer may have got the call, another peer's refusal does not prove that it did not run. */
+	const endTruthfully = (ending: domain.CallEnding, mayHaveArrived: boolean): domain.CallEnding =>
+		mayHaveArrived && ending.outcome === domain.Outcome.NotRun
+			? domain.unknown(domain.RefusalReason.PeerLost, ending.detail)
+			: ending;
+
+	const countMove = (error: ports.PeerError, service: string): void => {
+		const reason =
+			error.kind === ports.PeerErrorKind.Lost ? domain.RetryReason.PeerLost : domain.RetryReason.PeerUnreachable;
+		metrics.increment(ports.CounterName.Retries, {service, reason});
+	};
 
 	return {
 		rankNodes,
-		async deliver(group, scheduled, signal) {
-			let isFirst = true;
+		async deliver(group, given, signal) {
+			const scheduled = askOnce(given);
+			let mayHaveArrived = false;
+			let error: ports.PeerError = {kind: ports.PeerErrorKind.Unreachable, detail: 'the group has no scheduling node'};
 			for (const node of rankNodes(group)) {
 				if (node.address === directory.self.address) {
-					return scheduleHere(group, scheduled, signal);
+					return endTruthfully(await scheduleHere(group, scheduled, signal), mayHaveArrived);
 				}
 
-				if (isFirst) {
-					const refusal = scheduled.beforeDispatch?.();
-					if (refusal) {
-						return refusal;
-					}
-
-					isFirst = false;
+				const refusal = scheduled.beforeDispatch?.();
+				if (refusal) {
+					return refusal;
 				}
 
-				const forwarded = await forwardToPeer(node, group, scheduled, signal);
+				const forwarded = await forwardWithinDeadline(node, group, scheduled, signal);
 				if (forwarded.isOk()) {
-					return forwarded.value;
+					return endTruthfully(forwarded.value, mayHaveArrived);
 				}
 
-				if (!isMovable(forwarded.error, scheduled)) {
-					return domain.unknown(domain.RefusalReason.PeerLost, forwarded.error.detail);
+				error = forwarded.error;
+				mayHaveArrived ||= error.kind === ports.PeerErrorKind.Lost;
+				if (!isMovable(error, scheduled, signal)) {
+					break;
 				}
 
-				const reason =
-					forwarded.error.kind === ports.PeerErrorKind.Lost
-						? domain.RetryReason.PeerLost
-						: domain.RetryReason.PeerUnreachable;
-				metrics.increment(ports.CounterName.Retries, {service: group.service, reason});
+				countMove(error, group.service);
 			}
 
-			return domain.notRun(
-				domain.RefusalReason.PeerUnreachable,
-				`no scheduling node of group ${group.groupId} could be reached`,
-				{retryAfterMs: 1000},
-			);
+			return endUndelivered(error, mayHaveArrived);
 		},
 	};
 };
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -7,6 +7,7 @@
 import * as memberDirectory from '../membership/member-directory.js';
 import * as ports from '../ports/index.js';
 import {createRouteTable} from '../routing/route-table.js';
+import type {SchedulerOptions} from '../scheduling/scheduler-options.js';
 import {createSchedulerRegistry, type SchedulerRegistry} from '../scheduling/scheduler-registry.js';
 import {createCallTracker, type DrainResult} from './call-tracker.js';
 import {createPeerHandlers} from './peer-handlers.js';
@@ -17,6 +18,7 @@
 	readonly self: Omit<domain.NodeDescription, 'incarnationId'>;
 	readonly catalogue?: Partial<catalogueReplicator.CatalogueReplicatorOptions>;
 	readonly membership?: Partial<memberDirectory.MembershipOptions>;
+	readonly scheduling?: Partial<SchedulerOptions>;
 };
 
 /** A node, assembled over its ports. It knows no protocol, codec or real time. */
@@ -54,7 +56,7 @@
 	store.subscribe((service, entry) => {
 		routeTable.replaceServiceRoutes(service, entry?.routes ?? []);
 	});
-	const schedulers = createSchedulerRegistry({ports: dependencies.ports, store});
+	const schedulers = createSchedulerRegistry({ports: dependencies.ports, store, options: settings.scheduling});
 	const replicator = catalogueReplicator.createCatalogueReplicator({
 		ports: dependencies.ports,
 		store,
@@ -74,6 +76,7 @@
 		schedulers,
 		delivery,
 		isReady: replicator.isReady,
+		nodeGuard: settings.scheduling?.nodeGuard,
 		handleSingleWork: async () =>
 			domain.notRun(domain.RefusalReason.OperationIdRequired, 'this work runs at most once and needs an operation id'),
 	});
--- /dev/null
+++ b/packages/core/src/scheduling/__tests__/token-buckets.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava';
+import {createFairQueue} from '../fair-queue.js';
+import {createTokenBuckets} from '../token-buckets.js';
+
+const createClock = () => {
+	let nowMs = 0;
+	return {
+		monotonicMs: () => nowMs,
+		wallMs: () => nowMs,
+		sleep: async () => undefined,
+		advance(durationMs: number) {
+			nowMs += durationMs;
+		},
+	};
+};
+
+// Guards against memory that grows with every workspace ever seen, and against a fresh burst for a dropped bucket.
+test('buckets of idle workspaces are dropped and refill at their rate', t => {
+	const clock = createClock();
+	const buckets = createTokenBuckets({clock});
+	const rate = {ratePerSecond: 10, burstCount: 10};
+	buckets.setRetention(1000);
+	for (let second = 0; second < 20; second++) {
+		Array.from({length: 100}, (_, index) => buckets.take(`${second} ${index}`, rate));
+		clock.advance(1000);
+	}
+
+	t.true(buckets.size() <= 200);
+	const waits = Array.from({length: 11}, () => buckets.take('one', rate));
+	t.deepEqual(
+		waits.slice(0, 10),
+		Array.from({length: 10}, () => 0),
+	);
+	t.is(Math.round(waits[10]!), 100);
+	clock.advance(100);
+	t.is(buckets.take('one', rate), 0);
+	t.true(buckets.take('one', rate) > 0);
+});
+
+// Guards against places that are lost or taken twice when calls leave from the middle of the queue.
+test('a fair queue keeps turns when items are removed from anywhere', t => {
+	const queue = createFairQueue<{workspace: string; weight: number; name: string}>();
+	const removals = ['a1', 'a2', 'a3', 'b1', 'b2'].map(name => queue.push({workspace: name[0]!, weight: 1, name}));
+	t.true(removals[1]!());
+	t.false(removals[1]!());
+	const order: string[] = [];
+	const removalsByName = new Map(['a1', 'a2', 'a3', 'b1', 'b2'].map((name, index) => [name, removals[index]!]));
+	for (let item = queue.peek(); item; item = queue.peek()) {
+		order.push(item.name);
+		removalsByName.get(item.name)!();
+	}
+
+	t.deepEqual(order, ['a1', 'b1', 'a3', 'b2']);
+	t.is(queue.size(), 0);
+	t.is(queue.activeWeight(), 0);
+});
--- a/packages/core/src/scheduling/scheduled-call.ts
+++ b/packages/core/src/scheduling/scheduled-call.ts
@@ -6,6 +6,8 @@
 	readonly route: domain.RouteEntry;
 	/** Instant on this node's monotonic clock when the call's time is up, in ms. */
 	readonly deadlineAtMs: number;
+	/** Whether nothing of the request body has been read yet; absent means that a body counts as read. */
+	readonly isBodyUnread?: () => boolean;
 	/**
 	 * Asked immediately before the first byte can reach a target. An ending refuses the dispatch. Work that runs at most
 	 * once marks its record here.
--- a/packages/core/src/scheduling/scheduler-registry.ts
+++ b/packages/core/src/scheduling/scheduler-registry.ts
@@ -2,6 +2,7 @@
 import type {CatalogueStore} from '../catalogue/catalogue-store.js';
 import type * as ports from '../ports/index.js';
 import * as targetGroups from '../routing/target-groups.js';
+import type {SchedulerOptions} from './scheduler-options.js';
 import {createGroupScheduler, type GroupScheduler} from './group-scheduler.js';
 
 /** The groups of all services, and the schedulers that this node has opened for some of them. */
@@ -23,6 +24,7 @@
 export const createSchedulerRegistry = (dependencies: {
 	ports: ports.NodePorts;
 	store: CatalogueStore;
+	options?: Partial<SchedulerOptions>;
 }): SchedulerRegistry => {
 	const groupsByService = new Map<string, readonly targetGroups.TargetGroup[]>();
 	const openSchedulers = new Map<string, OpenScheduler>();
@@ -63,7 +65,7 @@
 			}
 
 			const controller = new AbortController();
-			const scheduler = createGroupScheduler({ports: dependencies.ports, group, entry});
+			const scheduler = createGroupScheduler({ports: dependencies.ports, group, entry, options: dependencies.options});
 			openSchedulers.set(groupId, {scheduler, controller});
 			void scheduler.run(controller.signal);
 			return scheduler;
--- a/packages/domain/src/retry-reason.ts
+++ b/packages/domain/src/retry-reason.ts
@@ -7,6 +7,8 @@
 	TargetError = 'target-error',
 	/** The class of work that lent the slot needed it back. */
 	SlotReclaimed = 'slot-reclaimed',
+	/** One group refused the call and another group of the service got it. */
+	GroupRefused = 'group-refused',
 	PeerUnreachable = 'peer-unreachable',
 	PeerLost = 'peer-lost',
 }
--- /dev/null
+++ b/packages/fakes/src/__tests__/scheduler-endings.test.ts
@@ -0,0 +1,224 @@
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import test from 'ava';
+import {FakeTargetFault} from '../fake-target.js';
+import {
+	buildBenchEntry,
+	createSchedulerBench,
+	summarizeEnding,
+	type BenchCall,
+	type SchedulerBench,
+} from './scheduler-bench.js';
+
+const single = {repeatability: domain.Repeatability.Single};
+
+/** Fills all slots and one queue place with calls that take long. */
+const occupy = (bench: SchedulerBench, count: number): void => {
+	bench.targets.forEach(target => {
+		target.serviceTimeMs = () => 500;
+	});
+	for (let index = 0; index < count; index++) {
+		void bench.schedule({call: {workspace: `w${index}`}});
+	}
+};
+
+const setFault = (bench: SchedulerBench, fault: FakeTargetFault, targetIds?: readonly string[]): void => {
+	bench.targets
+		.filter(({entry}) => targetIds?.includes(entry.targetId) ?? true)
+		.forEach(target => {
+			target.fault = fault;
+		});
+};
+
+async function* createEmptyBody(): AsyncGenerator<Uint8Array> {
+	yield new Uint8Array(0);
+}
+
+type RefusalRow = {
+	readonly name: string;
+	readonly entry?: Partial<domain.CatalogueEntry>;
+	readonly load?: core.NodeLoad;
+	readonly call?: BenchCall;
+	readonly fault?: (bench: SchedulerBench) => void | Promise<void>;
+	readonly expected: string;
+};
+
+const oneCall = {ratePerSecond: 1, burstCount: 1, weight: 1};
+
+const refusalRows: readonly RefusalRow[] = [
+	{
+		name: 'a late event loop',
+		load: {eventLoopDelayMs: () => 500, residentBytes: () => 0},
+		expected: 'not-run node-overloaded',
+	},
+	{
+		name: 'memory use above the limit',
+		load: {eventLoopDelayMs: () => 0, residentBytes: () => 2 ** 40},
+		expected: 'not-run node-overloaded',
+	},
+	{
+		name: 'all targets leaving',
+		fault(bench) {
+			bench.targets.forEach(({entry}) => {
+				bench.scheduler.markTargetLeaving(entry.targetId);
+			});
+		},
+		expected: 'not-run no-target',
+	},
+	{
+		name: 'a workspace over its rate',
+		entry: {defaultWorkspaceLimit: oneCall},
+		async fault(bench) {
+			await bench.settle(bench.schedule());
+		},
+		expected: 'not-run rate-limited',
+	},
+	{
+		name: 'a route over its rate',
+		call: {route: {rateLimitPerSecond: 1}, call: {workspace: 'other'}},
+		async fault(bench) {
+			await bench.settle(bench.schedule({route: {rateLimitPerSecond: 1}}));
+		},
+		expected: 'not-run rate-limited',
+	},
+	{
+		name: 'a queue full by count',
+		entry: {queue: {limitCount: 1, limitBytes: 1000}},
+		fault(bench) {
+			occupy(bench, 3);
+		},
+		expected: 'not-run queue-full',
+	},
+	{
+		name: 'a queue full by bytes',
+		entry: {queue: {limitCount: 10, limitBytes: 1000}},
+		call: {call: {bodyLengthBytes: 1001, body: createEmptyBody()}},
+		expected: 'not-run queue-full',
+	},
+	{
+		name: 'a deadline shorter than the work',
+		call: {deadlineMs: 15},
+		async fault(bench) {
+			occupy(bench, 1);
+			await bench.clock.advance(600);
+			occupy(bench, 2);
+		},
+		expected: 'not-run deadline-too-short',
+	},
+	{
+		name: 'no free slot before the deadline',
+		call: {deadlineMs: 100},
+		fault(bench) {
+			occupy(bench, 2);
+		},
+		expected: 'not-run deadline-exceeded',
+	},
+	{
+		name: 'a caller that has left',
+		call: {signal: AbortSignal.abort()},
+		expected: 'not-run caller-cancelled',
+	},
+	{
+		name: 'a dispatch that is refused',
+		call: {beforeDispatch: () => domain.notRun(domain.RefusalReason.OperationExpired, 'expired')},
+		expected: 'not-run operation-expired',
+	},
+	...(
+		[
+			[FakeTargetFault.Shed, 'not-run target-refused'],
+			[FakeTargetFault.Down, 'not-run target-unreachable'],
+			[FakeTargetFault.LoseAnswers, 'unknown target-lost'],
+			[FakeTargetFault.Stall, 'unknown target-timed-out'],
+			[FakeTargetFault.Errors, 'completed 500'],
+		] as const
+	).map(([fault, expected]) => ({
+		name: `single work at targets with the fault ${fault}`,
+		call: {route: single, deadlineMs: 300},
+		fault(bench: SchedulerBench) {
+			setFault(bench, fault);
+		},
+		expected,
+	})),
+];
+
+// Guards against a wrong ending, a missing retry time, and slots or queue places that stay taken.
+refusalRows.forEach(({name, entry, load, call, fault, expected}) => {
+	test(`ending of a call with ${name}`, async t => {
+		const bench = createSchedulerBench(buildBenchEntry(entry), {load});
+		await fault?.(bench);
+		const ending = await bench.settle(bench.schedule(call));
+		t.is(summarizeEnding(ending), expected);
+		await bench.clock.advance(5000);
+		t.is(bench.leakCount(), 0);
+		await bench.close();
+	});
+});
+
+const retryRows = [
+	{fault: FakeTargetFault.Down, reason: domain.RetryReason.TargetUnreachable},
+	{fault: FakeTargetFault.Shed, reason: domain.RetryReason.TargetRefused},
+	{fault: FakeTargetFault.LoseAnswers, reason: domain.RetryReason.TargetLost},
+	{fault: FakeTargetFault.Stall, reason: domain.RetryReason.TargetTimedOut},
+	{fault: FakeTargetFault.Errors, reason: domain.RetryReason.TargetError},
+];
+
+// Guards against repeatable work that fails although another target would have served it, and against a retry on the
+// target that has just failed.
+retryRows.forEach(({fault, reason}) => {
+	test(`retry of repeatable work after ${reason}`, async t => {
+		const bench = createSchedulerBench(buildBenchEntry());
+		await bench.settle(Promise.all([bench.schedule(), bench.schedule()]));
+		setFault(bench, fault, ['s-1']);
+		const endings = await bench.settle(Promise.all([bench.schedule(), bench.schedule()]));
+		t.deepEqual(endings.map(summarizeEnding), ['completed 200', 'completed 200']);
+		t.is(bench.metrics.sum(core.CounterName.Retries, {reason}), 1);
+		await bench.clock.advance(5000);
+		t.is(bench.leakCount(), 0);
+		await bench.close();
+	});
+
+	test(`no retry of single work after ${reason}`, async t => {
+		const bench = createSchedulerBench(buildBenchEntry());
+		await bench.settle(Promise.all([bench.schedule(), bench.schedule()]));
+		setFault(bench, fault);
+		let dispatchCount = 0;
+		const attemptsBefore = bench.metrics.sum(core.CounterName.Attempts);
+		await bench.settle(
+			bench.schedule({
+				route: single,
+				beforeDispatch() {
+					dispatchCount++;
+					return undefined;
+				},
+			}),
+		);
+		t.is(bench.metrics.sum(core.CounterName.Attempts) - attemptsBefore, 1);
+		t.is(dispatchCount, 1);
+		t.is(bench.leakCount(), 0);
+		await bench.close();
+	});
+});
+
+// Guards against retries that multiply the load of failing targets.
+test('attempts stay within the retry budget when all targets refuse', async t => {
+	const bench = createSchedulerBench(buildBenchEntry({retryBudgetRatio: 0.2}, {targetCount: 4, slotCount: 4}));
+	setFault(bench, FakeTargetFault.Shed);
+	for (let index = 0; index < 200; index++) {
+		await bench.settle(bench.schedule());
+	}
+
+	const attemptCount = bench.metrics.sum(core.CounterName.Attempts);
+	t.true(attemptCount > 200);
+	t.true(attemptCount <= 240);
+	await bench.close();
+});
+
+// Guards against a target that gets work again although its only attempt failed, and against endless attempts.
+test('a group with one target retries nothing', async t => {
+	const bench = createSchedulerBench(buildBenchEntry({}, {targetCount: 1}));
+	await bench.settle(bench.schedule());
+	setFault(bench, FakeTargetFault.LoseAnswers);
+	t.is(summarizeEnding(await bench.settle(bench.schedule())), 'unknown target-lost');
+	t.is(bench.metrics.sum(core.CounterName.Retries), 0);
+	await bench.close();
+});
--- a/packages/fakes/src/fake-target.ts
+++ b/packages/fakes/src/fake-target.ts
@@ -43,6 +43,8 @@
 	serviceTimeMs: (request: core.TargetRequest) => number;
 	queueLimitCount: number;
 	readonly receivedCount: () => number;
+	/** Request bodies that have arrived whole, by size in bytes. */
+	readonly receivedBodySizes: readonly number[];
 	readonly busyCount: () => number;
 	/** Executions by the value of the `x-operation` header. */
 	readonly executions: ReadonlyMap<string, number>;
@@ -65,6 +67,7 @@
 }): FakeTarget => {
 	const {clock, entry} = options;
 	const executions = new Map<string, number>();
+	const receivedBodySizes: number[] = [];
 	let waiting: Array<() => void> = [];
 	let busyCount = 0;
 	let receivedCount = 0;
@@ -90,6 +93,24 @@
 		}
 	};
 
+	/** Reads a request's body. Returns false when it breaks off. */
+	const readRequestBody = async (body: domain.BodyStream | undefined): Promise<boolean> => {
+		let sizeBytes = 0;
+		try {
+			for await (const chunk of body ?? []) {
+				sizeBytes += chunk.byteLength;
+			}
+		} catch {
+			return false;
+		}
+
+		if (body) {
+			receivedBodySizes.push(sizeBytes);
+		}
+
+		return true;
+	};
+
 	const work = async (request: core.TargetRequest, timeFactor: number, signal: AbortSignal): Promise<void> => {
 		await acquireSlot();
 		const operation = request.headers.find(([name]) => name === 'x-operation')?.[1];
@@ -101,6 +122,10 @@
 		await (Number.isFinite(durationMs)
 			? clock.sleep(durationMs, signal)
 			: new Promise<void>(resolve => {
+					if (signal.aborted) {
+						resolve();
+					}
+
 					signal.addEventListener(
 						'abort',
 						() => {
@@ -124,6 +149,7 @@
 		serviceTimeMs: options.serviceTimeMs ?? (() => 10),
 		queueLimitCount: 1000,
 		receivedCount: () => receivedCount,
+		receivedBodySizes,
 		busyCount: () => busyCount,
 		executions,
 		async serve(request, signal) {
@@ -137,6 +163,10 @@
 				return neverthrow.ok(buildAnswer(503, request, false));
 			}
 
+			if (!(await readRequestBody(request.body))) {
+				return neverthrow.err({kind: core.TargetErrorKind.Lost, detail: 'the request body broke off'});
+			}
+
 			await work(request, timeFactor, signal);
 			if (signal.aborted) {
 				return neverthrow.err({kind: core.TargetErrorKind.Cancelled, detail: 'the attempt was cancelled'});
