--- a/packages/core/src/entry/bounded-forward.ts
+++ b/packages/core/src/entry/bounded-forward.ts
@@ -1,6 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
 import * as ports from '../ports/index.js';
+import {STOP_REASON} from '../shared/stop-reason.js';
 
 /** The peer ends a call at its deadline. This covers the way back and a slow event loop, in ms. */
 const FORWARD_GRACE_MS = 1000;
@@ -19,7 +20,7 @@
 	const forwardController = new AbortController();
 	const timeoutController = new AbortController();
 	const abortForward = (): void => {
-		forwardController.abort();
+		forwardController.abort(STOP_REASON);
 	};
 
 	if (signal.aborted) {
@@ -38,7 +39,7 @@
 		peerClient.forwardCall(address, forwarded, forwardController.signal),
 		waitForTimeout(),
 	]);
-	timeoutController.abort();
+	timeoutController.abort(STOP_REASON);
 	if (result.isErr()) {
 		abortForward();
 	}
--- a/packages/core/src/entry/group-delivery.ts
+++ b/packages/core/src/entry/group-delivery.ts
@@ -3,15 +3,18 @@
 import type {MemberDirectory} from '../membership/member-directory.js';
 import * as ports from '../ports/index.js';
 import type {TargetGroup} from '../routing/target-groups.js';
+import {drawRetryAfter} from '../scheduling/retry-after.js';
 import type {ScheduledCall} from '../scheduling/scheduled-call.js';
 import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
-import {observeBody} from '../shared/observe-body.js';
 import {forwardWithinDeadline} from './bounded-forward.js';
 import {createRankingCache} from './ranking-cache.js';
 
 /** How many nodes of a group's ranking are tried. */
 const RANKING_LIMIT_COUNT = 3;
 
+/** When a caller may try again after no scheduling node could be reached, in ms. */
+const RETRY_AFTER_MS = 1000;
+
 /** Brings calls to the scheduling node of a group. */
 export type GroupDelivery = {
 	deliver(group: TargetGroup, scheduled: ScheduledCall, signal: AbortSignal): Promise<domain.CallEnding>;
@@ -28,7 +31,7 @@
 	linkWeightOf: (service: string) => number;
 }): GroupDelivery => {
 	const {directory, schedulers, link} = dependencies;
-	const {clock, metrics} = dependencies.ports;
+	const {clock, metrics, random} = dependencies.ports;
 	const rankingCache = createRankingCache({directory, limitCount: RANKING_LIMIT_COUNT});
 
 	const rankNodes = (group: TargetGroup): readonly domain.NodeDescription[] => {
@@ -92,65 +95,80 @@
 		);
 	};
 
-	/**
-	 * Whether another node may get the call. A body that was read cannot be sent again, so a bulk body crosses the link a
-	 * second time only when nothing of it was read.
-	 */
-	const isMovable = (error: ports.PeerError, scheduled: ScheduledCall, isBodyRead: boolean): boolean =>
-		!isBodyRead &&
-		(error.kind === ports.PeerErrorKind.Unreachable ||
-			error.kind === ports.PeerErrorKind.Refused ||
-			(clock.monotonicMs() < scheduled.deadlineAtMs &&
-				scheduled.route.repeatability === domain.Repeatability.Repeatable));
+	const isBodyUnread = ({call, isBodyUnread}: ScheduledCall): boolean =>
+		call.body === undefined || (isBodyUnread?.() ?? false);
+
+	/** Whether the next node may get a call that this peer did not end. */
+	const isMovable = (error: ports.PeerError, scheduled: ScheduledCall, signal: AbortSignal): boolean => {
+		const isRepeatable = scheduled.route.repeatability === domain.Repeatability.Repeatable;
+		const mayHaveArrived = error.kind === ports.PeerErrorKind.Lost;
+		const isInTime = clock.monotonicMs() < scheduled.deadlineAtMs && !signal.aborted;
+		return isInTime && isBodyUnread(scheduled) && (!mayHaveArrived || isRepeatable);
+	};
+
+	/** Asks for the dispatch once, whichever node the call goes to. */
+	const askOnce = (scheduled: ScheduledCall): ScheduledCall => {
+		let isAsked = false;
+		return {
+			...scheduled,
+			beforeDispatch() {
+				const refusal = isAsked ? undefined : scheduled.beforeDispatch?.();
+				isAsked = true;
+				return refusal;
+			},
+		};
+	};
+
+	const endUndelivered = (error: ports.PeerError, mayHaveArrived: boolean): domain.CallEnding =>
+		mayHaveArrived
+			? domain.unknown(domain.RefusalReason.PeerLost, error.detail)
+			: domain.notRun(domain.RefusalReason.PeerUnreachable, error.detail, {
+					retryAfterMs: drawRetryAfter(random, RETRY_AFTER_MS),
+				});
+
+	/** After a peer may have got the call, another peer's refusal does not prove that it did not run. */
+	const endTruthfully = (ending: domain.CallEnding, mayHaveArrived: boolean): domain.CallEnding =>
+		mayHaveArrived && ending.outcome === domain.Outcome.NotRun
+			? domain.unknown(domain.RefusalReason.PeerLost, ending.detail)
+			: ending;
+
+	const countMove = (error: ports.PeerError, service: string): void => {
+		const reason =
+			error.kind === ports.PeerErrorKind.Lost ? domain.RetryReason.PeerLost : domain.RetryReason.PeerUnreachable;
+		metrics.increment(ports.CounterName.Retries, {service, reason});
+	};
 
 	return {
 		rankNodes,
 		async deliver(group, given, signal) {
-			let isFirst = true;
-			let isBodyRead = false;
-			const body =
-				given.call.body &&
-				observeBody(given.call.body, {
-					onChunk() {
-						isBodyRead = true;
-					},
-				});
-			const scheduled = {...given, call: {...given.call, body}};
+			const scheduled = askOnce(given);
+			let mayHaveArrived = false;
+			let error: ports.PeerError = {kind: ports.PeerErrorKind.Unreachable, detail: 'the group has no scheduling node'};
 			for (const node of rankNodes(group)) {
 				if (node.address === directory.self.address) {
-					return scheduleHere(group, scheduled, signal);
+					return endTruthfully(await scheduleHere(group, scheduled, signal), mayHaveArrived);
 				}
 
-				if (isFirst) {
-					const refusal = scheduled.beforeDispatch?.();
-					if (refusal) {
-						return refusal;
-					}
-
-					isFirst = false;
+				const refusal = scheduled.beforeDispatch?.();
+				if (refusal) {
+					return refusal;
 				}
 
 				const forwarded = await forwardToPeer(node, group, scheduled, signal);
 				if (forwarded.isOk()) {
-					return forwarded.value;
+					return endTruthfully(forwarded.value, mayHaveArrived);
 				}
 
-				if (!isMovable(forwarded.error, scheduled, isBodyRead)) {
-					return domain.unknown(domain.RefusalReason.PeerLost, forwarded.error.detail);
+				error = forwarded.error;
+				mayHaveArrived ||= error.kind === ports.PeerErrorKind.Lost;
+				if (!isMovable(error, scheduled, signal)) {
+					break;
 				}
 
-				const reason =
-					forwarded.error.kind === ports.PeerErrorKind.Lost
-						? domain.RetryReason.PeerLost
-						: domain.RetryReason.PeerUnreachable;
-				metrics.increment(ports.CounterName.Retries, {service: group.service, reason});
+				countMove(error, group.service);
 			}
 
-			return domain.notRun(
-				domain.RefusalReason.PeerUnreachable,
-				`no scheduling node of group ${group.groupId} could be reached`,
-				{retryAfterMs: 1000},
-			);
+			return endUndelivered(error, mayHaveArrived);
 		},
 	};
 };
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -11,6 +11,7 @@
 import type {MembershipOptions} from '../membership/membership-options.js';
 import * as ports from '../ports/index.js';
 import {createRouteTable} from '../routing/route-table.js';
+import type {SchedulerOptions} from '../scheduling/scheduler-options.js';
 import {createSchedulerRegistry, type SchedulerRegistry} from '../scheduling/scheduler-registry.js';
 import {createCallTracker, type DrainResult} from './call-tracker.js';
 import {createPeerHandlers} from './peer-handlers.js';
@@ -22,6 +23,7 @@
 	readonly catalogue?: Partial<CatalogueReplicatorOptions>;
 	readonly membership?: Partial<MembershipOptions>;
 	readonly link?: Partial<LinkOptions>;
+	readonly scheduling?: Partial<SchedulerOptions>;
 };
 
 /** A node, assembled over its ports. It knows no protocol, codec or real time. */
@@ -62,7 +64,7 @@
 	store.subscribe((service, entry) => {
 		routeTable.replaceServiceRoutes(service, entry?.routes ?? []);
 	});
-	const schedulers = createSchedulerRegistry({ports: dependencies.ports, store});
+	const schedulers = createSchedulerRegistry({ports: dependencies.ports, store, options: settings.scheduling});
 	const membership = memberDirectory.createMembership({
 		ports: dependencies.ports,
 		self,
@@ -96,6 +98,7 @@
 		schedulers,
 		delivery,
 		isReady: replicator.isReady,
+		nodeGuard: settings.scheduling?.nodeGuard,
 		handleSingleWork: async () =>
 			domain.notRun(domain.RefusalReason.OperationIdRequired, 'this work runs at most once and needs an operation id'),
 	});
--- a/packages/core/src/shared/run-with-timeout.ts
+++ b/packages/core/src/shared/run-with-timeout.ts
@@ -1,8 +1,5 @@
 import type * as ports from '../ports/index.js';
-
-/** Given as abort reasons, because the default reason captures a stack for every call. */
-const TIMED_OUT = 'the time for the task is up';
-const TASK_ENDED = 'the task has ended';
+import {STOP_REASON} from './stop-reason.js';
 
 /** Outcome of {@link runWithTimeout}. */
 export type TimedResult<T> = {readonly isTimedOut: true} | {readonly isTimedOut: false; readonly value: T};
@@ -18,7 +15,7 @@
 	const taskController = new AbortController();
 	const sleepController = new AbortController();
 	const abortTask = (): void => {
-		taskController.abort(TIMED_OUT);
+		taskController.abort(STOP_REASON);
 	};
 
 	if (options.signal.aborted) {
@@ -39,7 +36,7 @@
 	try {
 		return await Promise.race([runTask(), waitForTimeout()]);
 	} finally {
-		sleepController.abort(TASK_ENDED);
+		sleepController.abort(STOP_REASON);
 		options.signal.removeEventListener('abort', abortTask);
 	}
 };
--- a/packages/domain/src/retry-reason.ts
+++ b/packages/domain/src/retry-reason.ts
@@ -5,6 +5,10 @@
 	TargetLost = 'target-lost',
 	TargetTimedOut = 'target-timed-out',
 	TargetError = 'target-error',
+	/** The class of work that lent the slot needed it back. */
+	SlotReclaimed = 'slot-reclaimed',
+	/** One group refused the call and another group of the service got it. */
+	GroupRefused = 'group-refused',
 	PeerUnreachable = 'peer-unreachable',
 	PeerLost = 'peer-lost',
 }
