feat(health): judge targets on real work and keep the floor

Cause: the interface had no judgement behind it, and leaving targets were known only from the entry. Change: a sequential test over attempt results, overdue work and latency against the group's median; one transition table; checked ejection against the floor; probation, cold ramps and common-cause checks with a peer; signs of leaving from the VM list, entry, health endpoint and answers, with reports to the scheduling node.

--- /dev/null
+++ b/packages/core/src/health/__tests__/sequential-test.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava';
+import {DEFAULT_HEALTH_OPTIONS} from '../health-options.js';
+import {createSequentialTest} from '../sequential-test.js';
+
+const {ejectEvidence, suspectEvidence, evidenceLimit} = DEFAULT_HEALTH_OPTIONS;
+
+const countUntilEjection = (expectedBadRatio: number, results: readonly boolean[]): number => {
+	const sequentialTest = createSequentialTest({evidenceLimit});
+	return results.findIndex(isBad => {
+		sequentialTest.observe(isBad, expectedBadRatio);
+		return sequentialTest.evidence() >= ejectEvidence;
+	});
+};
+
+// Guards against fixed windows coming back: a clear fault must show in few samples, sparse noise never.
+const RESULTS = [
+	{name: 'all bad', expectedBadRatio: 0, results: Array.from({length: 10}, () => true), expectedIndex: 4},
+	{
+		name: 'every second bad',
+		expectedBadRatio: 0,
+		results: Array.from({length: 40}, (_, index) => index % 2 === 0),
+		expectedIndex: 10,
+	},
+	{
+		name: 'one in ten bad',
+		expectedBadRatio: 0,
+		results: Array.from({length: 10_000}, (_, index) => index % 10 === 0),
+		expectedIndex: -1,
+	},
+	{
+		name: 'half bad in a group where half is normal',
+		expectedBadRatio: 0.5,
+		results: Array.from({length: 10_000}, (_, index) => index % 2 === 0),
+		expectedIndex: -1,
+	},
+];
+
+RESULTS.forEach(({name, expectedBadRatio, results, expectedIndex}) => {
+	test(`results with ${name} are judged as expected`, t => {
+		t.is(countUntilEjection(expectedBadRatio, results), expectedIndex);
+	});
+});
+
+// Guards against a long good history that delays detection, and against evidence that never clears.
+test('a thousand good results neither delay an ejection nor does a recovery take long', t => {
+	const sequentialTest = createSequentialTest({evidenceLimit});
+	const observe = (count: number, isBad: boolean): number => {
+		Array.from({length: count}).forEach(() => {
+			sequentialTest.observe(isBad, 0);
+		});
+		return sequentialTest.evidence();
+	};
+
+	t.is(observe(1000, false), 0);
+	t.true(observe(2, true) >= suspectEvidence);
+	t.true(observe(3, true) >= ejectEvidence);
+	t.is(observe(1000, true), evidenceLimit);
+	t.is(observe(45, false), 0);
+});
--- a/packages/core/src/health/group-health.ts
+++ b/packages/core/src/health/group-health.ts
@@ -1,23 +1,20 @@
 import * as domain from '@bilberrydoor/domain';
+import type * as ports from '../ports/index.js';
+import type {MemberDirectory} from '../membership/member-directory.js';
 import type {TargetGroup} from '../routing/target-groups.js';
-
-/** What one attempt at a target showed. */
-export enum AttemptResult {
-	/** The target answered well. */
-	Success = 'success',
-	/** The target answered with a server error. */
-	Error = 'error',
-	/** The target shed load. This is back-pressure and not sickness. */
-	Shed = 'shed',
-	/** No connection could be opened. */
-	Unreachable = 'unreachable',
-	/** The connection broke before the whole answer had arrived. */
-	Lost = 'lost',
-	/** The time for the attempt was up. */
-	TimedOut = 'timed-out',
-	/** The caller went away, which says nothing about the target. */
-	Cancelled = 'cancelled',
-}
+import {AttemptResult, FAILURE_SIGNS, HealthSign} from './attempt-result.js';
+import {createAttemptWatch, type AttemptInFlight} from './attempt-watch.js';
+import {DEFAULT_HEALTH_OPTIONS, type HealthOptions} from './health-options.js';
+import {createLatencyBaseline} from './latency-baseline.js';
+import {LeavingSign} from './leaving-sign.js';
+import {createPathCheck} from './path-check.js';
+import {createTargetJudge} from './target-judge.js';
+import {createTargetProbes} from './target-probes.js';
+import {computeRampRatio, type TargetRecord} from './target-record.js';
+import {createTargetRoster} from './target-roster.js';
+import {describeStanding, UNKNOWN_STANDING, type TargetStanding} from './target-standing.js';
+import {HealthEvent} from './target-transitions.js';
+import {createTimedChanges} from './timed-changes.js';
 
 /** One attempt in flight, as health sees it. */
 export type ObservedAttempt = {
@@ -25,22 +22,14 @@
 	finish(result: AttemptResult): void;
 };
 
-/** Standing of one target. */
-export type TargetStanding = {
-	readonly state: domain.TargetState;
-	/** Why the target is in this state. */
-	readonly reason: string;
-	/** When it entered the state, on this node's monotonic clock, in ms. */
-	readonly sinceMs: number;
-	/** Share of the target's slots that may be used now, 0 to 1. */
-	readonly openRatio: number;
-	/** Preference among targets with free slots, 0 to 1. */
-	readonly weight: number;
-	/** True when only repeatable work may be sent, as during probation. */
-	readonly isRepeatableOnly: boolean;
-};
-
-/** Judges the targets of one group by the work that they do, and keeps the floor. */
+/**
+ * Judges the targets of one group by the work that they do, and keeps the floor.
+ *
+ * What holds at hand-over: the judgement belongs to one scheduling node and is not transferred. A new scheduling node
+ * starts with all targets healthy, none ejected, and half of each target's slots open. While two nodes schedule the same
+ * group, each keeps the slots of its own healthy set at or above the group's floor, so every call meets at least that
+ * capacity; the targets that both call healthy may be fewer than the floor.
+ */
 export type GroupHealth = {
 	standingOf(targetId: string): TargetStanding;
 	startAttempt(targetId: string, workClass: domain.WorkClass): ObservedAttempt;
@@ -49,58 +38,211 @@
 	markLeaving(targetId: string, reason: string): void;
 	/** Slots of targets that count as healthy capacity. */
 	healthySlotCount(): number;
+	/** True while a peer reaches targets that this node does not, so that the group is better scheduled elsewhere. */
+	isPathSuspect(): boolean;
 	/** Registers a listener for changes of standing, after which waiting work may fit. */
 	subscribe(listener: () => void): void;
 	/** Runs the background tasks until `signal` is aborted. */
 	run(signal: AbortSignal): Promise<void>;
 };
 
-const HEALTHY_STANDING: TargetStanding = {
-	state: domain.TargetState.Healthy,
-	reason: '',
-	sinceMs: 0,
-	openRatio: 1,
-	weight: 1,
-	isRepeatableOnly: false,
+export type GroupHealthDependencies = {
+	readonly ports: Pick<ports.NodePorts, 'clock' | 'random' | 'metrics' | 'logger' | 'targetClient' | 'peerClient'>;
+	readonly group: TargetGroup;
+	/** Source of peers for path checks and of the VM list's leaving targets. */
+	readonly directory?: Pick<MemberDirectory, 'self' | 'listLiveNodes' | 'isTargetLeaving'>;
+	/** Called when this node itself saw that a target leaves, by its answers or its health endpoint. */
+	readonly onLeavingSeen?: (targetId: string) => void;
+	readonly options?: Partial<HealthOptions>;
 };
 
-const DRAINING_STANDING: TargetStanding = {
-	...HEALTHY_STANDING,
-	state: domain.TargetState.Draining,
-	openRatio: 0,
-	weight: 0,
-};
+/** A pause of the background task by this many ticks means that the process did not run. */
+const PAUSE_TICKS = 4;
 
-export const createGroupHealth = (dependencies: {group: TargetGroup}): GroupHealth => {
-	let {group} = dependencies;
-	const leavingTargetIds = new Set<string>();
+const PROBED_WHEN_IDLE: ReadonlySet<domain.TargetState> = new Set([
+	domain.TargetState.Ejected,
+	domain.TargetState.Probation,
+	domain.TargetState.Draining,
+]);
+
+export const createGroupHealth = (dependencies: GroupHealthDependencies): GroupHealth => {
+	const {clock, random, metrics, logger, targetClient} = dependencies.ports;
+	const {directory} = dependencies;
+	const options: HealthOptions = {...DEFAULT_HEALTH_OPTIONS, ...dependencies.options};
 	const listeners: Array<() => void> = [];
+	const baseline = createLatencyBaseline();
+	const watch = createAttemptWatch();
+	let lastAttemptAtMs = clock.monotonicMs();
+	let {signal: runSignal} = new AbortController();
+
+	const notify = (): void => {
+		listeners.forEach(listener => {
+			listener();
+		});
+	};
+
+	const roster = createTargetRoster({clock, metrics, group: dependencies.group, options, onChange: notify});
+	const judge = createTargetJudge({
+		clock,
+		logger,
+		roster,
+		options,
+		signal: () => runSignal,
+		checkPath: createPathCheck({
+			ports: dependencies.ports,
+			service: dependencies.group.service,
+			timeoutMs: options.probeTimeoutMs,
+			listPeers: () =>
+				(directory?.listLiveNodes() ?? []).filter(node => node.availabilityZone !== directory?.self.availabilityZone),
+		}),
+		onMovedTogether() {
+			baseline.reset();
+		},
+	});
+	const timedChanges = createTimedChanges(roster, options);
+
+	const seeLeaving = (record: TargetRecord, reason: string): void => {
+		record.lastLeavingSignAtMs = clock.monotonicMs();
+		record.isDrainedByEntryOnly = false;
+		if (!roster.apply(record, HealthEvent.LeavingSeen, reason)) {
+			record.reason = reason;
+		}
+	};
+
+	const probes = createTargetProbes({
+		clock,
+		random,
+		targetClient,
+		options,
+		isNeeded(targetId) {
+			const isActive = clock.monotonicMs() - lastAttemptAtMs < options.probeIdleMs;
+			const state = roster.find(targetId)?.state;
+			return isActive || (state !== undefined && PROBED_WHEN_IDLE.has(state));
+		},
+		onProbe(targetId, health) {
+			const record = roster.find(targetId);
+			if (!record) {
+				return;
+			}
+
+			record.probe = {atMs: clock.monotonicMs(), isReady: health?.isReady ?? false};
+			if (health?.isLeaving) {
+				seeLeaving(record, LeavingSign.HealthEndpoint);
+				dependencies.onLeavingSeen?.(targetId);
+			}
+		},
+	});
+
+	const refreshLeaving = (record: TargetRecord): void => {
+		if (record.target.isDraining) {
+			record.lastLeavingSignAtMs = clock.monotonicMs();
+			record.isDrainedByEntryOnly ||= roster.apply(record, HealthEvent.LeavingSeen, LeavingSign.Entry);
+		} else if (directory?.isTargetLeaving(record.target.address)) {
+			seeLeaving(record, LeavingSign.VmList);
+		} else if (record.isDrainedByEntryOnly) {
+			// The entry alone kept the target drained, and an edit takes effect at once.
+			record.isDrainedByEntryOnly = false;
+			roster.apply(record, HealthEvent.LeavingEnded, 'no longer draining in the entry');
+		}
+	};
+
+	const tick = (): void => {
+		const nowMs = clock.monotonicMs();
+		watch.collectOverdue(nowMs, baseline.limitMs, attempt => {
+			const record = roster.find(attempt.targetId);
+			if (record) {
+				judge.observe(record, HealthSign.Overdue);
+			}
+		});
+		const isOpening = roster.list().some(record => computeRampRatio(record.ramp, nowMs) < 1);
+		roster.list().forEach(record => {
+			refreshLeaving(record);
+			timedChanges[record.state](record, nowMs);
+		});
+		judge.refresh();
+		if (isOpening) {
+			notify();
+		}
+	};
+
+	const tickRepeatedly = async (signal: AbortSignal): Promise<void> => {
+		let lastTickAtMs = clock.monotonicMs();
+		while (!signal.aborted) {
+			await clock.sleep(options.tickMs, signal);
+			const pauseMs = clock.monotonicMs() - lastTickAtMs - options.tickMs;
+			lastTickAtMs = clock.monotonicMs();
+			if (pauseMs > PAUSE_TICKS * options.tickMs) {
+				watch.excludePause(pauseMs);
+			}
+
+			tick();
+		}
+	};
+
+	/** Sign of an attempt that has ended; absent when it says nothing about the target. */
+	const readSign = (attempt: AttemptInFlight, result: AttemptResult): HealthSign | undefined => {
+		if (result !== AttemptResult.Success) {
+			return FAILURE_SIGNS[result];
+		}
 
-	const isDraining = (targetId: string): boolean =>
-		leavingTargetIds.has(targetId) || group.targets.some(target => target.targetId === targetId && target.isDraining);
+		const latencyMs = clock.monotonicMs() - attempt.startedAtMs;
+		const limitMs = baseline.limitMs(attempt.workClass) ?? Infinity;
+		baseline.observe(attempt.workClass, latencyMs);
+		if (attempt.overdueCount > 0) {
+			return undefined;
+		}
 
-	const standingOf = (targetId: string): TargetStanding =>
-		isDraining(targetId) ? DRAINING_STANDING : HEALTHY_STANDING;
+		return latencyMs > limitMs ? HealthSign.Latency : HealthSign.Good;
+	};
 
+	const replaceGroup = (group: TargetGroup): void => {
+		roster.replaceGroup(group);
+		roster.list().forEach(refreshLeaving);
+		probes.replaceTargets(group.targets);
+	};
+
+	roster.list().forEach(refreshLeaving);
+	probes.replaceTargets(dependencies.group.targets);
 	return {
-		standingOf,
-		startAttempt: () => ({finish: () => undefined}),
-		replaceGroup(newGroup) {
-			group = newGroup;
-			listeners.forEach(listener => {
-				listener();
-			});
+		standingOf(targetId) {
+			const record = roster.find(targetId);
+			return record ? describeStanding(record, clock.monotonicMs(), options) : UNKNOWN_STANDING;
+		},
+		startAttempt(targetId, workClass) {
+			lastAttemptAtMs = clock.monotonicMs();
+			const attempt = watch.start(targetId, workClass, lastAttemptAtMs);
+			let isFinished = false;
+			return {
+				finish(result) {
+					if (isFinished) {
+						return;
+					}
+
+					isFinished = true;
+					watch.finish(attempt);
+					const sign = readSign(attempt, result);
+					const record = roster.find(targetId);
+					if (record && sign !== undefined) {
+						judge.observe(record, sign);
+					}
+				},
+			};
 		},
-		markLeaving(targetId) {
-			leavingTargetIds.add(targetId);
+		replaceGroup,
+		markLeaving(targetId, reason) {
+			const record = roster.find(targetId);
+			if (record) {
+				seeLeaving(record, reason);
+			}
 		},
-		healthySlotCount: () =>
-			group.targets.filter(target => !isDraining(target.targetId)).reduce((sum, target) => sum + target.slotCount, 0),
+		healthySlotCount: () => roster.healthySlotCount(),
+		isPathSuspect: () => judge.isPathSuspect(),
 		subscribe(listener) {
 			listeners.push(listener);
 		},
-		async run() {
-			// Background tasks follow with the judgement of targets.
+		async run(signal) {
+			runSignal = signal;
+			await Promise.all([tickRepeatedly(signal), probes.run(signal)]);
 		},
 	};
 };
--- /dev/null
+++ b/packages/core/src/health/target-standing.ts
@@ -0,0 +1,67 @@
+import * as domain from '@bilberrydoor/domain';
+import type {HealthOptions} from './health-options.js';
+import {computeRampRatio, type TargetRecord} from './target-record.js';
+
+/** Standing of one target. */
+export type TargetStanding = {
+	readonly state: domain.TargetState;
+	/** Why the target is in this state. */
+	readonly reason: string;
+	/** When it entered the state, on this node's monotonic clock, in ms. */
+	readonly sinceMs: number;
+	/** Share of the target's slots that may be used now, 0 to 1. */
+	readonly openRatio: number;
+	/** Preference among targets with free slots, 0 to 1. */
+	readonly weight: number;
+	/** True when only repeatable work may be sent, as during probation. */
+	readonly isRepeatableOnly: boolean;
+};
+
+type Access = Pick<TargetStanding, 'openRatio' | 'weight' | 'isRepeatableOnly'>;
+
+const CLOSED: Access = {openRatio: 0, weight: 0, isRepeatableOnly: false};
+
+/** Share that opens whole slots, at least one. */
+const openWholeSlots = (slotCount: number, ratio: number): number =>
+	Math.max(1, Math.floor(slotCount * ratio)) / slotCount;
+
+const describeRamp = ({target, ramp}: TargetRecord, nowMs: number): Access => ({
+	openRatio: ramp ? openWholeSlots(target.slotCount, computeRampRatio(ramp, nowMs)) : 1,
+	weight: 1,
+	isRepeatableOnly: false,
+});
+
+/** What the scheduler may do with a target, by its state. */
+const ACCESS: Readonly<
+	Record<domain.TargetState, (record: TargetRecord, nowMs: number, options: HealthOptions) => Access>
+> = {
+	[domain.TargetState.Healthy]: describeRamp,
+	[domain.TargetState.Cold]: describeRamp,
+	[domain.TargetState.Suspect](record, nowMs, options) {
+		const suspicion = Math.min(1, record.test.evidence() / options.ejectEvidence);
+		return {...describeRamp(record, nowMs), weight: 1 - (1 - options.suspectWeightMin) * suspicion};
+	},
+	[domain.TargetState.Probation]: ({target}, _nowMs, options) => ({
+		openRatio: openWholeSlots(target.slotCount, 0),
+		weight: options.probationWeight,
+		isRepeatableOnly: true,
+	}),
+	[domain.TargetState.Ejected]: () => CLOSED,
+	[domain.TargetState.Draining]: () => CLOSED,
+};
+
+/** Describes a target for the scheduler and for operators. */
+export const describeStanding = (record: TargetRecord, nowMs: number, options: HealthOptions): TargetStanding => ({
+	state: record.state,
+	reason: record.reason,
+	sinceMs: record.sinceMs,
+	...ACCESS[record.state](record, nowMs, options),
+});
+
+/** Standing of a target that the group does not contain. */
+export const UNKNOWN_STANDING: TargetStanding = {
+	state: domain.TargetState.Draining,
+	reason: 'not in the entry',
+	sinceMs: 0,
+	...CLOSED,
+};
--- a/packages/core/src/membership/member-directory.ts
+++ b/packages/core/src/membership/member-directory.ts
@@ -2,12 +2,12 @@
 import type * as ports from '../ports/index.js';
 
 export type MembershipOptions = {
-	/** Pause between readings of the VM list, in ms. */
+	/** Pause between readings of the VM list, in ms. Below the bound of 2 s by which leaving targets get no new work. */
 	readonly vmListPeriodMs: number;
 };
 
 export const DEFAULT_MEMBERSHIP_OPTIONS: MembershipOptions = {
-	vmListPeriodMs: 2000,
+	vmListPeriodMs: 1000,
 };
 
 /** The fleet as this node sees it. */
@@ -21,6 +21,8 @@
 	listLiveNodes(): readonly domain.NodeDescription[];
 	/** Target addresses that the VM list calls leaving. */
 	isTargetLeaving(address: string): boolean;
+	/** All addresses for which {@link isTargetLeaving} holds. */
+	listLeavingTargetAddresses(): readonly string[];
 };
 
 /** A directory that a task keeps up to date. */
@@ -73,6 +75,7 @@
 			listEligibleNodes: region => nodes.filter(node => node.region === region),
 			listLiveNodes: () => nodes,
 			isTargetLeaving: address => leavingTargets.has(address),
+			listLeavingTargetAddresses: () => [...leavingTargets],
 		},
 		async run(signal) {
 			while (!signal.aborted) {
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -4,11 +4,13 @@
 import {createCatalogueStore, type CatalogueStore} from '../catalogue/catalogue-store.js';
 import {createEntryService} from '../entry/entry-service.js';
 import {createGroupDelivery} from '../entry/group-delivery.js';
+import type {HealthOptions} from '../health/health-options.js';
 import * as memberDirectory from '../membership/member-directory.js';
 import * as ports from '../ports/index.js';
 import {createRouteTable} from '../routing/route-table.js';
 import {createSchedulerRegistry, type SchedulerRegistry} from '../scheduling/scheduler-registry.js';
 import {createCallTracker, type DrainResult} from './call-tracker.js';
+import {createLeavingReports} from './leaving-reports.js';
 import {createPeerHandlers} from './peer-handlers.js';
 
 /** Settings of a node. Each part owns its options, defaults and validation. */
@@ -16,6 +18,7 @@
 	/** This VM as the fleet knows it; the incarnation id is drawn at start. */
 	readonly self: Omit<domain.NodeDescription, 'incarnationId'>;
 	readonly catalogue?: Partial<catalogueReplicator.CatalogueReplicatorOptions>;
+	readonly health?: Partial<HealthOptions>;
 	readonly membership?: Partial<memberDirectory.MembershipOptions>;
 };
 
@@ -54,7 +57,6 @@
 	store.subscribe((service, entry) => {
 		routeTable.replaceServiceRoutes(service, entry?.routes ?? []);
 	});
-	const schedulers = createSchedulerRegistry({ports: dependencies.ports, store});
 	const replicator = catalogueReplicator.createCatalogueReplicator({
 		ports: dependencies.ports,
 		store,
@@ -66,7 +68,9 @@
 		options: settings.membership,
 	});
 	const {directory} = membership;
+	const schedulers = createSchedulerRegistry({ports: dependencies.ports, store, directory, health: settings.health});
 	const delivery = createGroupDelivery({ports: dependencies.ports, directory, schedulers});
+	const leavingReports = createLeavingReports({ports: dependencies.ports, store, directory, delivery, schedulers});
 	const entryService = createEntryService({
 		ports: dependencies.ports,
 		directory,
@@ -108,7 +112,7 @@
 		directory,
 		schedulers,
 		administration: createAdministration({ports: dependencies.ports, store, replicator, directory, schedulers}),
-		peerHandlers: createPeerHandlers({self, store}),
+		peerHandlers: createPeerHandlers({self, store, schedulers, ports: dependencies.ports}),
 		handleCall: async (call, signal) =>
 			callTracker.track(async () => entryService.handleCall(call, signal), signal, callTracker.refuseNewCalls()),
 		handleForwardedCall: async (forwarded, signal) =>
@@ -116,7 +120,12 @@
 		inFlightCount: callTracker.inFlightCount,
 		isReady: () => replicator.isReady() && !callTracker.isDraining(),
 		async run(signal) {
-			await Promise.all([replicator.run(signal), membership.run(signal), schedulers.run(signal)]);
+			await Promise.all([
+				replicator.run(signal),
+				membership.run(signal),
+				schedulers.run(signal),
+				leavingReports.run(signal),
+			]);
 		},
 		drain: async options => callTracker.drain(options),
 	};
--- a/packages/core/src/node/peer-handlers.ts
+++ b/packages/core/src/node/peer-handlers.ts
@@ -1,13 +1,20 @@
 import type * as domain from '@bilberrydoor/domain';
 import type {CatalogueStore} from '../catalogue/catalogue-store.js';
+import {DEFAULT_HEALTH_OPTIONS} from '../health/health-options.js';
+import {LeavingSign} from '../health/leaving-sign.js';
+import {testTarget} from '../health/path-check.js';
 import * as ports from '../ports/index.js';
+import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
 
 /** Assembles the table of handlers for peers' control messages. */
 export const createPeerHandlers = (dependencies: {
 	self: domain.NodeDescription;
 	store: CatalogueStore;
+	schedulers: SchedulerRegistry;
+	ports: Pick<ports.NodePorts, 'clock' | 'targetClient'>;
 }): ports.PeerHandlers => {
-	const {self, store} = dependencies;
+	const {self, store, schedulers} = dependencies;
+	const {clock, targetClient} = dependencies.ports;
 	return {
 		[ports.PeerMessageKind.Probe]: async () => ({node: self, appliedOffset: store.appliedOffset(), updates: []}),
 		[ports.PeerMessageKind.IndirectProbe]: async () => ({isReached: false, updates: []}),
@@ -20,7 +27,15 @@
 		[ports.PeerMessageKind.MintOperations]: async () => ({operationIds: [], detail: 'not available'}),
 		[ports.PeerMessageKind.ReadOperation]: async () => ({isExpired: false}),
 		[ports.PeerMessageKind.TakeOverOperations]: async () => ({isAccepted: false}),
-		[ports.PeerMessageKind.ReportLeavingTarget]: async () => ({}),
-		[ports.PeerMessageKind.TestTarget]: async () => ({isReached: false, latencyMs: 0}),
+		async [ports.PeerMessageKind.ReportLeavingTarget]({service, targetId}) {
+			schedulers.markTargetLeaving(service, targetId, LeavingSign.PeerReport);
+			return {};
+		},
+		async [ports.PeerMessageKind.TestTarget]({service, targetId}, signal) {
+			// Only targets of the catalogue are tested, so a peer cannot have this node contact any address.
+			const target = store.findItem(service)?.entry?.targets.find(candidate => candidate.targetId === targetId);
+			const timeoutMs = DEFAULT_HEALTH_OPTIONS.probeTimeoutMs;
+			return target ? testTarget({clock, targetClient, timeoutMs}, target, signal) : {isReached: false, latencyMs: 0};
+		},
 	};
 };
--- a/packages/core/src/scheduling/group-scheduler.ts
+++ b/packages/core/src/scheduling/group-scheduler.ts
@@ -1,6 +1,8 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import {AttemptResult} from '../health/attempt-result.js';
 import * as groupHealth from '../health/group-health.js';
+import type {LeavingSign} from '../health/leaving-sign.js';
 import type {TargetGroup} from '../routing/target-groups.js';
 import {limitBody} from '../shared/limit-body.js';
 import {observeBody} from '../shared/observe-body.js';
@@ -17,7 +19,7 @@
 	/** Takes over a changed entry at once. */
 	replaceGroup(group: TargetGroup, entry: domain.CatalogueEntry): void;
 	/** Stops new work on a target that is leaving. */
-	markTargetLeaving(targetId: string): void;
+	markTargetLeaving(targetId: string, sign: LeavingSign): void;
 	describeTargets(): readonly TargetStatus[];
 	/** Number of calls waiting or in flight. */
 	activeCallCount(): number;
@@ -29,6 +31,8 @@
 	readonly ports: ports.NodePorts;
 	readonly group: TargetGroup;
 	readonly entry: domain.CatalogueEntry;
+	/** What the group's health needs beside the ports. */
+	readonly health?: Pick<groupHealth.GroupHealthDependencies, 'directory' | 'onLeavingSeen' | 'options'>;
 };
 
 type TargetSlots = {
@@ -41,11 +45,20 @@
 };
 
 const SERVER_ERROR_STATUS = 500;
+const SHED_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
-const ATTEMPT_RESULTS: Record<ports.TargetErrorKind, groupHealth.AttemptResult> = {
-	[ports.TargetErrorKind.Unreachable]: groupHealth.AttemptResult.Unreachable,
-	[ports.TargetErrorKind.Lost]: groupHealth.AttemptResult.Lost,
-	[ports.TargetErrorKind.Cancelled]: groupHealth.AttemptResult.TimedOut,
+const readAnswerResult = (status: number): AttemptResult => {
+	if (SHED_STATUSES.has(status)) {
+		return AttemptResult.Shed;
+	}
+
+	return status >= SERVER_ERROR_STATUS ? AttemptResult.Error : AttemptResult.Success;
+};
+
+const ATTEMPT_RESULTS: Record<ports.TargetErrorKind, AttemptResult> = {
+	[ports.TargetErrorKind.Unreachable]: AttemptResult.Unreachable,
+	[ports.TargetErrorKind.Lost]: AttemptResult.Lost,
+	[ports.TargetErrorKind.Cancelled]: AttemptResult.TimedOut,
 };
 
 const CONVERT_TARGET_ERROR: Record<
@@ -58,10 +71,10 @@
 };
 
 export const createGroupScheduler = (dependencies: GroupSchedulerDependencies): GroupScheduler => {
-	const {clock, targetClient, metrics} = dependencies.ports;
+	const {clock, targetClient, metrics, random} = dependencies.ports;
 	let {group, entry} = dependencies;
 	let targets = new Map<string, TargetSlots>();
-	const health = groupHealth.createGroupHealth({group});
+	const health = groupHealth.createGroupHealth({ports: dependencies.ports, group, ...dependencies.health});
 	let waiters: Waiter[] = [];
 	let activeCallCount = 0;
 
@@ -79,10 +92,12 @@
 	const openSlotCount = (target: domain.TargetEntry): number =>
 		Math.floor(target.slotCount * health.standingOf(target.targetId).openRatio);
 
-	const findFreeTarget = (): TargetSlots | undefined =>
-		[...targets.values()]
-			.filter(({target, busySlotCount}) => busySlotCount < openSlotCount(target))
-			.toSorted((left, right) => left.busySlotCount - right.busySlotCount)[0];
+	const findFreeTarget = (): TargetSlots | undefined => {
+		const free = [...targets.values()].filter(({target, busySlotCount}) => busySlotCount < openSlotCount(target));
+		// The weight is the share of choices in which a target takes part, so a suspect still gets work to be judged by.
+		const drawn = free.filter(({target}) => random.fraction() < health.standingOf(target.targetId).weight);
+		return (drawn.length > 0 ? drawn : free).toSorted((left, right) => left.busySlotCount - right.busySlotCount)[0];
+	};
 
 	const grantNext = (): void => {
 		while (waiters.length > 0) {
@@ -124,6 +139,17 @@
 		const {call, route} = scheduled;
 		metrics.increment(ports.CounterName.Attempts, {service: group.service});
 		const attempt = health.startAttempt(slots.target.targetId, route.workClass);
+		const remainingMs = scheduled.deadlineAtMs - clock.monotonicMs();
+		const deadline = new AbortController();
+		const headArrival = new AbortController();
+		const enforceDeadline = async (): Promise<void> => {
+			await clock.sleep(remainingMs, headArrival.signal);
+			if (!headArrival.signal.aborted) {
+				deadline.abort();
+			}
+		};
+
+		void enforceDeadline();
 		const sent = await targetClient.send(
 			slots.target,
 			{
@@ -132,20 +158,19 @@
 				headers: call.headers,
 				body: call.body,
 				bodyLengthBytes: call.bodyLengthBytes,
-				remainingMs: scheduled.deadlineAtMs - clock.monotonicMs(),
+				remainingMs,
 			},
-			signal,
+			AbortSignal.any([signal, deadline.signal]),
 		);
+		headArrival.abort();
 		if (sent.isErr()) {
-			attempt.finish(ATTEMPT_RESULTS[sent.error.kind]);
+			attempt.finish(signal.aborted ? AttemptResult.Cancelled : ATTEMPT_RESULTS[sent.error.kind]);
 			releaseSlot(slots);
 			return CONVERT_TARGET_ERROR[sent.error.kind](sent.error.detail);
 		}
 
 		const answer = sent.value;
-		attempt.finish(
-			answer.status >= SERVER_ERROR_STATUS ? groupHealth.AttemptResult.Error : groupHealth.AttemptResult.Success,
-		);
+		attempt.finish(readAnswerResult(answer.status));
 		const body = limitBody(answer.body, route.answerBodyLimitBytes);
 		return domain.completed({
 			...answer,
@@ -195,9 +220,7 @@
 			loadTargets();
 			grantNext();
 		},
-		markTargetLeaving(targetId) {
-			health.markLeaving(targetId, 'reported as leaving');
-		},
+		markTargetLeaving: health.markLeaving,
 		describeTargets: () =>
 			[...targets.values()].map(({target, busySlotCount}) => {
 				const {state, reason, sinceMs} = health.standingOf(target.targetId);
--- a/packages/core/src/scheduling/scheduler-registry.ts
+++ b/packages/core/src/scheduling/scheduler-registry.ts
@@ -1,8 +1,12 @@
 import type * as domain from '@bilberrydoor/domain';
 import type {CatalogueStore} from '../catalogue/catalogue-store.js';
+import type {HealthOptions} from '../health/health-options.js';
+import {LeavingSign} from '../health/leaving-sign.js';
+import type {MemberDirectory} from '../membership/member-directory.js';
 import type * as ports from '../ports/index.js';
 import * as targetGroups from '../routing/target-groups.js';
 import {createGroupScheduler, type GroupScheduler} from './group-scheduler.js';
+import {watchLeavingAnswers} from './watch-leaving-answers.js';
 
 /** The groups of all services, and the schedulers that this node has opened for some of them. */
 export type SchedulerRegistry = {
@@ -11,6 +15,13 @@
 	/** Scheduler of a group, opened cold on first use. Absent when the group is unknown. */
 	openScheduler(service: string, groupId: string): GroupScheduler | undefined;
 	listSchedulers(): readonly GroupScheduler[];
+	/**
+	 * Stops new work on a leaving target if its group is scheduled here, and remembers the sign for a while in case its
+	 * group is opened here later.
+	 */
+	markTargetLeaving(service: string, targetId: string, sign: LeavingSign): void;
+	/** Registers a listener for leaving targets that a scheduler of this node saw by answers or health endpoints. */
+	subscribeToLeaving(listener: (service: string, targetId: string) => void): void;
 	/** Runs the background tasks of all opened schedulers until `signal` is aborted. */
 	run(signal: AbortSignal): Promise<void>;
 };
@@ -20,12 +31,23 @@
 	readonly controller: AbortController;
 };
 
+type LeavingMark = {readonly service: string; readonly targetId: string; readonly atMs: number};
+
+/** How long a sign is remembered for a group that is not scheduled here, in ms. */
+const LEAVING_MARK_MS = 10_000;
+
 export const createSchedulerRegistry = (dependencies: {
 	ports: ports.NodePorts;
 	store: CatalogueStore;
+	directory?: MemberDirectory;
+	health?: Partial<HealthOptions>;
 }): SchedulerRegistry => {
+	const {directory} = dependencies;
+	const {clock, targetClient} = dependencies.ports;
 	const groupsByService = new Map<string, readonly targetGroups.TargetGroup[]>();
 	const openSchedulers = new Map<string, OpenScheduler>();
+	const leavingListeners: Array<(service: string, targetId: string) => void> = [];
+	let leavingMarks: LeavingMark[] = [];
 
 	const closeScheduler = (groupId: string): void => {
 		openSchedulers.get(groupId)?.controller.abort();
@@ -48,6 +70,34 @@
 
 	dependencies.store.subscribe(replaceService);
 
+	const createScheduler = (group: targetGroups.TargetGroup, entry: domain.CatalogueEntry): GroupScheduler => {
+		const announce = (targetId: string): void => {
+			leavingListeners.forEach(listener => {
+				listener(group.service, targetId);
+			});
+		};
+
+		const scheduler: GroupScheduler = createGroupScheduler({
+			ports: {
+				...dependencies.ports,
+				targetClient: watchLeavingAnswers(targetClient, ({targetId}) => {
+					scheduler.markTargetLeaving(targetId, LeavingSign.AnswerHeader);
+					announce(targetId);
+				}),
+			},
+			group,
+			entry,
+			health: {directory, onLeavingSeen: announce, options: dependencies.health},
+		});
+		const validFromMs = clock.monotonicMs() - LEAVING_MARK_MS;
+		leavingMarks
+			.filter(mark => mark.service === group.service && mark.atMs >= validFromMs)
+			.forEach(mark => {
+				scheduler.markTargetLeaving(mark.targetId, LeavingSign.PeerReport);
+			});
+		return scheduler;
+	};
+
 	return {
 		listGroups: service => groupsByService.get(service) ?? [],
 		openScheduler(service, groupId) {
@@ -63,12 +113,28 @@
 			}
 
 			const controller = new AbortController();
-			const scheduler = createGroupScheduler({ports: dependencies.ports, group, entry});
+			const scheduler = createScheduler(group, entry);
 			openSchedulers.set(groupId, {scheduler, controller});
 			void scheduler.run(controller.signal);
 			return scheduler;
 		},
 		listSchedulers: () => [...openSchedulers.values()].map(({scheduler}) => scheduler),
+		markTargetLeaving(service, targetId, sign) {
+			const atMs = clock.monotonicMs();
+			leavingMarks = [
+				...leavingMarks.filter(mark => mark.atMs >= atMs - LEAVING_MARK_MS && mark.targetId !== targetId),
+				{service, targetId, atMs},
+			];
+			groupsByService
+				.get(service)
+				?.filter(group => group.targets.some(target => target.targetId === targetId))
+				.forEach(group => {
+					openSchedulers.get(group.groupId)?.scheduler.markTargetLeaving(targetId, sign);
+				});
+		},
+		subscribeToLeaving(listener) {
+			leavingListeners.push(listener);
+		},
 		async run(signal) {
 			await new Promise(resolve => {
 				signal.addEventListener('abort', resolve, {once: true});
--- a/packages/fakes/src/fake-network.ts
+++ b/packages/fakes/src/fake-network.ts
@@ -2,7 +2,7 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
 import type {FakeHost} from './fake-host.js';
-import type {FakeTarget} from './fake-target.js';
+import {FakeTargetFault, type FakeTarget} from './fake-target.js';
 
 /** A node as the network reaches it. */
 export type NetworkNode = {
@@ -16,6 +16,8 @@
 	latencyMs: (from: string, to: string) => number;
 	/** Time after which a connection attempt into a cut fails, in ms. */
 	connectTimeoutMs: number;
+	/** Time that a target takes to answer a health probe, in ms. It is not affected by gray faults. */
+	probeMs: number;
 	/** Control messages that a node has sent, by kind. */
 	readonly messageCounts: ReadonlyMap<core.PeerMessageKind, number>;
 	/** Called for each control message with an estimate of its size in bytes, both directions. */
@@ -94,6 +96,7 @@
 	const network: FakeNetwork = {
 		latencyMs: () => 0.5,
 		connectTimeoutMs: 500,
+		probeMs: 25,
 		messageCounts,
 		addNode(address, node) {
 			nodes.set(address, node);
@@ -156,10 +159,20 @@
 				return answer;
 			},
 			async probe(entry, signal) {
-				await clock.sleep(network.latencyMs(selfAddress, entry.address) * 2, signal);
-				return targets.has(entry.address)
-					? neverthrow.ok({isReady: true, isLeaving: false})
-					: neverthrow.err({kind: core.TargetErrorKind.Unreachable, detail: 'connection failed'});
+				await clock.sleep(network.latencyMs(selfAddress, entry.address), signal);
+				const target = targets.get(entry.address);
+				if (!target || target.fault === FakeTargetFault.Down || isCut(selfAddress, entry.address)) {
+					return neverthrow.err({kind: core.TargetErrorKind.Unreachable, detail: 'connection failed'});
+				}
+
+				await clock.sleep(network.probeMs, signal);
+				if (isCut(entry.address, selfAddress)) {
+					await waitForAbort(signal);
+					return neverthrow.err({kind: core.TargetErrorKind.Cancelled, detail: 'no answer arrived'});
+				}
+
+				await clock.sleep(network.latencyMs(entry.address, selfAddress), signal);
+				return neverthrow.ok({isReady: true, isLeaving: target.isLeaving});
 			},
 		}),
 	};
--- a/packages/fakes/src/fake-target.ts
+++ b/packages/fakes/src/fake-target.ts
@@ -39,6 +39,8 @@
 export type FakeTarget = {
 	readonly entry: domain.TargetEntry;
 	fault: FakeTargetFault;
+	/** Whether answers and the health endpoint say that the target leaves. */
+	isLeaving: boolean;
 	/** Time of one piece of work, in ms. */
 	serviceTimeMs: (request: core.TargetRequest) => number;
 	queueLimitCount: number;
@@ -114,13 +116,14 @@
 
 	const buildAnswer = (status: number, request: core.TargetRequest, isTruncated: boolean): domain.Answer => ({
 		status,
-		headers: [['content-type', 'text/plain']],
+		headers: [['content-type', 'text/plain'], ...(target.isLeaving ? [['bilberrydoor-leaving', '1'] as const] : [])],
 		body: writeAnswerBody(`${entry.targetId} ${request.pathAndQuery}`, isTruncated),
 	});
 
 	const target: FakeTarget = {
 		entry,
 		fault: FakeTargetFault.None,
+		isLeaving: false,
 		serviceTimeMs: options.serviceTimeMs ?? (() => 10),
 		queueLimitCount: 1000,
 		receivedCount: () => receivedCount,
