--- a/packages/core/src/health/group-health.ts
+++ b/packages/core/src/health/group-health.ts
@@ -16,6 +16,9 @@
 import {HealthEvent} from './target-transitions.js';
 import {createTimedChanges} from './timed-changes.js';
 
+export {AttemptResult} from './attempt-result.js';
+export type {TargetStanding} from './target-standing.js';
+
 /** One attempt in flight, as health sees it. */
 export type ObservedAttempt = {
 	/** Reports the head of the answer, or the failure. Later reports of the same attempt are ignored. */
