--- a/packages/core/src/membership/member-directory.ts
+++ b/packages/core/src/membership/member-directory.ts
@@ -34,6 +34,8 @@
 	highestKnownOffset(): number;
 	/** Applied offset that a member last reported to this node; undefined when it has reported none. */
 	appliedOffsetOf(address: string): number | undefined;
+	/** All addresses for which {@link isTargetLeaving} holds. */
+	listLeavingTargetAddresses(): readonly string[];
 };
 
 /** A directory that tasks keep up to date. */
@@ -87,7 +89,10 @@
 
 const createDirectory = (
 	table: MemberTable,
-	parts: Pick<MemberDirectory, 'self' | 'isTargetLeaving' | 'subscribeToLeavingTargets' | 'highestKnownOffset'>,
+	parts: Pick<
+		MemberDirectory,
+		'self' | 'isTargetLeaving' | 'listLeavingTargetAddresses' | 'subscribeToLeavingTargets' | 'highestKnownOffset'
+	>,
 ): MemberDirectory => ({
 	...parts,
 	version: table.eligible.version,
@@ -128,6 +133,7 @@
 		directory: createDirectory(table, {
 			self,
 			isTargetLeaving: vmListReader.isTargetLeaving,
+			listLeavingTargetAddresses: vmListReader.listLeavingTargetAddresses,
 			subscribeToLeavingTargets: vmListReader.subscribeToLeavingTargets,
 			highestKnownOffset: exchange.highestKnownOffset,
 		}),
--- a/packages/core/src/membership/vm-list-reader.ts
+++ b/packages/core/src/membership/vm-list-reader.ts
@@ -11,6 +11,8 @@
 	/** Reads the list until `signal` is aborted. */
 	run(signal: AbortSignal): Promise<void>;
 	isTargetLeaving(address: string): boolean;
+	/** Addresses of all targets that the list calls leaving. */
+	listLeavingTargetAddresses(): readonly string[];
 	/** Registers a listener for targets that the list newly calls leaving. */
 	subscribeToLeavingTargets(listener: (address: string) => void): void;
 };
@@ -125,6 +127,7 @@
 			}
 		},
 		isTargetLeaving: address => leavingTargets.has(address),
+		listLeavingTargetAddresses: () => [...leavingTargets],
 		subscribeToLeavingTargets(listener) {
 			listeners.push(listener);
 		},
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -5,6 +5,7 @@
 import {createCatalogueStore, type CatalogueStore} from '../catalogue/catalogue-store.js';
 import {createEntryService} from '../entry/entry-service.js';
 import {createGroupDelivery} from '../entry/group-delivery.js';
+import type {HealthOptions} from '../health/health-options.js';
 import type {LinkOptions} from '../link/link-options.js';
 import {createRegionLink, type RegionLink} from '../link/region-link.js';
 import * as memberDirectory from '../membership/member-directory.js';
@@ -14,6 +15,7 @@
 import type {SchedulerOptions} from '../scheduling/scheduler-options.js';
 import {createSchedulerRegistry, type SchedulerRegistry} from '../scheduling/scheduler-registry.js';
 import {createCallTracker, type DrainResult} from './call-tracker.js';
+import {createLeavingReports} from './leaving-reports.js';
 import {createPeerHandlers} from './peer-handlers.js';
 
 /** Settings of a node. Each part owns its options, defaults and validation. */
@@ -21,6 +23,7 @@
 	/** This VM as the fleet knows it; the incarnation id is drawn at start. */
 	readonly self: Omit<domain.NodeDescription, 'incarnationId'>;
 	readonly catalogue?: Partial<CatalogueReplicatorOptions>;
+	readonly health?: Partial<HealthOptions>;
 	readonly membership?: Partial<MembershipOptions>;
 	readonly link?: Partial<LinkOptions>;
 	readonly scheduling?: Partial<SchedulerOptions>;
@@ -64,7 +67,6 @@
 	store.subscribe((service, entry) => {
 		routeTable.replaceServiceRoutes(service, entry?.routes ?? []);
 	});
-	const schedulers = createSchedulerRegistry({ports: dependencies.ports, store, options: settings.scheduling});
 	const membership = memberDirectory.createMembership({
 		ports: dependencies.ports,
 		self,
@@ -72,6 +74,13 @@
 		options: settings.membership,
 	});
 	const {directory} = membership;
+	const schedulers = createSchedulerRegistry({
+		ports: dependencies.ports,
+		store,
+		directory,
+		options: settings.scheduling,
+		health: settings.health,
+	});
 	const replicator = catalogueReplicator.createCatalogueReplicator({
 		ports: dependencies.ports,
 		store,
@@ -91,6 +100,7 @@
 		link,
 		linkWeightOf: service => store.findItem(service)?.entry?.linkWeight ?? 1,
 	});
+	const leavingReports = createLeavingReports({ports: dependencies.ports, store, directory, delivery, schedulers});
 	const entryService = createEntryService({
 		ports: dependencies.ports,
 		directory,
@@ -141,7 +151,13 @@
 			routeTable,
 			schedulers,
 		}),
-		peerHandlers: createPeerHandlers({replicator, probeHandlers: membership.peerHandlers}),
+		peerHandlers: createPeerHandlers({
+			replicator,
+			probeHandlers: membership.peerHandlers,
+			store,
+			schedulers,
+			ports: dependencies.ports,
+		}),
 		handleCall: async (call, signal) =>
 			callTracker.track(async () => entryService.handleCall(call, signal), signal, callTracker.refuseNewCalls()),
 		handleForwardedCall: async (forwarded, signal) =>
@@ -150,7 +166,12 @@
 		isCatalogueReady: replicator.isReady,
 		isReady: () => replicator.isReady() && !callTracker.isDraining(),
 		async run(signal) {
-			await Promise.all([replicator.run(signal), membership.run(signal), schedulers.run(signal)]);
+			await Promise.all([
+				replicator.run(signal),
+				membership.run(signal),
+				schedulers.run(signal),
+				leavingReports.run(signal),
+			]);
 		},
 		async drain(options) {
 			const controller = new AbortController();
--- a/packages/core/src/node/peer-handlers.ts
+++ b/packages/core/src/node/peer-handlers.ts
@@ -1,13 +1,22 @@
 import type {CatalogueReplicator} from '../catalogue/catalogue-replicator.js';
+import type {CatalogueStore} from '../catalogue/catalogue-store.js';
+import {DEFAULT_HEALTH_OPTIONS} from '../health/health-options.js';
+import {LeavingSign} from '../health/leaving-sign.js';
+import {testTarget} from '../health/path-check.js';
 import type {ProbeHandlers} from '../membership/probe-handlers.js';
 import * as ports from '../ports/index.js';
+import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
 
 /** Assembles the table of handlers for peers' control messages. */
 export const createPeerHandlers = (dependencies: {
 	replicator: Pick<CatalogueReplicator, 'pullRecords' | 'pullSnapshot'>;
 	probeHandlers: ProbeHandlers;
+	store: CatalogueStore;
+	schedulers: SchedulerRegistry;
+	ports: Pick<ports.NodePorts, 'clock' | 'targetClient'>;
 }): ports.PeerHandlers => {
-	const {replicator, probeHandlers} = dependencies;
+	const {replicator, probeHandlers, store, schedulers} = dependencies;
+	const {clock, targetClient} = dependencies.ports;
 	return {
 		...probeHandlers,
 		[ports.PeerMessageKind.PullRecords]: replicator.pullRecords,
@@ -15,7 +24,15 @@
 		[ports.PeerMessageKind.MintOperations]: async () => ({operationIds: [], detail: 'not available'}),
 		[ports.PeerMessageKind.ReadOperation]: async () => ({isExpired: false}),
 		[ports.PeerMessageKind.TakeOverOperations]: async () => ({isAccepted: false}),
-		[ports.PeerMessageKind.ReportLeavingTarget]: async () => ({}),
-		[ports.PeerMessageKind.TestTarget]: async () => ({isReached: false, latencyMs: 0}),
+		async [ports.PeerMessageKind.ReportLeavingTarget]({service, targetId}) {
+			schedulers.markTargetLeaving(service, targetId, LeavingSign.PeerReport);
+			return {};
+		},
+		async [ports.PeerMessageKind.TestTarget]({service, targetId}, signal) {
+			// Only targets of the catalogue are tested, so a peer cannot have this node contact any address.
+			const target = store.findItem(service)?.entry?.targets.find(candidate => candidate.targetId === targetId);
+			const timeoutMs = DEFAULT_HEALTH_OPTIONS.probeTimeoutMs;
+			return target ? testTarget({clock, targetClient, timeoutMs}, target, signal) : {isReached: false, latencyMs: 0};
+		},
 	};
 };
--- a/packages/core/src/scheduling/group-scheduler.ts
+++ b/packages/core/src/scheduling/group-scheduler.ts
@@ -1,6 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
 import * as groupHealth from '../health/group-health.js';
+import type {LeavingSign} from '../health/leaving-sign.js';
 import type {TargetGroup} from '../routing/target-groups.js';
 import {observeBody} from '../shared/observe-body.js';
 import {createAdmission, type CallNeed} from './admission.js';
@@ -28,7 +29,7 @@
 	/** Takes over a changed entry at once. */
 	replaceGroup(group: TargetGroup, entry: domain.CatalogueEntry): void;
 	/** Stops new work on a target that is leaving. */
-	markTargetLeaving(targetId: string): void;
+	markTargetLeaving(targetId: string, sign: LeavingSign): void;
 	describeTargets(): readonly TargetStatus[];
 	/** Number of calls waiting or in flight. */
 	activeCallCount(): number;
@@ -43,6 +44,8 @@
 	readonly group: TargetGroup;
 	readonly entry: domain.CatalogueEntry;
 	readonly options?: Partial<SchedulerOptions>;
+	/** What the group's health needs beside the ports. */
+	readonly health?: Pick<groupHealth.GroupHealthDependencies, 'directory' | 'onLeavingSeen' | 'options'>;
 };
 
 const REFUSED_RETRY_AFTER_MS = 1000;
@@ -59,7 +62,7 @@
 	let activeCallCount = 0;
 	let isClosed = false;
 	const {service} = group;
-	const health = groupHealth.createGroupHealth({group});
+	const health = groupHealth.createGroupHealth({ports: dependencies.ports, group, ...dependencies.health});
 	const serviceTimes = createServiceTimes();
 	const rateLimits = createRateLimits({clock, group, entry});
 	const budget = createRetryBudget({budgetRatio: entry.retryBudgetRatio, burstCount: options.retryBurstCount});
@@ -206,9 +209,7 @@
 
 			broker.grantNext();
 		},
-		markTargetLeaving(targetId) {
-			health.markLeaving(targetId, 'reported as leaving');
-		},
+		markTargetLeaving: health.markLeaving,
 		describeTargets: () => pool.listTargets().map(describeTarget),
 		activeCallCount: () => activeCallCount,
 		queuedCallCount: queue.totalCount,
--- a/packages/fakes/src/__tests__/scheduler-endings.test.ts
+++ b/packages/fakes/src/__tests__/scheduler-endings.test.ts
@@ -60,7 +60,7 @@
 		name: 'all targets leaving',
 		fault(bench) {
 			bench.targets.forEach(({entry}) => {
-				bench.scheduler.markTargetLeaving(entry.targetId);
+				bench.scheduler.markTargetLeaving(entry.targetId, core.LeavingSign.Entry);
 			});
 		},
 		expected: 'not-run no-target',
