--- a/packages/core/src/operations/operation-executor.ts
+++ b/packages/core/src/operations/operation-executor.ts
@@ -15,7 +15,10 @@
 export type OperationExecutorOptions = RecordTableOptions & {
 	/** Largest body of an operation, which is held in memory, in bytes. A route's lower limit goes first. */
 	readonly bodyLimitBytes: number;
-	/** How long after the caller's deadline a late answer still settles the operation, in ms. */
+	/**
+	 * How long after the caller's deadline a late answer still settles the operation, in ms. The target's slot stays taken
+	 * as long, so a longer time lets a stalled target hold up more work.
+	 */
 	readonly lateAnswerMs: number;
 	/** How long after the deadline a submission waits for an ending that is about to be known, in ms. */
 	readonly settleMarginMs: number;
@@ -23,7 +26,7 @@
 
 export const DEFAULT_OPERATION_EXECUTOR_OPTIONS: Omit<OperationExecutorOptions, keyof RecordTableOptions> = {
 	bodyLimitBytes: 1_048_576,
-	lateAnswerMs: 10_000,
+	lateAnswerMs: 5000,
 	settleMarginMs: 200,
 };
 
--- a/packages/fakes/src/__tests__/operations-identity.test.ts
+++ b/packages/fakes/src/__tests__/operations-identity.test.ts
@@ -37,7 +37,7 @@
 
 	const countExecutions = (): number =>
 		[...targets.values()].reduce((sum, target) => sum + (target.executions.get('0') ?? 0), 0);
-	return {...eventFleet, clock, first, second, call, mint, read, countExecutions};
+	return {...eventFleet, clock, targets, first, second, call, mint, read, countExecutions};
 };
 
 const COMPLETED = [Completed, undefined];
@@ -178,3 +178,32 @@
 	t.is(countExecutions(), 0);
 	t.deepEqual(describe(await forward(500)), COMPLETED);
 });
+
+// Guards against work that starts on a stopping executor after its records have been handed over, where a successor has
+// already said that it never runs.
+test('a stopping executor mints no ids, starts no new operation and finishes the running one', async t => {
+	const {clock, current, targets, call, mint, countExecutions} = await startFleet();
+	const [running, fresh] = [await mint(), await mint()];
+	const executor = current.find(node => node?.address === running.split('~')[2])!;
+	const entry = current.find(node => node !== executor)!;
+	targets.forEach(target => {
+		target.serviceTimeMs = () => 500;
+	});
+	const first = executor.node.handleCall(mark({operationId: running}), neverAborted());
+	await clock.advance(10);
+	const drained = executor.node.drain({noticeMs: 0, limitMs: 60_000});
+	await clock.advance(10);
+	t.deepEqual(describe(await call(entry, mark({operationId: fresh}))), [NotRun, Reason.OperationSealed]);
+	const minted = await executor.node.peerHandlers[core.PeerMessageKind.MintOperations](
+		{service: 'malipo', count: 1},
+		neverAborted(),
+	);
+	t.deepEqual(minted.operationIds, []);
+	const ending = await clock.runUntilSettled(first, 5000);
+	t.deepEqual(describe(ending), COMPLETED);
+	// A call is in flight until its answer has been read.
+	await readText((ending as domain.CompletedEnding).answer.body);
+	t.deepEqual(await clock.runUntilSettled(drained, 60_000), {cutCallCount: 0});
+	t.deepEqual(describe(await call(entry, mark({operationId: fresh}))), [NotRun, Reason.OperationSealed]);
+	t.is(countExecutions(), 1);
+});
