--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -156,9 +156,10 @@
 			]);
 		},
 		async drain(options) {
+			const limitAtMs = clock.monotonicMs() + options.noticeMs + options.limitMs;
 			operations.stopMinting();
 			const result = await callTracker.drain({...options, onNoticeOver: operations.seal});
-			await operations.handOver(options.limitMs);
+			await operations.handOver(Math.max(0, limitAtMs - clock.monotonicMs()));
 			return result;
 		},
 	};
--- a/packages/core/src/operations/hand-over.ts
+++ b/packages/core/src/operations/hand-over.ts
@@ -3,7 +3,7 @@
 import * as ports from '../ports/index.js';
 import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
-import type {OperationRecord} from './operation-record.js';
+import {limitDetail, type OperationRecord} from './operation-record.js';
 
 export type HandOverOptions = {
 	/** Nodes that get all records, so that the loss of one of them loses nothing. */
@@ -29,6 +29,13 @@
 /** How many nodes of an incarnation's ranking may have taken over its records. */
 const SUCCESSOR_LIMIT_COUNT = 4;
 
+/** Size of a record's answer in bytes. */
+const sizeBytes = ({answer}: ports.TransferredOperation): number =>
+	(answer?.headers ?? []).reduce(
+		(sum, [name, value]) => sum + name.length + value.length,
+		answer?.body?.byteLength ?? 0,
+	);
+
 /** What a stopped incarnation leaves behind. */
 export type Estate = Pick<ports.TakeOverOperationsRequest, 'from' | 'records' | 'forgotten' | 'remainingRetentionMs'>;
 
@@ -54,7 +61,8 @@
 
 	const state =
 		record.state === domain.OperationState.NotRun ? domain.OperationState.NotRun : domain.OperationState.Unknown;
-	return {...head, state, reason: ending?.reason ?? domain.RefusalReason.TargetLost, detail: ending?.detail};
+	const detail = limitDetail(ending?.detail ?? 'the executor stopped before the work had ended');
+	return {...head, state, reason: ending?.reason ?? domain.RefusalReason.TargetLost, detail};
 };
 
 /** Hands records to the successors. Returns how many nodes have taken over all of them. */
@@ -73,7 +81,7 @@
 		let bytes = 0;
 		return records.reduce<ports.TransferredOperation[][]>(
 			(batches, record) => {
-				const recordBytes = record.answer?.body?.byteLength ?? 0;
+				const recordBytes = sizeBytes(record);
 				const last = batches.at(-1)!;
 				const isFull = last.length >= options.batchLimitCount || bytes + recordBytes > options.batchLimitBytes;
 				if (last.length > 0 && isFull) {
--- a/packages/core/src/operations/operation-executor.ts
+++ b/packages/core/src/operations/operation-executor.ts
@@ -49,8 +49,8 @@
 	/** Starts the operation, or waits for the ending of an earlier submission. */
 	submit(submission: Submission, signal: AbortSignal): Promise<domain.CallEnding>;
 	read(identity: domain.OperationIdentity, workspace: string): ports.ReadOperationReply;
-	/** Whether any id has been minted, so that some caller may come back with one. */
-	hasMinted(): boolean;
+	/** Latest expiry of a minted id; undefined when no caller can come back with one. */
+	latestExpiryAtMs(): number | undefined;
 	stopMinting(): void;
 	/** Starts no operation from now on, for ever. */
 	seal(): void;
@@ -74,6 +74,7 @@
 	const {vmId, address, incarnationId} = dependencies.self;
 	const table = createRecordTable(options);
 	let nextSerial = 0;
+	let latestExpiryAtMs: number | undefined;
 	let isMinting = true;
 	let isSealed = false;
 
@@ -87,6 +88,7 @@
 		}
 
 		const expiresAtMs = Math.floor(clock.monotonicMs() + entry.operations.expiryMs);
+		latestExpiryAtMs = Math.max(latestExpiryAtMs ?? 0, expiresAtMs);
 		return Array.from({length: count}, () =>
 			encodeOperationId(authenticator, {
 				executor: {vmId, address, incarnationId},
@@ -277,7 +279,7 @@
 				...(isVisible && operationRecords.describeRecord(record)),
 			};
 		},
-		hasMinted: () => nextSerial > 0,
+		latestExpiryAtMs: () => latestExpiryAtMs,
 		stopMinting() {
 			isMinting = false;
 		},
--- a/packages/core/src/operations/operation-record.ts
+++ b/packages/core/src/operations/operation-record.ts
@@ -85,6 +85,12 @@
 			);
 };
 
+/** Longest explanation that is sent to other nodes, in characters. A longer one would make the whole message invalid. */
+const DETAIL_LIMIT_LENGTH = 256;
+
+/** Cuts an explanation to the length that messages between nodes accept. */
+export const limitDetail = (detail: string): string => detail.slice(0, DETAIL_LIMIT_LENGTH);
+
 /** What a caller may learn of a record without the answer's body. */
 export const describeRecord = (
 	record: Pick<OperationRecord, 'state' | 'ending'>,
@@ -96,5 +102,5 @@
 
 	return ending.outcome === domain.Outcome.Completed
 		? {state, answerStatus: ending.status}
-		: {state, reason: ending.reason, detail: ending.detail};
+		: {state, reason: ending.reason, detail: limitDetail(ending.detail)};
 };
--- a/packages/core/src/operations/operations.ts
+++ b/packages/core/src/operations/operations.ts
@@ -24,8 +24,8 @@
 const DEFAULT_SWEEP_PERIOD_MS = 10_000;
 /** Longest time for sending records to successors, in ms. */
 const HAND_OVER_LIMIT_MS = 30_000;
-/** Shortest retention at a successor, in ms, so that ids without a record are answered until they usually expire. */
-const SUCCESSOR_RETENTION_MS = 600_000;
+/** Shortest retention at a successor, in ms: callers that wait for an ending come back within this time. */
+const SUCCESSOR_RETENTION_MS = 60_000;
 
 type OperationMessageKind =
 	| ports.PeerMessageKind.MintOperations
@@ -89,12 +89,16 @@
 	const listEstates = (): handOvers.Estate[] => {
 		const nowMs = clock.monotonicMs();
 		const records = executor.table.listRecords();
-		const latestDropAtMs = Math.max(...records.map(record => record.dropAtMs).filter(Number.isFinite), nowMs);
+		// A successor has to answer until the last record may be dropped and the last id has expired.
+		const latestAtMs = records
+			.map(record => record.dropAtMs)
+			.filter(Number.isFinite)
+			.reduce((latest, dropAtMs) => Math.max(latest, dropAtMs), executor.latestExpiryAtMs() ?? nowMs);
 		const own = {
 			from: {vmId: self.vmId, address: self.address, incarnationId: self.incarnationId},
 			records: records.map(handOvers.transferRecord),
 			forgotten: executor.table.listForgotten(),
-			remainingRetentionMs: Math.max(latestDropAtMs - nowMs, SUCCESSOR_RETENTION_MS),
+			remainingRetentionMs: Math.max(latestAtMs - nowMs, SUCCESSOR_RETENTION_MS),
 		};
 		const others = takenOver
 			.listOrigins()
@@ -105,7 +109,7 @@
 				forgotten: [...origin.forgotten].map(([service, untilMs]) => ({service, untilMs})),
 				remainingRetentionMs: origin.dropAtMs - nowMs,
 			}));
-		return executor.hasMinted() ? [own, ...others] : others;
+		return executor.latestExpiryAtMs() === undefined ? others : [own, ...others];
 	};
 
 	const executeForwarded: ForwardHandler = async ({call, remainingMs}, signal) => {
--- a/packages/fakes/src/__tests__/taken-over-records.test.ts
+++ b/packages/fakes/src/__tests__/taken-over-records.test.ts
@@ -138,3 +138,19 @@
 	t.is(takenOver.read(identify(1), 'other')?.state, undefined);
 	t.is(takenOver.read(identify(1), 'w')?.state, domain.OperationState.Completed);
 });
+
+// Guards against a hand-over that other nodes refuse as a whole because one explanation is too long for the message.
+test('a transferred record keeps within the limits of the message', t => {
+	const transferred = core.transferRecord({
+		serial: 1,
+		service: 'malipo',
+		workspace: 'w',
+		fingerprint: 'f',
+		expiresAtMs: 0,
+		state: domain.OperationState.Unknown,
+		ending: domain.unknown(domain.RefusalReason.TargetLost, 'x'.repeat(5000)),
+		dropAtMs: 0,
+	});
+	t.true(transferred.detail!.length <= 256);
+	t.is(transferred.reason, domain.RefusalReason.TargetLost);
+});
