fix(peer): a repeated forwarded call proves nothing about the call

Cause: the refusal of a repeated message had the status of refusals that prove that nothing ran, so single work whose message arrived twice could be moved to a second node although the first copy was handled. Change: the refusal has status 409, which the client counts as lost.

--- a/packages/adapters/src/peer/http-peer-client.ts
+++ b/packages/adapters/src/peer/http-peer-client.ts
@@ -27,6 +27,7 @@
 	headerLimitBytes: 65_536,
 };
 
+/** Statuses with which a peer refuses a call before it is handled. 409, for a repeated message, is not one of them. */
 const REFUSED_STATUSES = new Set([400, 401, 410]);
 
 const classifyError = (error: unknown): core.PeerError => ({
--- a/packages/adapters/src/peer/peer-app.ts
+++ b/packages/adapters/src/peer/peer-app.ts
@@ -8,7 +8,7 @@
 import type {NodeBindings} from '../http/http-listener.js';
 import {writeBody} from '../http/write-body.js';
 import {decodeForwardedCall, encodeEnding, ENDING_HEADER, FORWARDED_CALL_HEADER} from './forwarded-call-codec.js';
-import {AUTHENTICATION_HEADER, type PeerEnvelope} from './peer-envelope.js';
+import {AUTHENTICATION_HEADER, type PeerEnvelope, REPLAY_REFUSAL} from './peer-envelope.js';
 import {createPeerRouter} from './peer-router.js';
 
 /** Largest control message in bytes. */
@@ -38,7 +38,7 @@
 	const opened = options.envelope.open(FORWARD_PATH, head, authentication);
 	if (opened.isErr()) {
 		options.logger.warn('forwarded call refused', {detail: opened.error});
-		refuse(outgoing, 401, opened.error);
+		refuse(outgoing, opened.error === REPLAY_REFUSAL ? 409 : 401, opened.error);
 		return;
 	}
 
--- a/packages/adapters/src/peer/peer-envelope.ts
+++ b/packages/adapters/src/peer/peer-envelope.ts
@@ -9,6 +9,12 @@
 /** Largest difference between the clocks of two nodes, in ms. */
 const TIME_WINDOW_MS = 30_000;
 
+/**
+ * Refusal of a message whose nonce is known. Unlike the other refusals it proves nothing about the call: the earlier copy
+ * may have been handled.
+ */
+export const REPLAY_REFUSAL = 'the message has been received before';
+
 /** Authenticates messages between nodes: HMAC over time, nonce, purpose and content. */
 export type PeerEnvelope = {
 	/** Value of the authentication header. */
@@ -69,7 +75,7 @@
 				return neverthrow.err(`the message is outside the time window of ${TIME_WINDOW_MS} ms`);
 			}
 
-			return rememberNonce(nonce) ? neverthrow.ok(nonce) : neverthrow.err('the message has been received before');
+			return rememberNonce(nonce) ? neverthrow.ok(nonce) : neverthrow.err(REPLAY_REFUSAL);
 		},
 		sealReply: (requestHeader, content) => authenticator.sign(joinText('reply', requestHeader, content)),
 		openReply: (requestHeader, content, header) =>
