--- a/packages/core/src/entry/group-delivery.ts
+++ b/packages/core/src/entry/group-delivery.ts
@@ -81,6 +81,11 @@
 				service: group.service,
 				groupId: group.groupId,
 				remainingMs: deadlineAtMs - clock.monotonicMs(),
+				...(scheduled.startDeadlineAtMs !== undefined && {
+					remainingStartMs: scheduled.startDeadlineAtMs - clock.monotonicMs(),
+					// A copy of the message that reaches a later run of the node must not start the work there.
+					requiredIncarnationId: node.incarnationId === '' ? undefined : node.incarnationId,
+				}),
 				call: {...call, body},
 			},
 			signal,
@@ -106,19 +111,6 @@
 		return isInTime && isBodyUnread(scheduled) && (!mayHaveArrived || isRepeatable);
 	};
 
-	/** Asks for the dispatch once, whichever node the call goes to. */
-	const askOnce = (scheduled: ScheduledCall): ScheduledCall => {
-		let isAsked = false;
-		return {
-			...scheduled,
-			beforeDispatch() {
-				const refusal = isAsked ? undefined : scheduled.beforeDispatch?.();
-				isAsked = true;
-				return refusal;
-			},
-		};
-	};
-
 	const endUndelivered = (error: ports.PeerError, mayHaveArrived: boolean): domain.CallEnding =>
 		mayHaveArrived
 			? domain.unknown(domain.RefusalReason.PeerLost, error.detail)
@@ -140,8 +132,7 @@
 
 	return {
 		rankNodes,
-		async deliver(group, given, signal) {
-			const scheduled = askOnce(given);
+		async deliver(group, scheduled, signal) {
 			let mayHaveArrived = false;
 			let error: ports.PeerError = {kind: ports.PeerErrorKind.Unreachable, detail: 'the group has no scheduling node'};
 			for (const node of rankNodes(group)) {
@@ -149,6 +140,7 @@
 					return endTruthfully(await scheduleHere(group, scheduled, signal), mayHaveArrived);
 				}
 
+				// Asked for each node, because trying an unreachable one takes time.
 				const refusal = scheduled.beforeDispatch?.();
 				if (refusal) {
 					return refusal;
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -10,10 +10,13 @@
 import {createRegionLink, type RegionLink} from '../link/region-link.js';
 import * as memberDirectory from '../membership/member-directory.js';
 import type {MembershipOptions} from '../membership/membership-options.js';
+import {createOperations, type Operations, type OperationsOptions} from '../operations/operations.js';
+import {runWithStartLimit} from '../operations/start-limit.js';
 import * as ports from '../ports/index.js';
 import {createRouteTable} from '../routing/route-table.js';
 import type {SchedulerOptions} from '../scheduling/scheduler-options.js';
 import {createSchedulerRegistry, type SchedulerRegistry} from '../scheduling/scheduler-registry.js';
+import {STOP_REASON} from '../shared/stop-reason.js';
 import {createCallTracker, type DrainResult} from './call-tracker.js';
 import {createLeavingReports} from './leaving-reports.js';
 import {createPeerHandlers} from './peer-handlers.js';
@@ -26,6 +29,7 @@
 	readonly health?: Partial<HealthOptions>;
 	readonly membership?: Partial<MembershipOptions>;
 	readonly link?: Partial<LinkOptions>;
+	readonly operations?: Partial<OperationsOptions>;
 	readonly scheduling?: Partial<SchedulerOptions>;
 };
 
@@ -39,6 +43,8 @@
 	readonly link: RegionLink;
 	readonly administration: Administration;
 	readonly peerHandlers: ports.PeerHandlers;
+	/** Mints operation ids and tells what became of an operation. */
+	readonly operations: Pick<Operations, 'mintOperations' | 'readOperation'>;
 	/**
 	 * Handles a caller's request. `signal` is aborted when the caller has gone, and also once the ending has been
 	 * delivered, so that whatever the call still holds is released.
@@ -46,6 +52,8 @@
 	handleCall(call: domain.CallRequest, signal: AbortSignal): Promise<domain.CallEnding>;
 	/** Handles a call that a peer has forwarded. */
 	handleForwardedCall(forwarded: ports.ForwardedCall, signal: AbortSignal): Promise<domain.CallEnding>;
+	/** Service whose route accepts a method and path. */
+	findService(method: string, path: string): string | undefined;
 	/** Number of calls in flight. */
 	inFlightCount(): number;
 	/** Whether the node may receive callers' requests. */
@@ -54,7 +62,10 @@
 	isCatalogueReady(): boolean;
 	/** Runs the node's tasks until `signal` is aborted. */
 	run(signal: AbortSignal): Promise<void>;
-	/** Refuses new calls after `noticeMs` and resolves when no call is in flight, or after `limitMs`. */
+	/**
+	 * Refuses new calls after `noticeMs`, waits until no call is in flight, for at most `limitMs`, and hands the records of
+	 * operations over to other nodes.
+	 */
 	drain(options: {noticeMs: number; limitMs: number}): Promise<DrainResult>;
 };
 
@@ -101,6 +112,15 @@
 		linkWeightOf: service => store.findItem(service)?.entry?.linkWeight ?? 1,
 	});
 	const leavingReports = createLeavingReports({ports: dependencies.ports, store, directory, delivery, schedulers});
+	const operations = createOperations({
+		ports: dependencies.ports,
+		directory,
+		store,
+		routeTable,
+		schedulers,
+		delivery,
+		options: settings.operations,
+	});
 	const entryService = createEntryService({
 		ports: dependencies.ports,
 		directory,
@@ -109,8 +129,8 @@
 		delivery,
 		isReady: replicator.isReady,
 		nodeGuard: settings.scheduling?.nodeGuard,
-		handleSingleWork: async () =>
-			domain.notRun(domain.RefusalReason.OperationIdRequired, 'this work runs at most once and needs an operation id'),
+		handleSingleWork: operations.requireOperationId,
+		submitOperation: operations.submit,
 	});
 	const callTracker = createCallTracker({clock});
 
@@ -126,14 +146,25 @@
 			});
 		}
 
-		const deadlineAtMs = clock.monotonicMs() + forwarded.remainingMs;
-		return scheduler.schedule({call: forwarded.call, route: route.value.route, deadlineAtMs}, signal);
+		const nowMs = clock.monotonicMs();
+		const scheduled = {call: forwarded.call, route: route.value.route, deadlineAtMs: nowMs + forwarded.remainingMs};
+		if (forwarded.remainingStartMs === undefined) {
+			return scheduler.schedule(scheduled, signal);
+		}
+
+		const startDeadlineAtMs = nowMs + forwarded.remainingStartMs;
+		// This node's catalogue may call the route repeatable by now; the sender's decision holds.
+		const single = {...scheduled.route, repeatability: domain.Repeatability.Single};
+		return runWithStartLimit(
+			{clock, scheduled: {...scheduled, route: single, startDeadlineAtMs}, startDeadlineAtMs, signal},
+			scheduler.schedule,
+		);
 	};
 
 	const forwardHandlers: Record<ports.ForwardPurpose, typeof scheduleForwardedCall> = {
 		[ports.ForwardPurpose.Schedule]: scheduleForwardedCall,
-		[ports.ForwardPurpose.Execute]: async () =>
-			domain.notRun(domain.RefusalReason.OperationIdInvalid, 'this node executes no operations yet'),
+		[ports.ForwardPurpose.Execute]: operations.executeForwarded,
+		[ports.ForwardPurpose.Consult]: operations.consultForwarded,
 	};
 
 	return {
@@ -154,14 +185,17 @@
 		peerHandlers: createPeerHandlers({
 			replicator,
 			probeHandlers: membership.peerHandlers,
+			operationHandlers: operations.peerHandlers,
 			store,
 			schedulers,
 			ports: dependencies.ports,
 		}),
+		operations,
 		handleCall: async (call, signal) =>
-			callTracker.track(async () => entryService.handleCall(call, signal), signal, callTracker.refuseNewCalls()),
+			callTracker.track(async () => entryService.handleCall(call, signal), signal, callTracker.refuseNewCalls(call)),
 		handleForwardedCall: async (forwarded, signal) =>
 			callTracker.track(async () => forwardHandlers[forwarded.purpose](forwarded, signal), signal),
+		findService: (method, path) => routeTable.findRoute(method, path).unwrapOr(undefined)?.service,
 		inFlightCount: callTracker.inFlightCount,
 		isCatalogueReady: replicator.isReady,
 		isReady: () => replicator.isReady() && !callTracker.isDraining(),
@@ -171,14 +205,18 @@
 				membership.run(signal),
 				schedulers.run(signal),
 				leavingReports.run(signal),
+				operations.run(signal),
 			]);
 		},
 		async drain(options) {
+			const limitAtMs = clock.monotonicMs() + options.noticeMs + options.limitMs;
 			const controller = new AbortController();
 			// The announcement spreads during the notice period; it must not delay the drain.
 			void membership.announceLeaving(controller.signal);
-			const result = await callTracker.drain(options);
-			controller.abort();
+			operations.stopMinting();
+			const result = await callTracker.drain({...options, onNoticeOver: operations.seal});
+			await operations.handOver(Math.max(0, limitAtMs - clock.monotonicMs()));
+			controller.abort(STOP_REASON);
 			return result;
 		},
 	};
--- a/packages/core/src/node/peer-handlers.ts
+++ b/packages/core/src/node/peer-handlers.ts
@@ -4,6 +4,7 @@
 import {LeavingSign} from '../health/leaving-sign.js';
 import {testTarget} from '../health/path-check.js';
 import type {ProbeHandlers} from '../membership/probe-handlers.js';
+import type {Operations} from '../operations/operations.js';
 import * as ports from '../ports/index.js';
 import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
 
@@ -12,18 +13,17 @@
 	replicator: Pick<CatalogueReplicator, 'pullRecords' | 'pullSnapshot'>;
 	probeHandlers: ProbeHandlers;
 	store: CatalogueStore;
+	operationHandlers: Operations['peerHandlers'];
 	schedulers: SchedulerRegistry;
 	ports: Pick<ports.NodePorts, 'clock' | 'targetClient'>;
 }): ports.PeerHandlers => {
-	const {replicator, probeHandlers, store, schedulers} = dependencies;
+	const {replicator, probeHandlers, operationHandlers, store, schedulers} = dependencies;
 	const {clock, targetClient} = dependencies.ports;
 	return {
 		...probeHandlers,
+		...operationHandlers,
 		[ports.PeerMessageKind.PullRecords]: replicator.pullRecords,
 		[ports.PeerMessageKind.PullSnapshot]: async request => replicator.pullSnapshot(request),
-		[ports.PeerMessageKind.MintOperations]: async () => ({operationIds: [], detail: 'not available'}),
-		[ports.PeerMessageKind.ReadOperation]: async () => ({isExpired: false}),
-		[ports.PeerMessageKind.TakeOverOperations]: async () => ({isAccepted: false}),
 		async [ports.PeerMessageKind.ReportLeavingTarget]({service, targetId}) {
 			schedulers.markTargetLeaving(service, targetId, LeavingSign.PeerReport);
 			return {};
--- a/packages/core/src/scheduling/scheduled-call.ts
+++ b/packages/core/src/scheduling/scheduled-call.ts
@@ -8,6 +8,11 @@
 	readonly deadlineAtMs: number;
 	/** Whether nothing of the request body has been read yet; absent means that a body counts as read. */
 	readonly isBodyUnread?: () => boolean;
+	/**
+	 * Instant on this node's monotonic clock after which the work is not started, in ms. Present for work that runs at most
+	 * once, whose `deadlineAtMs` is later so that a late answer still tells the ending.
+	 */
+	readonly startDeadlineAtMs?: number;
 	/**
 	 * Asked immediately before the first byte can reach a target. An ending refuses the dispatch. Work that runs at most
 	 * once marks its record here.
--- a/packages/measures/src/__tests__/peer-client-contract.test.ts
+++ b/packages/measures/src/__tests__/peer-client-contract.test.ts
@@ -243,13 +243,20 @@
 		workspace: 'w',
 		fingerprint: 'f',
 		state: domain.OperationState.Completed,
-		answer: {status: 200, headers: [], bodyBase64: 'x'.repeat(5 * 1024 * 1024)},
-		remainingRetentionMs: 1000,
+		answer: {status: 200, headers: [], body: new Uint8Array(5 * 1024 * 1024)},
 	};
 	const result = await harness.client.request(
 		harness.address,
 		core.PeerMessageKind.TakeOverOperations,
-		{from: {vmId: 'v', address: 'a', incarnationId: 'i'}, records: [record], isLast: true},
+		{
+			from: {vmId: 'v', address: 'a', incarnationId: 'i'},
+			senderId: 'i',
+			batchIndex: 0,
+			batchCount: 1,
+			records: [record],
+			forgotten: [],
+			remainingRetentionMs: 1000,
+		},
 		AbortSignal.timeout(REPLY_TIMEOUT_MS),
 	);
 	t.is(result._unsafeUnwrapErr().kind, Refused);
--- a/packages/measures/src/run-measure.ts
+++ b/packages/measures/src/run-measure.ts
@@ -18,6 +18,10 @@
 		const {measureRetries} = await import('./retries.js');
 		return measureRetries;
 	},
+	async operations() {
+		const {measureOperations} = await import('./operations/measure-operations.js');
+		return measureOperations;
+	},
 };
 
 await new commander.Command('measure')
