fix(operations): tell a known ending when the caller's time is up

Cause: an executor gave a body that arrived after the deadline no time at all, so a late submission got 'unknown' although the record held the ending. Change: the body may take the settle margin beyond the deadline; waiting for an open attempt still ends as before.

--- a/packages/core/src/operations/operation-admission.ts
+++ b/packages/core/src/operations/operation-admission.ts
@@ -4,6 +4,14 @@
 import type {RouteTable} from '../routing/route-table.js';
 import type {RecordTable} from './record-table.js';
 
+/** One submission of an operation. */
+export type Submission = {
+	readonly identity: domain.OperationIdentity;
+	readonly call: domain.CallRequest;
+	/** Time left until the caller's deadline, in ms. */
+	readonly remainingMs: number;
+};
+
 /** Refuses an operation for which there is no room. It is `not-run` only when the refusal can be remembered. */
 export const sealWithoutRecord = (table: RecordTable, identity: domain.OperationIdentity): domain.CallEnding => {
 	const detail = 'the executor holds too many operations';
--- a/packages/core/src/operations/operation-executor.ts
+++ b/packages/core/src/operations/operation-executor.ts
@@ -33,28 +33,20 @@
 /** Retention of a record whose service has no entry, in ms. */
 const FALLBACK_RETENTION_MS = 600_000;
 
-/** One submission of an operation. */
-export type Submission = {
-	readonly identity: domain.OperationIdentity;
-	readonly call: domain.CallRequest;
-	/** Time left until the caller's deadline, in ms. */
-	readonly remainingMs: number;
-};
-
 /** Runs the operations whose ids name this incarnation, each at most once. */
 export type OperationExecutor = {
 	readonly table: RecordTable;
 	/** Mints ids; empty when the service is unknown or this node is stopping. */
 	mint(service: string, count: number): readonly string[];
 	/** Starts the operation, or waits for the ending of an earlier submission. */
-	submit(submission: Submission, signal: AbortSignal): Promise<domain.CallEnding>;
+	submit(submission: admission.Submission, signal: AbortSignal): Promise<domain.CallEnding>;
 	read(identity: domain.OperationIdentity, workspace: string): ports.ReadOperationReply;
 	/** Latest expiry of a minted id; undefined when no caller can come back with one. */
 	latestExpiryAtMs(): number | undefined;
 	stopMinting(): void;
 	/** Starts no operation from now on, for ever. */
 	seal(): void;
-	/** Resolves when no attempt is open, or when `signal` is aborted. */
+	/** Resolves when no attempt is open or `signal` is aborted. */
 	waitUntilIdle(signal: AbortSignal): Promise<void>;
 };
 
@@ -173,7 +165,7 @@
 		return ending;
 	};
 
-	const openRecord = (submission: Submission, fingerprint: string, body: Uint8Array): Opened => {
+	const openRecord = (submission: admission.Submission, fingerprint: string, body: Uint8Array): Opened => {
 		const {identity, call} = submission;
 		const found = routeTable.findRoute(call.method, call.path);
 		const refusal = admission.refuseStart({table, identity, nowMs: clock.monotonicMs(), isSealed});
@@ -246,7 +238,9 @@
 		async submit(submission, signal) {
 			const {identity, call, remainingMs} = submission;
 			const untilMs = clock.monotonicMs() + remainingMs + options.settleMarginMs;
-			const read = await runWithTimeout({clock, timeoutMs: remainingMs, signal}, async () =>
+			// Even with no time left, the ending of an earlier submission can be told.
+			const timeoutMs = Math.max(0, remainingMs) + options.settleMarginMs;
+			const read = await runWithTimeout({clock, timeoutMs, signal}, async () =>
 				bufferBody(call.body, options.bodyLimitBytes),
 			);
 			if (read.isTimedOut || read.value.isErr()) {
--- a/packages/fakes/src/__tests__/operations-identity.test.ts
+++ b/packages/fakes/src/__tests__/operations-identity.test.ts
@@ -207,3 +207,36 @@
 	t.deepEqual(describe(await call(entry, mark({operationId: fresh}))), [NotRun, Reason.OperationSealed]);
 	t.is(countExecutions(), 1);
 });
+
+// Guards against `unknown` for an ending that the executor knows, when the way there took all of the caller's time, and
+// against a start after that time.
+test('a submission whose time is up gets a known ending and starts nothing', async t => {
+	const {clock, current, call, mint, first, countExecutions} = await startFleet();
+	const [known, fresh] = [await mint(), await mint()];
+	t.deepEqual(describe(await call(first, mark({operationId: known}))), COMPLETED);
+	const executor = current.find(node => node?.address === known.split('~')[2])!;
+	const slowBody: domain.BodyStream = {
+		async *[Symbol.asyncIterator]() {
+			await clock.sleep(50);
+			yield encoder.encode('mark');
+		},
+	};
+	const execute = async (operationId: string) =>
+		clock.runUntilSettled(
+			executor.node.handleForwardedCall(
+				{
+					purpose: core.ForwardPurpose.Execute,
+					service: 'malipo',
+					groupId: '',
+					remainingMs: -300,
+					call: mark({operationId, body: slowBody}),
+				},
+				neverAborted(),
+			),
+			5000,
+		);
+	t.deepEqual(describe(await execute(known)), COMPLETED);
+	t.deepEqual(describe(await execute(fresh)), [NotRun, Reason.DeadlineExceeded]);
+	t.deepEqual(describe(await call(first, mark({operationId: fresh}))), [NotRun, Reason.DeadlineExceeded]);
+	t.is(countExecutions(), 1);
+});
