perf(membership): keep the probed members of each region and hash addresses once

Each probe filtered all members and hashed their addresses three times, which made the cost of a probe grow with the fleet. The table now keeps the probed members of a region until one changes, and a member's hash. A change of state is logged once, also when several tasks find it.

--- a/packages/adapters/src/peer/peer-message-schemas.ts
+++ b/packages/adapters/src/peer/peer-message-schemas.ts
@@ -87,3 +87,9 @@
 		reply: zod.object({isReached: zod.boolean(), latencyMs: zod.number()}),
 	},
 };
+
+/** Encodes a message for the wire, without its envelope. Throws when it is malformed. */
+export const encodePeerMessage = (kind: core.PeerMessageKind, content: unknown, isReply: boolean): unknown => {
+	const schema: zod.ZodType = PEER_MESSAGE_SCHEMAS[kind][isReply ? 'reply' : 'request'];
+	return zod.encode(schema, content);
+};
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -1,10 +1,13 @@
 import * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
+import {hashString} from '../routing/rendezvous-ranking.js';
 import {createEligibleNodes, type EligibleNodes} from './eligible-nodes.js';
 import type {UpdateQueue} from './update-queue.js';
 
 /** A member as this node knows it. */
 export type Member = domain.MemberUpdate & {
+	/** Hash of the address, by which rings order members. */
+	readonly addressHash: number;
 	/** Whether the VM list shows the member's VM. */
 	isListed: boolean;
 	/** When this node last learned something new, on its monotonic clock, in ms. */
@@ -21,6 +24,8 @@
 	self(): domain.MemberUpdate;
 	findMember(address: string): Member | undefined;
 	list(): readonly Member[];
+	/** Members of a region that take part in probing. */
+	listProbed(region: string): readonly Member[];
 	count(): number;
 	/** Takes over an update when it is newer than what is known, and queues it for spreading. */
 	apply(update: domain.MemberUpdate): void;
@@ -50,6 +55,17 @@
 	[domain.MemberState.Unheard]: false,
 };
 
+/** States in which a member takes part in probing. */
+const IS_PROBED: Record<domain.MemberState, boolean> = {
+	[domain.MemberState.Alive]: true,
+	[domain.MemberState.Suspect]: true,
+	[domain.MemberState.Leaving]: false,
+	[domain.MemberState.Dead]: false,
+	[domain.MemberState.Unheard]: false,
+};
+
+export const isProbed = (member: Member): boolean => IS_PROBED[member.state];
+
 /** Statements that a running member contradicts. */
 const IS_REFUTED: Record<domain.MemberState, boolean> = {
 	[domain.MemberState.Alive]: false,
@@ -78,14 +94,21 @@
 	const {clock, queue} = dependencies;
 	const members = new Map<string, Member>();
 	const eligible = createEligibleNodes();
+	/** Derived from `members`, and dropped whenever a member of the region changes. */
+	const probedByRegion = new Map<string, readonly Member[]>();
 	let self: domain.MemberUpdate = {
 		node: dependencies.self,
 		state: domain.MemberState.Alive,
 		refutationCount: Math.max(0, Math.floor(clock.wallMs())),
 	};
 
-	const store = (member: Member): void => {
-		members.set(member.node.address, member);
+	const store = (given: Omit<Member, 'addressHash'>): void => {
+		const {address, region} = given.node;
+		const known = members.get(address);
+		const member = {...given, addressHash: known?.addressHash ?? hashString(address)};
+		members.set(address, member);
+		probedByRegion.delete(region);
+		probedByRegion.delete(known?.node.region ?? region);
 		if (IS_ELIGIBLE[member.state]) {
 			eligible.add(member.node);
 		} else {
@@ -116,6 +139,13 @@
 		self: () => self,
 		findMember: address => members.get(address),
 		list: () => [...members.values()],
+		listProbed(region) {
+			const probed =
+				probedByRegion.get(region) ??
+				[...members.values()].filter(member => member.node.region === region && isProbed(member));
+			probedByRegion.set(region, probed);
+			return probed;
+		},
 		count: () => members.size,
 		apply(update) {
 			if (update.node.address === self.node.address) {
@@ -153,6 +183,7 @@
 			const member = members.get(address);
 			if (member) {
 				members.delete(address);
+				probedByRegion.delete(member.node.region);
 				eligible.remove(member.node);
 			}
 		},
--- a/packages/core/src/membership/member-verifier.ts
+++ b/packages/core/src/membership/member-verifier.ts
@@ -3,8 +3,8 @@
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import type {MemberExchange} from './member-exchange.js';
 import type {MembershipOptions} from './membership-options.js';
-import type {MemberTable} from './member-table.js';
-import {isProbed, listRingSuccessors} from './probe-rings.js';
+import {isProbed, type MemberTable} from './member-table.js';
+import {listRingSuccessors} from './probe-rings.js';
 
 export enum Verification {
 	/** The member replied, to this node or to a helper. */
@@ -83,9 +83,7 @@
 		const self = table.self().node.address;
 		const isHelper = (node: domain.NodeDescription): boolean =>
 			node.address !== self && node.address !== subject.address;
-		const members = table.list().filter(isProbed);
-		const neighbours = members.filter(member => member.node.region === subject.region);
-		const peers = listRingSuccessors(neighbours, subject.address, {
+		const peers = listRingSuccessors(table.listProbed(subject.region), subject.address, {
 			ringCount: options.regionPeerCount,
 			period: ringPeriod(),
 		}).filter(isHelper);
@@ -93,7 +91,11 @@
 			return peers;
 		}
 
-		const others = members.map(member => member.node).filter(isHelper);
+		const others = table
+			.list()
+			.filter(isProbed)
+			.map(member => member.node)
+			.filter(isHelper);
 		const start = Math.floor(random.fraction() * others.length);
 		return [...others.slice(start), ...others.slice(0, start)].slice(0, SUBSTITUTE_HELPER_COUNT);
 	};
--- a/packages/core/src/membership/member-watcher.ts
+++ b/packages/core/src/membership/member-watcher.ts
@@ -2,9 +2,9 @@
 import type * as ports from '../ports/index.js';
 import type {MembershipOptions} from './membership-options.js';
 import {toUpdate} from './member-exchange.js';
-import type {Member, MemberTable} from './member-table.js';
+import {isProbed, type Member, type MemberTable} from './member-table.js';
 import {Verification, type MemberVerifier} from './member-verifier.js';
-import {findRingSuccessor, isProbed} from './probe-rings.js';
+import {findRingSuccessor} from './probe-rings.js';
 
 /** The tasks that probe peers. */
 export type MemberWatcher = {
@@ -48,21 +48,23 @@
 
 	const pickAtRandom = <T>(items: readonly T[]): T | undefined => items[Math.floor(random.fraction() * items.length)];
 
-	const listRegion = (region: string): Member[] =>
-		table.list().filter(member => member.node.region === region && isProbed(member));
-
 	const findRingPeer = (ring: number): domain.NodeDescription | undefined =>
-		findRingSuccessor(listRegion(self.region), self.address, `${verifier.ringPeriod()}/${ring}`);
+		findRingSuccessor(table.listProbed(self.region), self.address, `${verifier.ringPeriod()}/${ring}`);
 
 	/**
 	 * A region judges its own members. Otherwise a cut between regions would make each side declare the other dead, member
 	 * by member, and spread it all.
 	 */
 	const mayJudge = (member: Member): boolean =>
-		member.node.region === self.region || !member.isListed || listRegion(member.node.region).length === 1;
+		member.node.region === self.region || !member.isListed || table.listProbed(member.node.region).length === 1;
 
 	const changeState = (member: Member, state: domain.MemberState): void => {
 		table.apply({...toUpdate(member), state});
+		// Another of this node's tasks may have come to the same result before.
+		if (table.findMember(member.node.address) === member) {
+			return;
+		}
+
 		logger.info('member state changed', {address: member.node.address, state});
 	};
 
@@ -141,7 +143,7 @@
 			]);
 		},
 		async announce(signal) {
-			const peers = listRegion(self.region).filter(member => member.node.address !== self.address);
+			const peers = table.listProbed(self.region).filter(member => member.node.address !== self.address);
 			const strangers = listStrangers();
 			const chosen = Array.from({length: options.announcementCount}, (_, index) =>
 				pickAtRandom(index === 0 && strangers.length > 0 ? strangers : peers),
--- a/packages/core/src/membership/probe-rings.ts
+++ b/packages/core/src/membership/probe-rings.ts
@@ -1,22 +1,11 @@
-import * as domain from '@bilberrydoor/domain';
+import type * as domain from '@bilberrydoor/domain';
 import {hashString, mixHashes} from '../routing/rendezvous-ranking.js';
 import type {Member} from './member-table.js';
 
-/** States in which a member takes part in probing. */
-const IS_PROBED: Record<domain.MemberState, boolean> = {
-	[domain.MemberState.Alive]: true,
-	[domain.MemberState.Suspect]: true,
-	[domain.MemberState.Leaving]: false,
-	[domain.MemberState.Dead]: false,
-	[domain.MemberState.Unheard]: false,
-};
-
-export const isProbed = (member: Member): boolean => IS_PROBED[member.state];
-
 const RANGE = 2 ** 32;
 
 /**
- * Finds the member that follows `address` on a ring that `salt` determines. Each member has one successor and one
+ * Finds the probed member that follows `address` on a ring that `salt` determines. Each member has one successor and one
  * predecessor on a ring, so with k rings each is probed by k others, and the union of the rings spreads updates quickly.
  */
 export const findRingSuccessor = (
@@ -25,17 +14,14 @@
 	salt: string,
 ): domain.NodeDescription | undefined => {
 	const saltHash = hashString(salt);
-	const place = (candidate: string): number => mixHashes(hashString(candidate), saltHash);
-	const own = place(address);
+	const own = mixHashes(hashString(address), saltHash);
 	let best: Member | undefined;
 	let bestDistance = Infinity;
 	members.forEach(member => {
-		if (member.node.address !== address && isProbed(member)) {
-			const distance = (place(member.node.address) - own + RANGE) % RANGE;
-			if (distance < bestDistance) {
-				best = member;
-				bestDistance = distance;
-			}
+		const distance = (mixHashes(member.addressHash, saltHash) - own + RANGE) % RANGE;
+		if (distance < bestDistance && member.node.address !== address) {
+			best = member;
+			bestDistance = distance;
 		}
 	});
 	return best?.node;
