test(peer): let the peer decide when the caller gives up

The contract cases gave up after 1 s of real time, and 11 of them failed when the whole suite ran on a busy machine. The caller now gives up when the peer has the message, so no case depends on real time.

--- a/packages/measures/src/__tests__/peer-harness.ts
+++ b/packages/measures/src/__tests__/peer-harness.ts
@@ -31,6 +31,10 @@
 	readonly client: core.PeerClient;
 	readonly address: string;
 	readonly handledCount: () => number;
+	/** Aborted when the caller gives up. */
+	readonly signal: AbortSignal;
+	/** Makes the caller give up, as its time limit would. */
+	giveUp(): void;
 	/** Ends the peer's process as seen from outside. */
 	kill(): void;
 	close(): Promise<void>;
@@ -122,16 +126,24 @@
 	const app = adapters.createPeerApp({node, envelope, logger: fakes.createSilentLogger()});
 	const listener = await adapters.startHttpListener(app, {headerLimitBytes: 65_536});
 	upstreamPort = adapters.splitAddress(listener.address).port;
-	const client = adapters.createHttpPeerClient(createEnvelope(fault.clientKeys ?? [NEW_KEY], fault));
+	const client = adapters.createHttpPeerClient(createEnvelope(fault.clientKeys ?? [NEW_KEY], fault), {
+		// The default of 500 ms is too short for a machine on which all tests start at once.
+		connectTimeoutMs: 20_000,
+	});
 	const kill = (): void => {
 		proxy.close();
 		listener.destroy();
 	};
 
+	const controller = new AbortController();
 	const harness: PeerHarness = {
 		client,
 		address,
 		handledCount: () => handledCount,
+		signal: controller.signal,
+		giveUp() {
+			controller.abort();
+		},
 		kill,
 		async close() {
 			await client.close();
@@ -160,11 +172,20 @@
 		network.addNode('peer:1', {host, node});
 	}
 
+	const controller = new AbortController();
 	const harness: PeerHarness = {
 		client: network.createPeerClient('client:1', fakes.createFakeHost()),
 		address: 'peer:1',
 		handledCount: () => handledCount,
-		kill: host.kill,
+		signal: controller.signal,
+		giveUp() {
+			controller.abort();
+		},
+		kill() {
+			host.kill();
+			// The fake network does not report a broken connection, so only the caller's time limit ends the exchange.
+			controller.abort();
+		},
 		async close() {
 			host.kill();
 		},
