test(membership): cover a restart whose clock is behind

The start time orders the runs on one address, so a clock that is behind makes the previous run look newer. The test shows that the node raises its own count and that all nodes end with its present run. It passes without a change.

--- a/packages/fakes/src/__tests__/membership.test.ts
+++ b/packages/fakes/src/__tests__/membership.test.ts
@@ -291,3 +291,26 @@
 	t.is(fleet.nodes[0]!.node.directory.highestKnownOffset(), 0);
 	t.is(fleet.nodes[0]!.node.directory.appliedOffsetOf('n1:1'), 0);
 });
+
+// Guards against a restarted node whose clock is behind, so that its previous run seems newer and keeps its place.
+test('membership: a restart with a clock that is behind still replaces the previous run', async t => {
+	const fleet = await startFleet(33, 3);
+	const [subject, peer] = fleet.nodes;
+	const previous: domain.MemberUpdate = {
+		node: {...subject!.node.self, incarnationId: 'previous'},
+		state: Alive,
+		refutationCount: 1_000_000_000_000,
+	};
+	const request = {
+		sender: {node: peer!.node.self, state: Alive, refutationCount: 0},
+		appliedOffset: -1,
+		silenceMs: 0,
+		updates: [previous],
+	};
+	const {signal} = new AbortController();
+	await peer!.node.peerHandlers.probe(request, signal);
+	const reply = await subject!.node.peerHandlers.probe(request, signal);
+	t.is(reply.responder.refutationCount, previous.refutationCount + 1);
+	await fleet.clock.advance(MINUTE_MS);
+	t.true(isWhole(fleet));
+});
