--- a/packages/measures/src/run-measure.ts
+++ b/packages/measures/src/run-measure.ts
@@ -5,23 +5,14 @@
 
 /** The measurements by name. Each is loaded only when it is run. */
 const MEASURES: Readonly<Record<string, () => Promise<Measure>>> = {
+	blocking: async () => (await import('./blocking.js')).measureBlocking,
+	catalogue: async () => (await import('./CATALOGUE.js')).measureCatalogue,
+	crest: async () => (await import('./crest.js')).measureCrest,
+	detection: async () => (await import('./detection/measure-detection.js')).measureDetection,
+	membership: async () => (await import('./membership.js')).measureMembership,
+	operations: async () => (await import('./operations/measure-operations.js')).measureOperations,
 	overhead: async () => (await import('./overhead/measure-overhead.js')).measureOverhead,
-	async blocking() {
-		const {measureBlocking} = await import('./blocking.js');
-		return measureBlocking;
-	},
-	async crest() {
-		const {measureCrest} = await import('./crest.js');
-		return measureCrest;
-	},
-	async retries() {
-		const {measureRetries} = await import('./retries.js');
-		return measureRetries;
-	},
-	async operations() {
-		const {measureOperations} = await import('./operations/measure-operations.js');
-		return measureOperations;
-	},
+	retries: async () => (await import('./retries.js')).measureRetries,
 };
 
 await new commander.Command('measure')
--- a/packages/stand-ins/src/vm-list/vm-list-app.ts
+++ b/packages/stand-ins/src/vm-list/vm-list-app.ts
@@ -1,5 +1,6 @@
 import type * as adapters from '@bilberrydoor/adapters';
 import * as hono from 'hono';
+import * as honoEtag from 'hono/etag';
 
 /** One VM of the list. */
 export type ListedVm = {
@@ -39,7 +40,7 @@
 		laggingVms = vms;
 		return context.json({fault});
 	});
-	app.get('/vms', context => {
+	app.get('/vms', honoEtag.etag(), context => {
 		const visible = visibleVms[fault]();
 		return visible ? context.json({vms: visible}) : context.json({error: 'unavailable'}, 503);
 	});
