--- a/packages/core/src/catalogue/catalogue-feed.ts
+++ b/packages/core/src/catalogue/catalogue-feed.ts
@@ -35,7 +35,7 @@
 };
 
 /** Splits snapshots once, however many peers pull them. */
-const createSnapshotShelf = (store: CatalogueStore, codec: ports.CatalogueCodec) => {
+const createSnapshotShelf = (store: CatalogueStore) => {
 	let shelf: Array<{readonly parts: readonly domain.SnapshotPart[]}> = [];
 	const openNewest = (): readonly domain.SnapshotPart[] => {
 		const known = shelf.find(({parts}) => parts[0]!.offset === store.appliedOffset());
@@ -43,7 +43,7 @@
 			return known.parts;
 		}
 
-		const parts = splitSnapshot(store.takeSnapshot(), codec);
+		const parts = splitSnapshot(store.takeSnapshot(), store.measureItem);
 		shelf = [{parts}, ...shelf].slice(0, SERVED_SNAPSHOT_LIMIT_COUNT);
 		return parts;
 	};
@@ -65,7 +65,7 @@
 	const {clock, catalogueCodec, metrics} = dependencies.ports;
 	const buffer = createRecordBuffer(catalogueCodec);
 	const gate = createChangeGate(clock);
-	const findPart = createSnapshotShelf(store, catalogueCodec);
+	const findPart = createSnapshotShelf(store);
 	const listeners: Array<(result: EditResult) => void> = [];
 	let freshness = ports.RelayFreshness.Stale;
 
--- a/packages/core/src/catalogue/catalogue-store.ts
+++ b/packages/core/src/catalogue/catalogue-store.ts
@@ -40,6 +40,8 @@
 	/** Takes over a snapshot when it is newer than the applied offset and its digest is right. */
 	applySnapshot(snapshot: domain.CatalogueSnapshot): boolean;
 	takeSnapshot(): domain.CatalogueSnapshot;
+	/** Size of an item in characters of canonical text. Also prepares the item's digest for a later verification. */
+	measureItem(item: domain.CatalogueItem): number;
 	findItem(service: string): domain.CatalogueItem | undefined;
 	listItems(): readonly domain.CatalogueItem[];
 	/** Fate of a recent edit; absent when the id is unknown or too old. */
@@ -84,27 +86,31 @@
 	return {service, revision, editId, author, ...(entry && {entry}), history};
 };
 
-/** Digests snapshots. The digest of each item is computed once, so that a snapshot costs no serialization. */
-const createSnapshotDigest = ({
+/** Digest and size of an item. */
+type ItemMeasure = {readonly digest: string; readonly sizeCharacters: number};
+
+/**
+ * Measures each item once, when it arrives. Serializing 54 MB of items at once would stop the node for about 2.5 s.
+ */
+const createItemMeasure = ({
 	authenticator,
 	codec,
 }: {
 	authenticator: ports.Authenticator;
 	codec: ports.CatalogueCodec;
-}) => {
-	const itemDigests = new WeakMap<domain.CatalogueItem, string>();
-	const digestItem = (item: domain.CatalogueItem): string => {
-		const digest = itemDigests.get(item) ?? authenticator.digest([codec.serializeItem(item)]);
-		itemDigests.set(item, digest);
-		return digest;
-	};
+}): ((item: domain.CatalogueItem) => ItemMeasure) => {
+	const measures = new WeakMap<domain.CatalogueItem, ItemMeasure>();
+	return item => {
+		const known = measures.get(item);
+		if (known) {
+			return known;
+		}
 
-	return (snapshot: Omit<domain.CatalogueSnapshot, 'digest'>): string =>
-		authenticator.digest([
-			String(snapshot.offset),
-			...snapshot.items.map(digestItem),
-			...snapshot.recentEdits.map(describeFate),
-		]);
+		const text = codec.serializeItem(item);
+		const measure = {digest: authenticator.digest([text]), sizeCharacters: text.length};
+		measures.set(item, measure);
+		return measure;
+	};
 };
 
 export const createCatalogueStore = (dependencies: {
@@ -117,15 +123,23 @@
 	const fates = createFateMemory(options.recentEditLimitCount);
 	const contents: RevisionContents = createRevisionContents(options.contentLimitCount);
 	const listeners: CatalogueListener[] = [];
-	const digestSnapshot = createSnapshotDigest(dependencies);
+	const measureItem = createItemMeasure(dependencies);
 	let appliedOffset = -1;
 
+	const digestSnapshot = (snapshot: Omit<domain.CatalogueSnapshot, 'digest'>): string =>
+		dependencies.authenticator.digest([
+			String(snapshot.offset),
+			...snapshot.items.map(item => measureItem(item).digest),
+			...snapshot.recentEdits.map(describeFate),
+		]);
+
 	const replaceItem = (item: domain.CatalogueItem): void => {
 		const replaced = items.get(item.service);
 		if (replaced) {
 			contents.keep(replaced);
 		}
 
+		measureItem(item);
 		items.set(item.service, item);
 		listeners.forEach(listener => {
 			listener(item.service, item.entry);
@@ -199,6 +213,7 @@
 			const content = {offset: appliedOffset, items: listItems(), recentEdits: fates.list()};
 			return {...content, digest: digestSnapshot(content)};
 		},
+		measureItem: item => measureItem(item).sizeCharacters,
 		findItem: service => items.get(service),
 		listItems,
 		findFate: fates.find,
--- a/packages/core/src/catalogue/snapshot-parts.ts
+++ b/packages/core/src/catalogue/snapshot-parts.ts
@@ -1,5 +1,5 @@
 import type * as domain from '@bilberrydoor/domain';
-import type * as ports from '../ports/index.js';
+import type {CatalogueStore} from './catalogue-store.js';
 
 /**
  * Size of a part in characters of canonical text. A part crosses a region link of 30 Mbit/s in less than 0.1 s, and a
@@ -30,10 +30,10 @@
 /** Splits a snapshot into bounded parts, always at least one. */
 export const splitSnapshot = (
 	snapshot: domain.CatalogueSnapshot,
-	codec: ports.CatalogueCodec,
+	measureItem: CatalogueStore['measureItem'],
 	limitCharacters = SNAPSHOT_PART_LIMIT_CHARACTERS,
 ): domain.SnapshotPart[] => {
-	const itemChunks = chunkByWeight(snapshot.items, item => codec.serializeItem(item).length, limitCharacters);
+	const itemChunks = chunkByWeight(snapshot.items, measureItem, limitCharacters);
 	const editChunks = chunkByWeight(snapshot.recentEdits, () => 1, PART_EDIT_LIMIT_COUNT);
 	const contents = [
 		...itemChunks.map(items => ({items, recentEdits: []})),
--- a/packages/core/src/catalogue/snapshot-recovery.ts
+++ b/packages/core/src/catalogue/snapshot-recovery.ts
@@ -13,14 +13,14 @@
 	readonly peerCount: number;
 	/** Longest wait for one answer, in ms. A part takes about 70 ms on a link of 30 Mbit/s. */
 	readonly timeoutMs: number;
-	/** Records read from the log at once. */
+	/** Records read from the log at once. A snapshot part takes about 40 ms to validate, and calls wait meanwhile. */
 	readonly readLimitCount: number;
 };
 
 export const DEFAULT_SNAPSHOT_RECOVERY_OPTIONS: SnapshotRecoveryOptions = {
 	peerCount: 6,
 	timeoutMs: 3000,
-	readLimitCount: 16,
+	readLimitCount: 4,
 };
 
 /** What peers had to offer. */
@@ -105,6 +105,7 @@
 				return undefined;
 			}
 
+			next.part.items.forEach(store.measureItem);
 			parts.push(next.part);
 		}
 
@@ -158,6 +159,7 @@
 		let edits: domain.LoggedRecord[] = [];
 
 		const applyWhole = (part: {offset: number; part: domain.SnapshotPart}): boolean => {
+			part.part.items.forEach(store.measureItem);
 			const found = collector.add(part);
 			const leadsOn = found !== undefined && found.snapshot.offset + 1 >= firstOffset;
 			if (!leadsOn || !feed.applySnapshot(found.snapshot)) {
--- a/packages/core/src/catalogue/snapshot-writer.ts
+++ b/packages/core/src/catalogue/snapshot-writer.ts
@@ -51,7 +51,7 @@
 	options?: Partial<SnapshotWriterOptions>;
 }): SnapshotWriter => {
 	const {store, tail, tree, append, selfAddress} = dependencies;
-	const {catalogueCodec, clock, logger, random} = dependencies.ports;
+	const {clock, logger, random} = dependencies.ports;
 	const options = {...DEFAULT_SNAPSHOT_WRITER_OPTIONS, ...dependencies.options};
 	const backOff = createBackOff({random, firstMs: 500, limitMs: 30_000});
 
@@ -81,7 +81,7 @@
 	};
 
 	const writeSnapshot = async (signal: AbortSignal): Promise<void> => {
-		const parts = splitSnapshot(store.takeSnapshot(), catalogueCodec);
+		const parts = splitSnapshot(store.takeSnapshot(), store.measureItem);
 		for (const part of parts) {
 			await appendPart(part, signal);
 		}
--- a/packages/fakes/src/__tests__/catalogue-store.test.ts
+++ b/packages/fakes/src/__tests__/catalogue-store.test.ts
@@ -101,7 +101,7 @@
 		);
 		const whole = createStore();
 		applyAll(whole, edits.slice(0, 30));
-		const parts = core.splitSnapshot(whole.takeSnapshot(), codec, 1);
+		const parts = core.splitSnapshot(whole.takeSnapshot(), whole.measureItem, 1);
 		applyAll(whole, edits.slice(30), 30);
 		// Two writers append the same parts in any order.
 		const collector = core.createSnapshotCollector();
@@ -127,3 +127,20 @@
 	t.is(store.findContent('ratiba', 20), undefined);
 	t.is(store.findFate('e0'), undefined);
 });
+
+// Guards against a snapshot that serializes the whole catalogue at once, which stopped a node for seconds.
+test('each item is serialized once, when it is applied', t => {
+	let count = 0;
+	const counting: core.CatalogueCodec = {
+		serializeItem(item) {
+			count++;
+			return JSON.stringify(item);
+		},
+	};
+	const store = core.createCatalogueStore({authenticator: createFakeAuthenticator(), codec: counting});
+	applyAll(store, [buildEdit('a', 0, 's1'), buildEdit('b', 0, 's2')]);
+	const snapshot = store.takeSnapshot();
+	t.is(core.splitSnapshot(snapshot, store.measureItem, 1).length, 3);
+	t.true(store.verifySnapshot(snapshot));
+	t.is(count, 2);
+});
