perf(scheduling): free slots when targets have sent their answers

Cause: a slot stayed taken until the caller had read the answer, so the path to a caller in another region, or a slow phone, used up slots. Change: up to 64 KiB of an answer are read ahead of its caller.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,5 +19,6 @@
 export * from './scheduling/scheduler-registry.js';
 export * from './shared/limit-body.js';
 export * from './shared/observe-body.js';
+export * from './shared/read-ahead.js';
 export * from './shared/run-with-timeout.js';
 export * from './shared/track-reading.js';
--- a/packages/core/src/scheduling/call-runner.ts
+++ b/packages/core/src/scheduling/call-runner.ts
@@ -1,5 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import {readAhead} from '../shared/read-ahead.js';
 import {AttemptEnd, type AttemptOutcome, type AttemptRunner} from './attempt.js';
 import {createResendableBody, type ResendableBody} from './resendable-body.js';
 import type {RetryBudget} from './retry-budget.js';
@@ -128,7 +129,9 @@
 
 	const endCall = (state: CallState, outcome: AttemptOutcome): domain.CallEnding => {
 		if (outcome.answer && outcome.end !== AttemptEnd.Refused) {
-			return domain.completed(outcome.answer);
+			// The slot is free when the target has sent its answer, and not only when a slow caller has read it.
+			const body = readAhead(outcome.answer.body, options.answerReadAheadBytes);
+			return domain.completed({...outcome.answer, body});
 		}
 
 		outcome.discard();
--- a/packages/core/src/scheduling/scheduler-options.ts
+++ b/packages/core/src/scheduling/scheduler-options.ts
@@ -18,6 +18,8 @@
 	readonly retryBurstCount: number;
 	/** Largest request body that is kept for resending, in bytes. */
 	readonly resendLimitBytes: number;
+	/** Part of an answer that is read before its caller asks for it, in bytes. */
+	readonly answerReadAheadBytes: number;
 	/** Longest time for the body of an answer after its head, in ms. */
 	readonly answerBodyTimeoutMs: number;
 	readonly adaptiveLimit: AdaptiveLimitOptions;
@@ -54,6 +56,7 @@
 	attemptTimeoutFloorMs: 50,
 	retryBurstCount: 100,
 	resendLimitBytes: 65_536,
+	answerReadAheadBytes: 65_536,
 	// The longest deadline that an entry may have.
 	answerBodyTimeoutMs: 600_000,
 	adaptiveLimit: {
--- a/packages/fakes/src/__tests__/scheduler-queues.test.ts
+++ b/packages/fakes/src/__tests__/scheduler-queues.test.ts
@@ -2,6 +2,7 @@
 import * as domain from '@bilberrydoor/domain';
 import test from 'ava';
 import {buildTargets} from '../build-entry.js';
+import {createVirtualClock} from '../virtual-clock.js';
 import {createFakeTarget, FakeTargetFault} from '../fake-target.js';
 import {
 	buildBenchEntry,
@@ -311,3 +312,34 @@
 	t.is(openCount(), 8);
 	await bench.close();
 });
+
+// Guards against a slot that a slow caller holds although the target has sent its whole answer.
+test('a caller that does not read a small answer holds no slot', async t => {
+	const bench = createSchedulerBench(buildBenchEntry());
+	t.is(summarizeEnding(await bench.settle(bench.schedule({isBodyUnread: true}))), 'completed 200');
+	await bench.clock.advance(1);
+	t.is(busyCount(bench), 0);
+	t.is(bench.scheduler.activeCallCount(), 1);
+	await bench.close();
+});
+
+// Guards against an answer that is buffered whole for a caller that does not read.
+test('reading ahead stops at its limit until the reader goes on', async t => {
+	let readCount = 0;
+	async function* createChunks(): AsyncGenerator<Uint8Array> {
+		for (; readCount < 10; readCount++) {
+			yield new Uint8Array(100);
+		}
+	}
+
+	const clock = createVirtualClock();
+	const body = core.readAhead(createChunks(), 300);
+	await clock.advance(1);
+	t.true(readCount <= 3);
+	let sizeBytes = 0;
+	for await (const chunk of body) {
+		sizeBytes += chunk.byteLength;
+	}
+
+	t.is(sizeBytes, 1000);
+});
