perf(scheduling): admit calls whose predicted wait fits half of their time

Cause: calls were admitted up to the last instant, so errors of the prediction let them run out of time in a slot. Change: the predicted wait may take half of the time left after the work. The queue of the baseline is a set, which does not change what it does.

--- a/packages/core/src/scheduling/admission.ts
+++ b/packages/core/src/scheduling/admission.ts
@@ -42,6 +42,7 @@
 	serviceTimes: ServiceTimes;
 	shares: SlotShares;
 	queueLimit: () => domain.QueueLimit;
+	waitLimitRatio: number;
 }): Admission => {
 	const {pool, queue, rateLimits, serviceTimes, shares} = dependencies;
 	const {clock, random} = dependencies.ports;
@@ -92,13 +93,13 @@
 		const remainingMs = scheduled.deadlineAtMs - clock.monotonicMs();
 		const {workClass} = scheduled.route;
 		const waitMs = predictWaitMs(scheduled, need);
-		const neededMs = waitMs + serviceTimes.typicalHeadMs(workClass);
+		const neededMs = waitMs / dependencies.waitLimitRatio + serviceTimes.typicalHeadMs(workClass);
 		// With nothing in flight the call is admitted, because only a call can show that the times have become shorter.
 		if (remainingMs > 0 && (neededMs <= remainingMs || shares.busyCountOf(workClass) === 0)) {
 			return undefined;
 		}
 
-		const detail = `the call needs about ${Math.round(neededMs)} ms and has ${Math.round(remainingMs)} ms left`;
+		const detail = `the predicted wait is ${Math.round(waitMs)} ms, which with the work and a margin takes ${Math.round(neededMs)} ms; the call has ${Math.round(remainingMs)} ms left`;
 		return refuse(domain.RefusalReason.DeadlineTooShort, detail, waitMs);
 	};
 
--- a/packages/core/src/scheduling/group-scheduler.ts
+++ b/packages/core/src/scheduling/group-scheduler.ts
@@ -81,6 +81,7 @@
 		serviceTimes,
 		shares,
 		queueLimit: () => entry.queue,
+		waitLimitRatio: options.waitLimitRatio,
 	});
 	const broker: SlotBroker = createSlotBroker({
 		ports: dependencies.ports,
--- a/packages/core/src/scheduling/scheduler-options.ts
+++ b/packages/core/src/scheduling/scheduler-options.ts
@@ -8,6 +8,8 @@
 	readonly borrowedSlotLimitMs: number;
 	/** How long the highest use of slots by short work keeps those slots from being lent, in ms. */
 	readonly lendingWindowMs: number;
+	/** Largest predicted wait of an admitted call as a part of the time that its deadline leaves for waiting. */
+	readonly waitLimitRatio: number;
 	/** Attempts of one call, the first included. */
 	readonly attemptLimitCount: number;
 	/** Time limit of an attempt that may be retried, as a multiple of the typical service time. */
@@ -51,6 +53,8 @@
 	bulkShareRatio: 0.5,
 	borrowedSlotLimitMs: 1000,
 	lendingWindowMs: 1000,
+	// The other half covers errors of the prediction and a further attempt.
+	waitLimitRatio: 0.5,
 	attemptLimitCount: 3,
 	attemptTimeoutFactor: 8,
 	attemptTimeoutFloorMs: 50,
--- a/packages/measures/src/baselines/independent-proxy.ts
+++ b/packages/measures/src/baselines/independent-proxy.ts
@@ -99,12 +99,14 @@
 	const choice = createTargetChoice(dependencies, options);
 	const routeTable = core.createRouteTable();
 	routeTable.replaceServiceRoutes(entry.service, entry.routes);
-	let waiters: Waiter[] = [];
+	const waiters = new Set<Waiter>();
 
 	const grantNext = (): void => {
-		for (let proxied = choice.pick(); proxied && waiters.length > 0; proxied = choice.pick()) {
+		for (let proxied = choice.pick(); proxied && waiters.size > 0; proxied = choice.pick()) {
+			const [waiter] = waiters;
+			waiters.delete(waiter!);
 			proxied.busyCount++;
-			waiters.shift()!.grant(proxied);
+			waiter!.grant(proxied);
 		}
 	};
 
@@ -117,9 +119,9 @@
 
 		return new Promise(resolve => {
 			const waiter: Waiter = {grant: resolve};
-			waiters.push(waiter);
+			waiters.add(waiter);
 			signal.addEventListener('abort', () => {
-				waiters = waiters.filter(other => other !== waiter);
+				waiters.delete(waiter);
 				resolve(undefined);
 			});
 		});
@@ -193,7 +195,7 @@
 				return domain.notRun(domain.RefusalReason.UnknownRoute, 'no route accepts the call');
 			}
 
-			if (waiters.length >= entry.queue.limitCount) {
+			if (waiters.size >= entry.queue.limitCount) {
 				return domain.notRun(domain.RefusalReason.QueueFull, 'the queue of this node is full');
 			}
 
