perf(scheduling): refuse calls earlier, so that another group takes them

Cause: at x1 one region has less slots than demand, and calls queued there for half of their time before the other region got any. Change: the predicted wait may take a quarter of the time left after the work.

--- a/packages/core/src/scheduling/scheduler-options.ts
+++ b/packages/core/src/scheduling/scheduler-options.ts
@@ -60,8 +60,8 @@
 	bulkShareRatio: 0.5,
 	borrowedSlotLimitMs: 1000,
 	lendingWindowMs: 1000,
-	// The other half covers errors of the prediction and a further attempt.
-	waitLimitRatio: 0.5,
+	// A full queue needs little depth to keep the slots busy, and an early refusal lets another group take the call.
+	waitLimitRatio: 0.25,
 	attemptLimitCount: 3,
 	attemptTimeoutFactor: 8,
 	attemptTimeoutFloorMs: 50,
