perf(scheduling): predict the wait of a workspace by its own pace

Cause: later calls of other workspaces go before the queue of a busy one, so its calls were admitted with too short a prediction and ran out of time. Change: the fair queue keeps the mean time between the turns of a workspace, and the predicted wait is the longer of pace and place in turn.

--- a/packages/core/src/scheduling/__tests__/scheduling-parts.test.ts
+++ b/packages/core/src/scheduling/__tests__/scheduling-parts.test.ts
@@ -41,7 +41,7 @@
 
 // Guards against places that are lost or taken twice when calls leave from the middle of the queue.
 test('a fair queue keeps turns when items are removed from anywhere', t => {
-	const queue = createFairQueue<{workspace: string; weight: number; name: string}>();
+	const queue = createFairQueue<{workspace: string; weight: number; name: string}>(() => 0);
 	const removals = ['a1', 'a2', 'a3', 'b1', 'b2'].map(name => queue.push({workspace: name[0]!, weight: 1, name}));
 	t.true(removals[1]!());
 	t.false(removals[1]!());
--- a/packages/core/src/scheduling/admission.ts
+++ b/packages/core/src/scheduling/admission.ts
@@ -89,7 +89,13 @@
 		const aheadCount = queue.countAhead(workClass, call.workspace, need.weight);
 		const usableCount = shares.countUsableSlots(workClass);
 		const isFree = aheadCount === 0 && shares.busyCountOf(workClass) < usableCount;
-		return isFree ? 0 : ((aheadCount + 1) * serviceTimes.meanHoldMs(workClass)) / usableCount;
+		if (isFree) {
+			return 0;
+		}
+
+		// Calls of other workspaces that arrive later may go before this one; the pace of its workspace tells how many.
+		const turnsMs = ((aheadCount + 1) * serviceTimes.meanHoldMs(workClass)) / usableCount;
+		return Math.max(turnsMs, queue.predictWaitMs(workClass, call.workspace));
 	};
 
 	const refuseOverDeadline = (scheduled: ScheduledCall, need: CallNeed): domain.NotRunEnding | undefined => {
--- a/packages/core/src/scheduling/fair-queue.ts
+++ b/packages/core/src/scheduling/fair-queue.ts
@@ -14,6 +14,8 @@
 	readonly activeWeight: () => number;
 	/** Number of waiting items of a workspace. */
 	countWorkspace(workspace: string): number;
+	/** Time that the waiting items of a workspace take at the pace of its last turns, in ms; 0 before it has a pace. */
+	predictWaitMs(workspace: string): number;
 	/** The item whose turn it is. */
 	peek(): T | undefined;
 	/** Adds an item and returns a function that removes it; that function returns false when the item has gone. */
@@ -25,11 +27,20 @@
 	readonly items: LinkedQueue<T>;
 	readonly weight: number;
 	deficit: number;
+	servedAtMs: number;
+	/** Mean time between two turns, in ms. */
+	intervalMs: number;
+	turnCount: number;
 	place?: QueuePlace<WorkspaceQueue<T>>;
 };
 
+/** Weight of the last interval between two turns. */
+const INTERVAL_GAIN = 0.1;
+/** Turns before a workspace has a pace. */
+const PACE_TURN_COUNT = 5;
+
 /** Creates a queue in which each operation costs the same for any number of workspaces. */
-export const createFairQueue = <T extends FairQueueItem>(): FairQueue<T> => {
+export const createFairQueue = <T extends FairQueueItem>(monotonicMs: () => number): FairQueue<T> => {
 	const byWorkspace = new Map<string, WorkspaceQueue<T>>();
 	const ring = createLinkedQueue<WorkspaceQueue<T>>();
 	let size = 0;
@@ -47,6 +58,9 @@
 			items: createLinkedQueue<T>(),
 			weight,
 			deficit: weight,
+			servedAtMs: monotonicMs(),
+			intervalMs: 0,
+			turnCount: 0,
 		};
 		opened.place = ring.push(opened);
 		byWorkspace.set(item.workspace, opened);
@@ -60,7 +74,15 @@
 		activeWeight = ring.size() === 0 ? 0 : activeWeight - queue.weight;
 	};
 
+	const recordTurn = (queue: WorkspaceQueue<T>): void => {
+		const nowMs = monotonicMs();
+		const gain = Math.max(INTERVAL_GAIN, 1 / ++queue.turnCount);
+		queue.intervalMs += (nowMs - queue.servedAtMs - queue.intervalMs) * gain;
+		queue.servedAtMs = nowMs;
+	};
+
 	const takeTurn = (queue: WorkspaceQueue<T>): void => {
+		recordTurn(queue);
 		queue.deficit--;
 		if (queue.deficit < 1) {
 			queue.deficit += queue.weight;
@@ -86,6 +108,10 @@
 
 	return {
 		size: () => size,
+		predictWaitMs(workspace) {
+			const queue = byWorkspace.get(workspace);
+			return queue && queue.turnCount >= PACE_TURN_COUNT ? (queue.items.size() + 1) * queue.intervalMs : 0;
+		},
 		countWorkspace: workspace => byWorkspace.get(workspace)?.items.size() ?? 0,
 		activeWeight: () => activeWeight,
 		peek: () => ring.peek()?.items.peek(),
--- a/packages/core/src/scheduling/group-scheduler.ts
+++ b/packages/core/src/scheduling/group-scheduler.ts
@@ -64,7 +64,7 @@
 	const rateLimits = createRateLimits({clock, group, entry});
 	const budget = createRetryBudget({budgetRatio: entry.retryBudgetRatio, burstCount: options.retryBurstCount});
 	const pool = createTargetPool({clock, group, health, options: options.adaptiveLimit});
-	const queue = createWaitQueue({metrics, groupId: group.groupId});
+	const queue = createWaitQueue({clock, metrics, groupId: group.groupId});
 	const shares = createSlotShares({
 		clock,
 		options,
--- a/packages/core/src/scheduling/wait-queue.ts
+++ b/packages/core/src/scheduling/wait-queue.ts
@@ -34,25 +34,31 @@
 	/** Calls that go before a new call of the workspace when turns are fair. */
 	countAhead(workClass: domain.WorkClass, workspace: string, weight: number): number;
 	countWorkspace(workspace: string): number;
+	/** Time that a new call of the workspace waits at the pace of its last turns, in ms. */
+	predictWaitMs(workClass: domain.WorkClass, workspace: string): number;
 	/** Removes all calls and ends them. */
 	refuseAll(ending: domain.NotRunEnding): void;
 };
 
 type ClassQueue = {readonly retries: LinkedQueue<Waiter>; readonly calls: FairQueue<Waiter>};
 
-const createClassQueue = (): ClassQueue => ({
+const createClassQueue = (clock: ports.Clock): ClassQueue => ({
 	retries: createLinkedQueue<Waiter>(),
-	calls: createFairQueue<Waiter>(),
+	calls: createFairQueue<Waiter>(clock.monotonicMs),
 });
 
 const ALL_CLASSES = [domain.WorkClass.Short, domain.WorkClass.Long, domain.WorkClass.Bulk];
 
-export const createWaitQueue = (dependencies: {metrics: ports.Metrics; groupId: string}): WaitQueue => {
-	const {metrics, groupId} = dependencies;
+export const createWaitQueue = (dependencies: {
+	clock: ports.Clock;
+	metrics: ports.Metrics;
+	groupId: string;
+}): WaitQueue => {
+	const {clock, metrics, groupId} = dependencies;
 	const queues: Record<domain.WorkClass, ClassQueue> = {
-		[domain.WorkClass.Short]: createClassQueue(),
-		[domain.WorkClass.Long]: createClassQueue(),
-		[domain.WorkClass.Bulk]: createClassQueue(),
+		[domain.WorkClass.Short]: createClassQueue(clock),
+		[domain.WorkClass.Long]: createClassQueue(clock),
+		[domain.WorkClass.Bulk]: createClassQueue(clock),
 	};
 	const counts = {[domain.WorkClass.Short]: 0, [domain.WorkClass.Long]: 0, [domain.WorkClass.Bulk]: 0};
 	const removals = new Map<Waiter, () => boolean>();
@@ -103,6 +109,7 @@
 			const turnsAhead = ((ownCount + 1) * activeWeight) / weight - 1;
 			return retries.size() + Math.min(calls.size(), turnsAhead);
 		},
+		predictWaitMs: (workClass, workspace) => queues[workClass].calls.predictWaitMs(workspace),
 		countWorkspace: workspace =>
 			ALL_CLASSES.reduce((sum, workClass) => sum + queues[workClass].calls.countWorkspace(workspace), 0),
 		refuseAll(ending) {
