--- a/packages/core/src/scheduling/attempt.ts
+++ b/packages/core/src/scheduling/attempt.ts
@@ -4,27 +4,12 @@
 import {limitBody} from '../shared/limit-body.js';
 import {BodyEnd, observeBody} from '../shared/observe-body.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
+import {AttemptEnd, ENDS_BY_ERROR, HEALTH_RESULTS} from './attempt-end.js';
+import {createStopper, type Stopper} from './attempt-stopper.js';
 import type {ScheduledCall} from './scheduled-call.js';
 import type {ServiceTimes} from './service-times.js';
 import type {SlotGrant} from './slot-broker.js';
 
-/** How an attempt at a target went. */
-export enum AttemptEnd {
-	Answered = 'answered',
-	/** The target answered with a server error. */
-	Error = 'error',
-	/** The target's status means that it refused the work before doing any. */
-	Refused = 'refused',
-	/** No byte reached the target. */
-	Unreachable = 'unreachable',
-	Lost = 'lost',
-	TimedOut = 'timed-out',
-	/** The caller left. */
-	Cancelled = 'cancelled',
-	/** The class that lent the slot took it back. */
-	Reclaimed = 'reclaimed',
-}
-
 export type AttemptOutcome = {
 	readonly end: AttemptEnd;
 	readonly detail: string;
@@ -57,64 +42,8 @@
 const SERVER_ERROR_STATUS = 500;
 const BACK_PRESSURE_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
-const ENDS_BY_ERROR: Record<ports.TargetErrorKind, AttemptEnd> = {
-	[ports.TargetErrorKind.Unreachable]: AttemptEnd.Unreachable,
-	[ports.TargetErrorKind.Lost]: AttemptEnd.Lost,
-	[ports.TargetErrorKind.Cancelled]: AttemptEnd.Lost,
-};
-
-const HEALTH_RESULTS: Record<AttemptEnd, groupHealth.AttemptResult> = {
-	[AttemptEnd.Answered]: groupHealth.AttemptResult.Success,
-	[AttemptEnd.Error]: groupHealth.AttemptResult.Error,
-	[AttemptEnd.Refused]: groupHealth.AttemptResult.Shed,
-	[AttemptEnd.Unreachable]: groupHealth.AttemptResult.Unreachable,
-	[AttemptEnd.Lost]: groupHealth.AttemptResult.Lost,
-	[AttemptEnd.TimedOut]: groupHealth.AttemptResult.TimedOut,
-	[AttemptEnd.Cancelled]: groupHealth.AttemptResult.Cancelled,
-	[AttemptEnd.Reclaimed]: groupHealth.AttemptResult.Cancelled,
-};
-
 type Sent = Awaited<ReturnType<ports.TargetClient['send']>>;
 
-/** Stops an attempt once, for the first cause, and remembers the cause. */
-const createStopper = (callerSignal: AbortSignal) => {
-	const controller = new AbortController();
-	let cause: AttemptEnd | undefined;
-	const stop = (end: AttemptEnd): void => {
-		cause ??= end;
-		controller.abort(STOP_REASON);
-	};
-
-	const onCallerAbort = (): void => {
-		stop(AttemptEnd.Cancelled);
-	};
-
-	if (callerSignal.aborted) {
-		onCallerAbort();
-	}
-
-	callerSignal.addEventListener('abort', onCallerAbort, {once: true});
-	return {
-		signal: controller.signal,
-		stop,
-		cause: () => cause,
-		detach(): void {
-			callerSignal.removeEventListener('abort', onCallerAbort);
-		},
-		stopped: new Promise<undefined>(resolve => {
-			controller.signal.addEventListener(
-				'abort',
-				() => {
-					resolve(undefined);
-				},
-				{once: true},
-			);
-		}),
-	};
-};
-
-type Stopper = ReturnType<typeof createStopper>;
-
 export const createAttemptRunner = (dependencies: {
 	ports: Pick<ports.NodePorts, 'clock' | 'metrics' | 'targetClient' | 'logger'>;
 	health: groupHealth.GroupHealth;
--- a/packages/core/src/scheduling/call-runner.ts
+++ b/packages/core/src/scheduling/call-runner.ts
@@ -1,7 +1,8 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
 import {readAhead} from '../shared/read-ahead.js';
-import {AttemptEnd, type AttemptOutcome, type AttemptRunner} from './attempt.js';
+import {AttemptEnd} from './attempt-end.js';
+import type {AttemptOutcome, AttemptRunner} from './attempt.js';
 import {createResendableBody, type ResendableBody} from './resendable-body.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {ScheduledCall} from './scheduled-call.js';
--- a/packages/fakes/src/__tests__/scheduler-queues.test.ts
+++ b/packages/fakes/src/__tests__/scheduler-queues.test.ts
@@ -2,7 +2,6 @@
 import * as domain from '@bilberrydoor/domain';
 import test from 'ava';
 import {buildTargets} from '../build-entry.js';
-import {createVirtualClock} from '../virtual-clock.js';
 import {createFakeTarget, FakeTargetFault} from '../fake-target.js';
 import {
 	buildBenchEntry,
@@ -262,39 +261,6 @@
 	t.is(summarizeEnding(await bench.schedule()), 'not-run no-target');
 });
 
-async function* createBody(sizeBytes: number): AsyncGenerator<Uint8Array> {
-	yield new Uint8Array(sizeBytes);
-}
-
-// Guards against bodies that are cut, sent twice in part, or kept without bound for resending.
-[
-	{sizeBytes: 60_000, expected: 'completed 200', arrivedSizes: [60_000, 60_000]},
-	{sizeBytes: 70_000, expected: 'unknown target-lost', arrivedSizes: [70_000]},
-].forEach(({sizeBytes, expected, arrivedSizes}) => {
-	test(`retry of work with a body of ${sizeBytes} bytes`, async t => {
-		const bench = createSchedulerBench(buildBenchEntry());
-		await bench.settle(start(bench, 2));
-		bench.targets.forEach(target => {
-			target.fault = bench.targets.every(other => other.receivedBodySizes.length === 0)
-				? FakeTargetFault.LoseAnswers
-				: FakeTargetFault.None;
-		});
-		const call = bench.schedule({call: {method: 'POST', body: createBody(sizeBytes), bodyLengthBytes: sizeBytes}});
-		await bench.clock.advance(5);
-		bench.targets
-			.filter(target => target.receivedBodySizes.length === 0)
-			.forEach(target => {
-				target.fault = FakeTargetFault.None;
-			});
-		t.is(summarizeEnding(await bench.settle(call)), expected);
-		t.deepEqual(
-			bench.targets.flatMap(target => target.receivedBodySizes),
-			arrivedSizes,
-		);
-		await bench.close();
-	});
-});
-
 // Guards against a cold scheduler that loads targets fully at once, and against limits that never rise again.
 test('slots open by half at first, then ramp up, and close under shedding', async t => {
 	const options = {adaptiveLimit: {...core.DEFAULT_SCHEDULER_OPTIONS.adaptiveLimit, startRatio: 0.5}};
@@ -312,34 +278,3 @@
 	t.is(openCount(), 8);
 	await bench.close();
 });
-
-// Guards against a slot that a slow caller holds although the target has sent its whole answer.
-test('a caller that does not read a small answer holds no slot', async t => {
-	const bench = createSchedulerBench(buildBenchEntry());
-	t.is(summarizeEnding(await bench.settle(bench.schedule({isBodyUnread: true}))), 'completed 200');
-	await bench.clock.advance(1);
-	t.is(busyCount(bench), 0);
-	t.is(bench.scheduler.activeCallCount(), 1);
-	await bench.close();
-});
-
-// Guards against an answer that is buffered whole for a caller that does not read.
-test('reading ahead stops at its limit until the reader goes on', async t => {
-	let readCount = 0;
-	async function* createChunks(): AsyncGenerator<Uint8Array> {
-		for (; readCount < 10; readCount++) {
-			yield new Uint8Array(100);
-		}
-	}
-
-	const clock = createVirtualClock();
-	const body = core.readAhead(createChunks(), 300);
-	await clock.advance(1);
-	t.true(readCount <= 3);
-	let sizeBytes = 0;
-	for await (const chunk of body) {
-		sizeBytes += chunk.byteLength;
-	}
-
-	t.is(sizeBytes, 1000);
-});
