perf(health): count overdue work again sooner, three times at most

Cause: an attempt counted again only when its age had doubled, so a stall with two calls in flight waited for time-outs. Change: growth 1.5 instead of 2; at most three counts, so that one long call ejects no target.

--- a/packages/core/src/health/attempt-watch.ts
+++ b/packages/core/src/health/attempt-watch.ts
@@ -15,8 +15,8 @@
 	start(targetId: string, workClass: domain.WorkClass, nowMs: number): AttemptInFlight;
 	finish(attempt: AttemptInFlight): void;
 	/**
-	 * Reports each attempt that has become overdue: at its class's limit, and again each time its age has doubled, since
-	 * a stall yields no other results while it holds all slots. Costs the number of overdue attempts.
+	 * Reports each attempt that has become overdue: at its class's limit, and again as its age grows, since a stall yields
+	 * no other results while it holds all slots. Costs the number of overdue attempts.
 	 */
 	collectOverdue(
 		nowMs: number,
@@ -27,6 +27,11 @@
 	excludePause(pauseMs: number): void;
 };
 
+/** An attempt counts again when its age has grown by this factor. */
+const OVERDUE_GROWTH = 1.5;
+/** Counts of one attempt. Below the five that eject, so that one unusually long piece of work ejects no target. */
+const OVERDUE_LIMIT_COUNT = 3;
+
 const WORK_CLASSES = Object.values(domain.WorkClass);
 
 export const createAttemptWatch = (): AttemptWatch => {
@@ -55,7 +60,7 @@
 						break;
 					}
 
-					if (ageMs >= limitMs * 2 ** attempt.overdueCount) {
+					if (attempt.overdueCount < OVERDUE_LIMIT_COUNT && ageMs >= limitMs * OVERDUE_GROWTH ** attempt.overdueCount) {
 						attempt.overdueCount++;
 						onOverdue(attempt);
 					}
