fix(health): wait for 64 answers before latencies are judged

Cause: the first answers are the fastest ones, so a baseline over 24 of them was too low, and a target was ejected during warm-up by mistake. Change: 64 answers of a class instead of 24.

--- a/packages/core/src/health/latency-baseline.ts
+++ b/packages/core/src/health/latency-baseline.ts
@@ -10,7 +10,7 @@
 };
 
 const SAMPLE_COUNT = 128;
-const MIN_SAMPLE_COUNT = 24;
+const MIN_SAMPLE_COUNT = 64;
 /** The limit is computed anew after this many answers, which keeps the cost of an answer constant. */
 const REFRESH_COUNT = 16;
 
