perf(health): estimate the group's bad ratio over more results

Cause: with a step of 0.05 the group's typical bad ratio wavered around 2 to 3%, which made each bad result weigh less, so two stalled calls no longer reached the ejection threshold before their time-outs. Change: a step of 0.02.

--- a/packages/core/src/health/target-judge.ts
+++ b/packages/core/src/health/target-judge.ts
@@ -33,7 +33,7 @@
 };
 
 /** Weight of one result in a target's bad ratio. */
-const BAD_RATIO_STEP = 0.05;
+const BAD_RATIO_STEP = 0.02;
 
 const LIVE_STATES: ReadonlySet<domain.TargetState> = new Set([
 	domain.TargetState.Healthy,
