fix(health): prefer targets that do not shed load

Cause: a target that sheds answers at once, always looks idle, and so drew more work than the others. Change: the preference for a target falls with its share of shed results and comes back with a half-life of 2 s. It stays healthy; shedding is still no sign of sickness.

--- a/packages/core/src/health/group-health.ts
+++ b/packages/core/src/health/group-health.ts
@@ -10,7 +10,7 @@
 import {createPathCheck} from './path-check.js';
 import {createTargetJudge} from './target-judge.js';
 import {createTargetProbes} from './target-probes.js';
-import {computeRampRatio, type TargetRecord} from './target-record.js';
+import {computeRampRatio, noteShedding, type TargetRecord} from './target-record.js';
 import {createTargetRoster} from './target-roster.js';
 import {describeStanding, UNKNOWN_STANDING, type TargetStanding} from './target-standing.js';
 import {HealthEvent} from './target-transitions.js';
@@ -231,6 +231,10 @@
 					watch.finish(attempt);
 					const sign = readSign(attempt, result);
 					const record = roster.find(targetId);
+					if (record && result !== AttemptResult.Cancelled) {
+						noteShedding(record, result === AttemptResult.Shed, clock.monotonicMs());
+					}
+
 					if (record && sign !== undefined) {
 						judge.observe(record, sign);
 					}
--- a/packages/core/src/health/target-record.ts
+++ b/packages/core/src/health/target-record.ts
@@ -26,6 +26,9 @@
 	/** Exponentially weighted share of bad results. */
 	badRatio: number;
 	readonly counts: ResultCounts;
+	/** Exponentially weighted share of results by which the target shed load, as of `lastShedAtMs`. */
+	shedRatio: number;
+	lastShedAtMs: number;
 	lastResultAtMs: number;
 	/** The sign that was seen last against the target. */
 	lastBadSign: HealthSign;
@@ -58,6 +61,8 @@
 	test: createSequentialTest(options),
 	badRatio: 0,
 	counts: {goodCount: 0, badCount: 0},
+	shedRatio: 0,
+	lastShedAtMs: nowMs,
 	lastResultAtMs: nowMs,
 	lastBadSign: HealthSign.Errors,
 	othersAtSuspicion: {goodCount: 0, badCount: 0},
@@ -93,3 +98,19 @@
 	const progress = Math.min(1, (nowMs - ramp.startedAtMs) / ramp.durationMs);
 	return ramp.startRatio + (1 - ramp.startRatio) * progress;
 };
+
+/** Weight of one result in a target's share of shed results. */
+const SHED_RATIO_STEP = 0.3;
+/** Time in which the memory of shedding halves, in ms. Back-pressure passes within seconds. */
+const SHED_HALF_LIFE_MS = 2000;
+
+/** Share of recent results by which the target shed load, 0 to 1. */
+export const readShedRatio = (record: TargetRecord, nowMs: number): number =>
+	record.shedRatio === 0 ? 0 : record.shedRatio * 0.5 ** ((nowMs - record.lastShedAtMs) / SHED_HALF_LIFE_MS);
+
+/** Takes note of one answered attempt. */
+export const noteShedding = (record: TargetRecord, isShed: boolean, nowMs: number): void => {
+	const ratio = readShedRatio(record, nowMs);
+	record.shedRatio = ratio + SHED_RATIO_STEP * (Number(isShed) - ratio);
+	record.lastShedAtMs = nowMs;
+};
--- a/packages/core/src/health/target-standing.ts
+++ b/packages/core/src/health/target-standing.ts
@@ -1,6 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
 import type {HealthOptions} from './health-options.js';
-import {computeRampRatio, type TargetRecord} from './target-record.js';
+import {computeRampRatio, readShedRatio, type TargetRecord} from './target-record.js';
 
 /** Standing of one target. */
 export type TargetStanding = {
@@ -25,9 +25,16 @@
 const openWholeSlots = (slotCount: number, ratio: number): number =>
 	Math.max(1, Math.floor(slotCount * ratio)) / slotCount;
 
-const describeRamp = ({target, ramp}: TargetRecord, nowMs: number): Access => ({
-	openRatio: ramp ? openWholeSlots(target.slotCount, computeRampRatio(ramp, nowMs)) : 1,
-	weight: 1,
+/** Lowest preference of a target that sheds all its work. It keeps some work, which shows the end of the shedding. */
+const SHEDDING_WEIGHT_MIN = 0.05;
+
+/**
+ * Access of a target in use. One that sheds load answers at once and so always looks idle; without a lower preference it
+ * would draw more work than the others.
+ */
+const describeRamp = (record: TargetRecord, nowMs: number): Access => ({
+	openRatio: record.ramp ? openWholeSlots(record.target.slotCount, computeRampRatio(record.ramp, nowMs)) : 1,
+	weight: Math.max(SHEDDING_WEIGHT_MIN, 1 - readShedRatio(record, nowMs)),
 	isRepeatableOnly: false,
 });
 
@@ -39,7 +46,8 @@
 	[domain.TargetState.Cold]: describeRamp,
 	[domain.TargetState.Suspect](record, nowMs, options) {
 		const suspicion = Math.min(1, record.test.evidence() / options.ejectEvidence);
-		return {...describeRamp(record, nowMs), weight: 1 - (1 - options.suspectWeightMin) * suspicion};
+		const access = describeRamp(record, nowMs);
+		return {...access, weight: access.weight * (1 - (1 - options.suspectWeightMin) * suspicion)};
 	},
 	[domain.TargetState.Probation]: ({target}, _nowMs, options) => ({
 		openRatio: openWholeSlots(target.slotCount, 0),
--- a/packages/fakes/src/__tests__/group-health.test.ts
+++ b/packages/fakes/src/__tests__/group-health.test.ts
@@ -90,6 +90,19 @@
 	});
 });
 
+// Guards against a target that sheds load, looks idle and so draws more work than the others.
+test('shedding lowers the preference for a target, and the preference comes back with time', async t => {
+	const {clock, health, attempt} = createHarness({count: 5, floorSlotCount: 8});
+	for (let round = 0; round < 10; round++) {
+		await attempt('ratiba-1', core.AttemptResult.Shed);
+	}
+
+	t.like(health.standingOf('ratiba-1'), {state: domain.TargetState.Healthy});
+	t.true(health.standingOf('ratiba-1').weight < 0.1);
+	await clock.advance(20_000);
+	t.true(health.standingOf('ratiba-1').weight > 0.9);
+});
+
 // Guards against time-outs that count only when they end: a stall holds all slots and yields no result.
 test('work in flight that is overdue ejects its target before it ends', async t => {
 	const {health, attempt, warmUp} = createHarness({count: 5, floorSlotCount: 8});
