--- a/packages/core/src/health/group-health.ts
+++ b/packages/core/src/health/group-health.ts
@@ -10,7 +10,7 @@
 import {createPathCheck} from './path-check.js';
 import {createTargetJudge} from './target-judge.js';
 import {createTargetProbes} from './target-probes.js';
-import {computeRampRatio, type TargetRecord} from './target-record.js';
+import {computeRampRatio, noteShedding, type TargetRecord} from './target-record.js';
 import {createTargetRoster} from './target-roster.js';
 import {describeStanding, UNKNOWN_STANDING, type TargetStanding} from './target-standing.js';
 import {HealthEvent} from './target-transitions.js';
@@ -106,6 +106,12 @@
 
 	const seeLeaving = (record: TargetRecord, reason: string): void => {
 		record.lastLeavingSignAtMs = clock.monotonicMs();
+		// A peer may report the entry's own flag, which must not keep an edit that takes it back from acting at once.
+		const isKnown = record.target.isDraining && reason === String(LeavingSign.PeerReport);
+		if (isKnown) {
+			return;
+		}
+
 		record.isDrainedByEntryOnly = false;
 		if (!roster.apply(record, HealthEvent.LeavingSeen, reason)) {
 			record.reason = reason;
@@ -225,6 +231,10 @@
 					watch.finish(attempt);
 					const sign = readSign(attempt, result);
 					const record = roster.find(targetId);
+					if (record && result !== AttemptResult.Cancelled) {
+						noteShedding(record, result === AttemptResult.Shed, clock.monotonicMs());
+					}
+
 					if (record && sign !== undefined) {
 						judge.observe(record, sign);
 					}
