--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './health/group-health.js';
 export * from './health/health-options.js';
 export * from './health/leaving-sign.js';
+export * from './health/path-check.js';
 export type * from './health/target-standing.js';
 export * from './membership/member-directory.js';
 export * from './node/call-tracker.js';
--- a/packages/core/src/shared/run-with-timeout.ts
+++ b/packages/core/src/shared/run-with-timeout.ts
@@ -35,7 +35,8 @@
 	try {
 		return await Promise.race([runTask(), waitForTimeout()]);
 	} finally {
-		sleepController.abort();
+		// A reason of its own saves the costly default, an exception with a stack; sleeps ignore it.
+		sleepController.abort('settled');
 		options.signal.removeEventListener('abort', abortTask);
 	}
 };
--- a/packages/fakes/src/__tests__/group-health.test.ts
+++ b/packages/fakes/src/__tests__/group-health.test.ts
@@ -211,6 +211,33 @@
 	});
 });
 
+// Guards against a hand-over that carries ejections over, and against a claim that two nodes share one floor.
+test('a new scheduling node starts afresh, and two nodes each keep the floor in their own view', async t => {
+	const failAt = async (targetId: string) => {
+		const harness = createHarness({count: 5, floorSlotCount: 16});
+		t.true(harness.group.targets.every(target => harness.health.standingOf(target.targetId).openRatio === 0.5));
+		t.is(harness.health.healthySlotCount(), 20);
+		await harness.warmUp(10);
+		for (let round = 0; round < 12; round++) {
+			await harness.attempt(targetId, core.AttemptResult.Error);
+			await harness.attempt('ratiba-3', core.AttemptResult.Success);
+		}
+
+		return harness;
+	};
+
+	const first = await failAt('ratiba-1');
+	const second = await failAt('ratiba-2');
+	t.is(first.health.healthySlotCount(), 16);
+	t.is(second.health.healthySlotCount(), 16);
+	const isHealthyInBoth = ({targetId}: domain.TargetEntry): boolean =>
+		[first, second].every(({health}) => stateOf(health, targetId) === domain.TargetState.Healthy);
+	const sharedSlotCount = first.group.targets
+		.filter(isHealthyInBoth)
+		.reduce((sum, target) => sum + target.slotCount, 0);
+	t.is(sharedSlotCount, 12, 'the targets that both call healthy may be fewer than the floor');
+});
+
 enum Step {
 	Attempt = 'attempt',
 	/** A sick target recovers, or a healthy one falls sick. */
