--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,6 +19,7 @@
 export * from './health/attempt-result.js';
 export * from './health/health-options.js';
 export * from './health/leaving-sign.js';
+export * from './health/path-check.js';
 export type * from './health/target-standing.js';
 export * from './membership/member-directory.js';
 export * from './membership/membership-options.js';
--- a/packages/measures/src/blocking.ts
+++ b/packages/measures/src/blocking.ts
@@ -1,5 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
 import * as fakes from '@bilberrydoor/fakes';
+import {measureLinkBlocking} from './link-blocking.js';
 import {SystemName, SYSTEM_BUILDERS} from './load/build-systems.js';
 import {runLoad, type CallSample, type CallStream} from './load/run-load.js';
 import {findQuantile, roundFigure} from './load/statistics.js';
@@ -121,7 +122,7 @@
 
 /**
  * Measures how long work that saturates the slots delays short work, for both users. Each field holds the worse user;
- * the share that long work keeps is reported as progress.
+ * the share that long work keeps is reported as progress. The link part has bulk uploads on the region link instead.
  */
 export const measureBlocking: Measure = async options => ({
 	slots: {
@@ -129,4 +130,5 @@
 		product: await runUsers({system: SystemName.Product, hasLongWork: true}, options),
 		independent: await runUsers({system: SystemName.Independent, hasLongWork: true}, options),
 	},
+	link: await measureLinkBlocking(options),
 });
