feat(measures): run real daemons under faults and count the endings

Cause: the promises have to be shown with real processes. Change: eight daemons, 24 targets and the stand-ins as processes; a node is killed, one paused past the expiry of operations, one stopped as planned, the log stopped for the middle part, a target made gray, one slow, one leaving, and two operators edit the same entry.

--- a/packages/measures/src/run-measure.ts
+++ b/packages/measures/src/run-measure.ts
@@ -13,6 +13,7 @@
 	operations: async () => (await import('./operations/measure-operations.js')).measureOperations,
 	overhead: async () => (await import('./overhead/measure-overhead.js')).measureOverhead,
 	retries: async () => (await import('./retries.js')).measureRetries,
+	system: async () => (await import('./system/measure-system.js')).measureSystem,
 };
 
 await new commander.Command('measure')
--- /dev/null
+++ b/packages/measures/src/system/system-faults.ts
@@ -0,0 +1,125 @@
+import * as timersPromises from 'node:timers/promises';
+import type * as standIns from '@bilberrydoor/stand-ins';
+import * as undici from 'undici';
+import {editConcurrently} from './system-catalogue.js';
+import type {SystemWatch} from './system-watch.js';
+
+/** What the planned stop and the edits showed. */
+export type FaultReport = {
+	plannedStopExitCode: number | undefined;
+	/** Front of the node that was stopped as planned, and when its process ended, on the monotonic clock, in ms. */
+	plannedStopFront: string;
+	plannedStopEndedAtMs: number;
+	editExitCodes: readonly number[];
+};
+
+type FaultContext = {
+	readonly fleet: standIns.LaunchedFleet;
+	readonly watch: SystemWatch;
+	readonly report: FaultReport;
+};
+
+type Fault = {
+	readonly atMs: number;
+	readonly name: string;
+	act(context: FaultContext): Promise<void>;
+};
+
+const put = async (url: string): Promise<void> => {
+	const reply = await undici.request(url, {method: 'PUT'});
+	await reply.body.dump();
+};
+
+const setTargetFault = async (fleet: standIns.LaunchedFleet, targetId: string, path: string): Promise<void> => {
+	const target = fleet.targets.find(candidate => candidate.targetId === targetId);
+	await put(`http://${target!.address}/${path}`);
+};
+
+const KILLED_NODE = 7;
+const PAUSED_NODE = 6;
+const DRAINED_NODE = 5;
+
+const FAULTS: readonly Fault[] = [
+	{
+		atMs: 3000,
+		name: 'kill a node',
+		async act({fleet}) {
+			await fleet.nodes[KILLED_NODE]!.process.stop('SIGKILL');
+		},
+	},
+	{
+		atMs: 5000,
+		name: 'stop the log',
+		act: async ({fleet}) => put(`http://${fleet.logAddress}/fault/down`),
+	},
+	{
+		atMs: 6000,
+		name: 'pause a node past the expiry of operations',
+		async act({fleet}) {
+			fleet.nodes[PAUSED_NODE]!.process.child.kill('SIGSTOP');
+		},
+	},
+	{
+		atMs: 8000,
+		name: 'a target answers errors',
+		act: async ({fleet}) => setTargetFault(fleet, 'ratiba-01', 'fault/errors'),
+	},
+	{
+		atMs: 9000,
+		name: 'a target is slow',
+		act: async ({fleet}) => setTargetFault(fleet, 'recettes-01', 'fault/slow'),
+	},
+	{
+		atMs: 11_000,
+		name: 'resume the paused node',
+		async act({fleet}) {
+			fleet.nodes[PAUSED_NODE]!.process.child.kill('SIGCONT');
+		},
+	},
+	{
+		atMs: 12_000,
+		name: 'restart the killed node while the log is down',
+		async act({fleet, watch}) {
+			watch.forgetNode(fleet.nodes[KILLED_NODE]!);
+			fleet.restartNode(fleet.nodes[KILLED_NODE]!);
+		},
+	},
+	{
+		atMs: 14_000,
+		name: 'stop a node as planned',
+		async act({fleet, report}) {
+			const node = fleet.nodes[DRAINED_NODE]!;
+			report.plannedStopFront = node.front;
+			report.plannedStopExitCode = await node.process.stop('SIGTERM');
+			report.plannedStopEndedAtMs = performance.now();
+		},
+	},
+	{
+		atMs: 17_000,
+		name: 'a target leaves',
+		act: async ({fleet}) => setTargetFault(fleet, 'picha-01', 'leaving'),
+	},
+	{
+		atMs: 18_000,
+		name: 'start the log again',
+		act: async ({fleet}) => put(`http://${fleet.logAddress}/fault/none`),
+	},
+	{
+		atMs: 20_000,
+		name: 'two operators edit the same entry',
+		async act({fleet, report}) {
+			report.editExitCodes = await editConcurrently(fleet);
+		},
+	},
+];
+
+/** Runs the faults at their times. Each one runs by itself, so that a slow one does not delay the next. */
+export const runSystemFaults = async (context: FaultContext, reportProgress: (line: string) => void): Promise<void> => {
+	await Promise.all(
+		FAULTS.map(async fault => {
+			await timersPromises.setTimeout(fault.atMs);
+			reportProgress(`${fault.atMs} ms: ${fault.name}`);
+			await fault.act(context);
+		}),
+	);
+};
