--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,6 +40,7 @@
 export * from './routing/target-groups.js';
 export * from './scheduling/group-scheduler.js';
 export * from './scheduling/node-guard.js';
+export * from './scheduling/token-buckets.js';
 export * from './scheduling/scheduler-options.js';
 export type * from './scheduling/scheduled-call.js';
 export * from './scheduling/scheduler-registry.js';
--- /dev/null
+++ b/packages/measures/src/capacity/slope.ts
@@ -0,0 +1,59 @@
+import process from 'node:process';
+import * as v8 from 'node:v8';
+import * as vm from 'node:vm';
+
+/** Figures of one quantity at several sizes. */
+export type SlopePoint = {readonly size: number; readonly figure: number};
+
+const NANOSECONDS_PER_MILLISECOND = 1e6;
+const TIMING_ROUNDS = 5;
+
+v8.setFlagsFromString('--expose-gc');
+const collectGarbage = vm.runInNewContext('gc') as () => void;
+
+const readHeapBytes = (): number => {
+	collectGarbage();
+	collectGarbage();
+	const {heapUsed, arrayBuffers} = process.memoryUsage();
+	return heapUsed + arrayBuffers;
+};
+
+/** Heap that a structure of `size` items holds, for each item, in bytes. */
+export const measureBytesPerItem = (size: number, build: (size: number) => unknown): number => {
+	const before = readHeapBytes();
+	const built = build(size);
+	const after = readHeapBytes();
+	// The reference keeps the structure alive until it has been measured.
+	return built === undefined ? Number.NaN : (after - before) / size;
+};
+
+/** Median time of one run of `act`, in ns, after one round of warming up. */
+export const measureNs = async (count: number, act: (index: number) => unknown): Promise<number> => {
+	const rounds: number[] = [];
+	for (let round = 0; round <= TIMING_ROUNDS; round++) {
+		const startedMs = performance.now();
+		for (let index = 0; index < count; index++) {
+			const result = act(index);
+			if (result instanceof Promise) {
+				await result;
+			}
+		}
+
+		rounds.push(((performance.now() - startedMs) * NANOSECONDS_PER_MILLISECOND) / count);
+	}
+
+	return rounds.slice(1).toSorted((left, right) => left - right)[Math.floor(TIMING_ROUNDS / 2)]!;
+};
+
+/** Measures at each size in turn. */
+export const measurePoints = async (
+	sizes: readonly number[],
+	measure: (size: number) => number | Promise<number>,
+): Promise<readonly SlopePoint[]> => {
+	const points: SlopePoint[] = [];
+	for (const size of sizes) {
+		points.push({size, figure: Math.round((await measure(size)) * 100) / 100});
+	}
+
+	return points;
+};
--- a/packages/measures/src/operations/record-size.ts
+++ b/packages/measures/src/operations/record-size.ts
@@ -1,24 +1,11 @@
-import process from 'node:process';
-import * as v8 from 'node:v8';
-import * as vm from 'node:vm';
 import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
+import {measureBytesPerItem} from '../capacity/slope.js';
 
-const RECORD_COUNT = 20_000;
+const DEFAULT_RECORD_COUNT = 20_000;
 /** Typical answer of a clearance mark. */
 const ANSWER_BYTES = 256;
 
-const collectGarbage = (): void => {
-	v8.setFlagsFromString('--expose-gc');
-	(vm.runInNewContext('gc') as () => void)();
-};
-
-const usedBytes = (): number => {
-	collectGarbage();
-	const {heapUsed, external} = process.memoryUsage();
-	return heapUsed + external;
-};
-
 const createRecord = (serial: number): core.OperationRecord => ({
 	serial,
 	service: 'malipo',
@@ -40,10 +27,13 @@
 });
 
 /** Memory of one record with an answer of 256 bytes, in bytes. */
-export const measureRecordBytes = (): number => {
-	const table = core.createRecordTable({recordLimitCount: RECORD_COUNT});
-	const before = usedBytes();
-	Array.from({length: RECORD_COUNT}, (_, serial) => table.add(createRecord(serial)));
-	const bytes = (usedBytes() - before) / table.recordCount();
+export const measureRecordBytes = (recordCount = DEFAULT_RECORD_COUNT): number => {
+	const bytes = measureBytesPerItem(recordCount, size => {
+		const table = core.createRecordTable({recordLimitCount: size});
+		Array.from({length: size}, (_, serial) => serial).forEach(serial => {
+			table.add(createRecord(serial));
+		});
+		return table;
+	});
 	return Math.round(bytes);
 };
--- a/packages/measures/src/overhead/measure-overhead.ts
+++ b/packages/measures/src/overhead/measure-overhead.ts
@@ -9,7 +9,7 @@
 const PLACE = {region: 'pwani', availabilityZone: 'kinondoni'};
 const TARGET_COUNT = 3;
 const SLOT_COUNT = 64;
-const WARM_UP_MS = 2000;
+const WARM_UP_MS = 4000;
 const SATURATION_MS = 5000;
 const COMPARISON_MS = 10_000;
 const CONNECTION_COUNT = 64;
@@ -92,8 +92,14 @@
 			durationMs: COMPARISON_MS,
 			connectionCount: CONNECTION_COUNT,
 		};
-		const direct = await runOpenLoop({...load, url: directUrl, random: fakes.createSeededRandom(seed)});
-		const product = await runOpenLoop({...load, url: productUrl, random: fakes.createSeededRandom(seed)});
+		const runAtHalfLoad = async (url: string): Promise<LoadResult> => {
+			// The comparison is of kept-alive connections, so each side opens its connections and warms up first.
+			await runOpenLoop({...load, url, durationMs: WARM_UP_MS, random: fakes.createSeededRandom(seed + 1)});
+			return runOpenLoop({...load, url, random: fakes.createSeededRandom(seed)});
+		};
+
+		const direct = await runAtHalfLoad(directUrl);
+		const product = await runAtHalfLoad(productUrl);
 		reportProgress(`half load: ${load.requestsPerSecond.toFixed(0)} requests a second`);
 		const {rssBytes} = await readProcessMetrics(node!.operations);
 		return {
--- a/packages/measures/src/overhead/open-loop-load.ts
+++ b/packages/measures/src/overhead/open-loop-load.ts
@@ -45,6 +45,15 @@
 	};
 };
 
+const agents = new Map<number, undici.Agent>();
+
+/** The agent of all runs with a number of connections, so that a run after a warm-up finds them open. */
+const sharedAgent = (connectionCount: number): undici.Agent => {
+	const agent = agents.get(connectionCount) ?? new undici.Agent({connections: connectionCount, pipelining: 1});
+	agents.set(connectionCount, agent);
+	return agent;
+};
+
 /** Sends requests one after another on each connection, as fast as they are answered. */
 export const runClosedLoop = async (options: {
 	url: string;
@@ -77,7 +86,7 @@
 	random: core.Random;
 }): Promise<LoadResult> => {
 	const recorder = createRecorder();
-	const agent = new undici.Agent({connections: options.connectionCount, pipelining: 1});
+	const agent = sharedAgent(options.connectionCount);
 	const startedMs = performance.now();
 	const pending: Array<Promise<void>> = [];
 	let nextMs = startedMs;
@@ -92,6 +101,5 @@
 	}
 
 	await Promise.all(pending);
-	await agent.close();
 	return recorder.summarize(performance.now() - startedMs);
 };
--- a/packages/measures/src/run-measure.ts
+++ b/packages/measures/src/run-measure.ts
@@ -6,6 +6,7 @@
 /** The measurements by name. Each is loaded only when it is run. */
 const MEASURES: Readonly<Record<string, () => Promise<Measure>>> = {
 	blocking: async () => (await import('./blocking.js')).measureBlocking,
+	capacity: async () => (await import('./capacity/measure-capacity.js')).measureCapacity,
 	catalogue: async () => (await import('./catalogue/measure-catalogue.js')).measureCatalogue,
 	crest: async () => (await import('./crest.js')).measureCrest,
 	detection: async () => (await import('./detection/measure-detection.js')).measureDetection,
