perf(health): reuse a target's standing for a few milliseconds

Cause: the scheduler asks for the standing of every target several times for each call, and describing it anew took a third of a scheduling decision (profile of 30,000 decisions with 64 targets). Change: a described standing is used for 5 ms or until the state changes.

--- a/packages/core/src/health/group-health.ts
+++ b/packages/core/src/health/group-health.ts
@@ -12,7 +12,7 @@
 import {createTargetProbes} from './target-probes.js';
 import {computeRampRatio, noteShedding, type TargetRecord} from './target-record.js';
 import {createTargetRoster} from './target-roster.js';
-import {describeStanding, UNKNOWN_STANDING, type TargetStanding} from './target-standing.js';
+import {readStanding, UNKNOWN_STANDING, type TargetStanding} from './target-standing.js';
 import {HealthEvent} from './target-transitions.js';
 import {createTimedChanges} from './timed-changes.js';
 
@@ -29,8 +29,8 @@
  * Judges the targets of one group by the work that they do, and keeps the floor.
  *
  * What holds at hand-over: the judgement belongs to one scheduling node and is not transferred. A new scheduling node
- * starts with all targets healthy, none ejected, and half of each target's slots open. While two nodes schedule the same
- * group, each keeps the slots of its own healthy set at or above the group's floor, so every call meets at least that
+ * starts with all targets healthy and none ejected, and its scheduler opens half of each target's slots at first. While
+ * two nodes schedule the same group, each keeps the slots of its own healthy set at or above the group's floor, so every call meets at least that
  * capacity; the targets that both call healthy may be fewer than the floor.
  */
 export type GroupHealth = {
@@ -215,7 +215,7 @@
 	return {
 		standingOf(targetId) {
 			const record = roster.find(targetId);
-			return record ? describeStanding(record, clock.monotonicMs(), options) : UNKNOWN_STANDING;
+			return record ? readStanding(record, clock.monotonicMs(), options) : UNKNOWN_STANDING;
 		},
 		startAttempt(targetId, workClass) {
 			lastAttemptAtMs = clock.monotonicMs();
--- a/packages/core/src/health/target-record.ts
+++ b/packages/core/src/health/target-record.ts
@@ -1,3 +1,4 @@
+import type {TargetStanding} from './target-standing.js';
 import * as domain from '@bilberrydoor/domain';
 import {HealthSign} from './attempt-result.js';
 import type {HealthOptions} from './health-options.js';
@@ -44,6 +45,8 @@
 	lastLeavingSignAtMs: number;
 	/** True while the entry is the only sign that the target leaves. */
 	isDrainedByEntryOnly: boolean;
+	/** Standing as it was last described; see `readStanding`. */
+	describedStanding: {readonly atMs: number; readonly standing: TargetStanding} | undefined;
 	/** Readiness by the last probe. Absent before the first. */
 	probe: {readonly atMs: number; readonly isReady: boolean} | undefined;
 };
@@ -67,6 +70,7 @@
 	lastBadSign: HealthSign.Errors,
 	othersAtSuspicion: {goodCount: 0, badCount: 0},
 	ramp: undefined,
+	describedStanding: undefined,
 	flapCount: 0,
 	ejectedAtMs: -Infinity,
 	ejectedUntilMs: -Infinity,
