--- a/packages/measures/src/detection/detection-world.ts
+++ b/packages/measures/src/detection/detection-world.ts
@@ -115,7 +115,11 @@
 		...ALL_PLACES[index % ALL_PLACES.length]!,
 	}));
 	const placeByAddress = new Map(
-		[...nodePlaces, ...entries.flatMap(entry => entry.targets)].map(place => [place.address, place]),
+		[
+			...nodePlaces,
+			...entries.flatMap(entry => entry.targets),
+			{address: fakes.FAKE_LOG_ADDRESS, ...ALL_PLACES[0]!},
+		].map(place => [place.address, place]),
 	);
 	fleet.network.latencyMs = (from, to) => {
 		const [left, right] = [placeByAddress.get(from)!, placeByAddress.get(to)!];
--- a/packages/measures/src/load/build-systems.ts
+++ b/packages/measures/src/load/build-systems.ts
@@ -32,6 +32,8 @@
 	const placesByAddress = new Map<string, Place>([
 		...listNodes(profile).map(({address, place}): [string, Place] => [address, place]),
 		...entry.targets.map((target): [string, Place] => [target.address, target]),
+		// Section 1.6: the log service is in the first region of each user.
+		[fakes.FAKE_LOG_ADDRESS, profile.places[0]!],
 	]);
 	return (from, to) => findLatencyMs(profile, placesByAddress.get(from)!, placesByAddress.get(to)!);
 };
