--- a/packages/stand-ins/src/demo/run-demo.ts
+++ b/packages/stand-ins/src/demo/run-demo.ts
@@ -71,6 +71,12 @@
 	printLine(`refusal reasons: ${JSON.stringify(reasons)}`);
 };
 
+/** Targets that are not healthy, as `bilberryctl targets` shows them. */
+const readUnhealthyTargets = async (fleet: LaunchedFleet): Promise<readonly string[]> => {
+	const shown = await fleet.runCli(['targets']);
+	return shown.output.split('\n').filter(line => /\b(?:suspect|ejected|probation|draining|cold)\b/.test(line));
+};
+
 const readEjections = async (fleet: LaunchedFleet): Promise<readonly string[]> => {
 	const texts = await Promise.all(
 		fleet.nodes.map(async node => {
@@ -108,6 +114,7 @@
 		printStatistics(statistics);
 		const ejections = await readEjections(fleet);
 		printLine(`ejections: ${ejections.length === 0 ? 'none' : `\n${ejections.join('\n')}`}`);
+		printLine(`targets that are not healthy:\n${(await readUnhealthyTargets(fleet)).join('\n')}`);
 		const completedCount = statistics
 			.flatMap(({results}) => results)
 			.filter(result => result.outcome === 'completed').length;
