feat(administration): show the record of an operation to operators

Cause: 'operations show' answered 404 for every id, because nothing looked the record up. Change: the administration asks the executor; the record shows only to the workspace that submitted it. Result: operations show finds a completed record over real daemons and hides it from another workspace.

--- a/packages/adapters/src/operations/administration-routes.ts
+++ b/packages/adapters/src/operations/administration-routes.ts
@@ -99,8 +99,12 @@
 		);
 	});
 	app.get('/-/admin/operations/:operationId', async context => {
-		const view = await administration.readOperation?.(context.req.param('operationId'), context.req.raw.signal);
-		return view ? context.json(view) : context.json({error: 'this node keeps no records of operations'}, 404);
+		const workspace = context.req.query('workspace') ?? '';
+		const {signal} = context.req.raw;
+		const view = await administration.readOperation(context.req.param('operationId'), workspace, signal);
+		return view.reason === domain.RefusalReason.OperationIdInvalid
+			? context.json({error: view.detail ?? 'the operation id is invalid'}, 404)
+			: context.json(view);
 	});
 };
 
--- a/packages/core/src/administration/administration.ts
+++ b/packages/core/src/administration/administration.ts
@@ -44,8 +44,8 @@
 /** What operators can ask of a node. Only edits of the catalogue change anything. */
 export type Administration = {
 	readonly explainRoute: ExplainRoute;
-	/** Asks the executor of an operation; absent on a node that knows no operations. */
-	readonly readOperation?: (operationId: string, signal: AbortSignal) => Promise<OperationView>;
+	/** Asks the executor of an operation. Only the workspace that submitted the operation finds its record. */
+	readonly readOperation: (operationId: string, workspace: string, signal: AbortSignal) => Promise<OperationView>;
 	submitEdit(operator: Operator, request: EditRequest, signal: AbortSignal): Promise<EditReport>;
 	/** What has become of an edit, as this node knows it. */
 	readEdit(editId: string): EditReport;
@@ -193,7 +193,7 @@
 	directory: MemberDirectory;
 	routeTable: RouteTable;
 	schedulers: SchedulerRegistry;
-	readOperation?: Administration['readOperation'];
+	readOperation: Administration['readOperation'];
 }): Administration => {
 	const {store, schedulers, readOperation} = dependencies;
 	return {
@@ -220,6 +220,6 @@
 		listTargets: () => schedulers.listSchedulers().flatMap(scheduler => scheduler.describeTargets()),
 		explainRoute: createRouteExplainer({...dependencies, listGroups: schedulers.listGroups}),
 		describeFleet: createFleetStatusReader(dependencies),
-		...(readOperation && {readOperation}),
+		readOperation,
 	};
 };
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -1,5 +1,5 @@
 import * as domain from '@bilberrydoor/domain';
-import {createAdministration, type Administration} from '../administration/administration.js';
+import {createAdministration, type Administration, type OperationView} from '../administration/administration.js';
 import * as catalogueReplicator from '../catalogue/catalogue-replicator.js';
 import type {CatalogueReplicatorOptions} from '../catalogue/replicator-options.js';
 import {createCatalogueStore, type CatalogueStore} from '../catalogue/catalogue-store.js';
@@ -181,6 +181,13 @@
 			directory,
 			routeTable,
 			schedulers,
+			async readOperation(operationId, workspace, signal) {
+				const found = await operations.readOperation(operationId, workspace, signal);
+				return found.match<OperationView>(
+					reply => reply,
+					failure => ({isExpired: false, ...failure}),
+				);
+			},
 		}),
 		peerHandlers: createPeerHandlers({
 			replicator,
--- a/packages/stand-ins/src/__tests__/operations-path.test.ts
+++ b/packages/stand-ins/src/__tests__/operations-path.test.ts
@@ -65,6 +65,11 @@
 		const executorAddress = operationId.split('~')[2];
 		const executor = fleet.nodes.find(node => node.peer === executorAddress)!;
 		const survivors = fleet.nodes.filter(node => node !== executor);
+		const shown = await fleet.runCli(['operations', 'show', operationId, 'default']);
+		t.is(shown.exitCode, 0);
+		t.regex(shown.output, /state: completed/);
+		const hidden = await fleet.runCli(['operations', 'show', operationId, 'another-workspace']);
+		t.notRegex(hidden.output, /state: completed/);
 		t.is(await executor.process.stop('SIGTERM'), 0);
 		for (const node of survivors) {
 			const repeated = await submit(node.front, operationId);
