--- a/packages/fakes/src/simulate-operations.ts
+++ b/packages/fakes/src/simulate-operations.ts
@@ -84,7 +84,7 @@
 const REGION = 'pwani';
 const SERVICE = 'malipo';
 /** How long a caller waits beyond the deadline before it closes the connection, in ms. */
-const CALLER_PATIENCE_MS = 2000;
+const CALLER_TIMEOUT_MS = 2000;
 
 const encoder = new TextEncoder();
 
@@ -140,7 +140,7 @@
 		const node = findNode(place);
 		const finished = new AbortController();
 		const minting = node?.node.operations.mintOperations(SERVICE, 1, finished.signal);
-		const minted = await Promise.race([minting, clock.sleep(CALLER_PATIENCE_MS, finished.signal)]);
+		const minted = await Promise.race([minting, clock.sleep(CALLER_TIMEOUT_MS, finished.signal)]);
 		finished.abort();
 		return minted?.unwrapOr([])[0];
 	};
@@ -170,7 +170,7 @@
 			result.endedAtMs = clock.monotonicMs();
 		};
 
-		await Promise.race([handle(), clock.sleep(options.routeDeadlineMs + CALLER_PATIENCE_MS, finished.signal)]);
+		await Promise.race([handle(), clock.sleep(options.routeDeadlineMs + CALLER_TIMEOUT_MS, finished.signal)]);
 		finished.abort();
 		controller.abort();
 		return result.outcome !== undefined && result.outcome !== domain.Outcome.Unknown;
