refactor: use the shared quantile and abort reason

Cause: the system measure had its own copy of findQuantile, the front its own copy of STOP_REASON, and the peer listener aborted without a reason, which builds an exception with a stack for every forwarded call.

--- a/packages/adapters/src/front/front-app.ts
+++ b/packages/adapters/src/front/front-app.ts
@@ -1,5 +1,5 @@
 import type * as http from 'node:http';
-import type * as core from '@bilberrydoor/core';
+import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
 import * as nodeServerResponse from '@hono/node-server/utils/response';
 import * as hono from 'hono';
@@ -14,9 +14,6 @@
 	readonly logger: core.Logger;
 };
 
-/** Given as abort reason, because the default reason captures a stack for every call. */
-const RESPONSE_CLOSED = 'the response is closed';
-
 const handleRequest = async (
 	options: FrontAppOptions,
 	incoming: http.IncomingMessage,
@@ -31,7 +28,7 @@
 
 	const controller = new AbortController();
 	outgoing.on('close', () => {
-		controller.abort(RESPONSE_CLOSED);
+		controller.abort(core.STOP_REASON);
 	});
 	try {
 		const ending = await options.node.handleCall(request.value, controller.signal);
--- a/packages/adapters/src/peer/peer-app.ts
+++ b/packages/adapters/src/peer/peer-app.ts
@@ -1,5 +1,5 @@
 import type * as http from 'node:http';
-import type * as core from '@bilberrydoor/core';
+import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
 import * as nodeServerResponse from '@hono/node-server/utils/response';
 import * as trpcFetch from '@trpc/server/adapters/fetch';
@@ -97,7 +97,7 @@
 
 	const controller = new AbortController();
 	outgoing.on('close', () => {
-		controller.abort();
+		controller.abort(core.STOP_REASON);
 	});
 	const ending = await options.node.handleForwardedCall(accepted.value, controller.signal);
 	if (outgoing.destroyed) {
--- a/packages/measures/src/system/measure-system.ts
+++ b/packages/measures/src/system/measure-system.ts
@@ -2,6 +2,7 @@
 import * as fakes from '@bilberrydoor/fakes';
 import * as standIns from '@bilberrydoor/stand-ins';
 import * as undici from 'undici';
+import {findQuantile} from '../load/statistics.js';
 import type {Measure} from '../measure.js';
 import {listSystemTargets, publishSystemCatalogue} from './system-catalogue.js';
 import {type FaultReport, runSystemFaults} from './system-faults.js';
@@ -46,11 +47,6 @@
 	return answer.url !== path || answer.operation !== label;
 };
 
-const findPercentile = (values: readonly number[], ratio: number): number => {
-	const sorted = values.toSorted((left, right) => left - right);
-	return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * ratio))] ?? 0;
-};
-
 const SINGLE_PATHS = new Set(['/malipo/clearances', '/impression/orders']);
 
 const countCut = (calls: readonly SystemCall[], report: FaultReport): number =>
@@ -124,7 +120,7 @@
 			...summarize(calls, await readExecutions(fleet), report),
 			reversions: watch.reversionCount(),
 			minHealthyOverFloor: watch.minHealthyOverFloor(),
-			shortP99Ms: findPercentile(shortLatencies, 0.99),
+			shortP99Ms: findQuantile(shortLatencies, 0.99),
 			acceptedConcurrentEdits: report.editExitCodes.filter(code => code === 0).length,
 		};
 	} finally {
