--- a/packages/core/src/entry/group-delivery.ts
+++ b/packages/core/src/entry/group-delivery.ts
@@ -4,6 +4,7 @@
 import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
 import type {TargetGroup} from '../routing/target-groups.js';
 import {drawRetryAfter} from '../scheduling/retry-after.js';
+import {STOP_REASON} from '../shared/stop-reason.js';
 import type {ScheduledCall} from '../scheduling/scheduled-call.js';
 import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
 
@@ -84,7 +85,7 @@
 		const controller = new AbortController();
 		const watchController = new AbortController();
 		const cancel = (): void => {
-			controller.abort();
+			controller.abort(STOP_REASON);
 		};
 
 		const cancelWhenOverdue = async (): Promise<void> => {
@@ -105,7 +106,7 @@
 		try {
 			return await forwardToPeer(node, group, scheduled, controller.signal);
 		} finally {
-			watchController.abort();
+			watchController.abort(STOP_REASON);
 		}
 	};
 
--- a/packages/core/src/scheduling/attempt.ts
+++ b/packages/core/src/scheduling/attempt.ts
@@ -3,6 +3,7 @@
 import * as ports from '../ports/index.js';
 import {limitBody} from '../shared/limit-body.js';
 import {BodyEnd, observeBody} from '../shared/observe-body.js';
+import {STOP_REASON} from '../shared/stop-reason.js';
 import type {ScheduledCall} from './scheduled-call.js';
 import type {ServiceTimes} from './service-times.js';
 import type {SlotGrant} from './slot-broker.js';
@@ -81,7 +82,7 @@
 	let cause: AttemptEnd | undefined;
 	const stop = (end: AttemptEnd): void => {
 		cause ??= end;
-		controller.abort();
+		controller.abort(STOP_REASON);
 	};
 
 	const onCallerAbort = (): void => {
@@ -289,7 +290,7 @@
 			void watchTime(request, stopper, watchController.signal);
 			const sending = send(request, stopper);
 			const sent = await Promise.race([sending, stopper.stopped]);
-			watchController.abort();
+			watchController.abort(STOP_REASON);
 			const end = findEnd(sent, stopper);
 			observed.finish(findHealthResult(end, sent));
 			if (sent === undefined || stopper.cause() !== undefined) {
--- a/packages/core/src/scheduling/slot-broker.ts
+++ b/packages/core/src/scheduling/slot-broker.ts
@@ -1,5 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import {STOP_REASON} from '../shared/stop-reason.js';
 import type {ServiceTimes} from './service-times.js';
 import type {SlotShares, SlotUse} from './slot-shares.js';
 import type {TargetPool, TargetSlots} from './target-pool.js';
@@ -132,7 +133,7 @@
 		try {
 			return await settled;
 		} finally {
-			sleepController.abort();
+			sleepController.abort(STOP_REASON);
 			signal.removeEventListener('abort', onAbort);
 		}
 	};
--- a/packages/core/src/shared/run-with-timeout.ts
+++ b/packages/core/src/shared/run-with-timeout.ts
@@ -1,4 +1,5 @@
 import type * as ports from '../ports/index.js';
+import {STOP_REASON} from './stop-reason.js';
 
 /** Outcome of {@link runWithTimeout}. */
 export type TimedResult<T> = {readonly isTimedOut: true} | {readonly isTimedOut: false; readonly value: T};
@@ -14,7 +15,7 @@
 	const taskController = new AbortController();
 	const sleepController = new AbortController();
 	const abortTask = (): void => {
-		taskController.abort();
+		taskController.abort(STOP_REASON);
 	};
 
 	if (options.signal.aborted) {
@@ -35,7 +36,7 @@
 	try {
 		return await Promise.race([runTask(), waitForTimeout()]);
 	} finally {
-		sleepController.abort();
+		sleepController.abort(STOP_REASON);
 		options.signal.removeEventListener('abort', abortTask);
 	}
 };
--- a/packages/measures/src/load/run-load.ts
+++ b/packages/measures/src/load/run-load.ts
@@ -65,7 +65,7 @@
 		}
 	}
 
-	controller.abort();
+	controller.abort('ended');
 	const endedAtMs = system.clock.monotonicMs() - startMs;
 	return {
 		workspace,
--- /dev/null
+++ b/packages/measures/src/retries.ts
@@ -0,0 +1,93 @@
+import * as domain from '@bilberrydoor/domain';
+import * as fakes from '@bilberrydoor/fakes';
+import {SystemName, SYSTEM_BUILDERS} from './load/build-systems.js';
+import {runLoad, type CallStream} from './load/run-load.js';
+import {roundFigure} from './load/statistics.js';
+import {
+	drawServiceTime,
+	findCapacityPerSecond,
+	SHORT_SERVICE_MS,
+	USER_PROFILES,
+	type UserProfile,
+} from './load/user-profiles.js';
+import type {Measure, MeasureOptions} from './measure.js';
+
+type RetryFigures = {readonly attemptsPerCall: number; readonly callerErrorRatio: number};
+
+const BUDGET_RATIO = 0.2;
+const LOAD_RATIO = 0.4;
+const DURATION_MS = 5000;
+const DEADLINE_MS = 1000;
+const WORKSPACE_COUNT = 10;
+const FAULTS: readonly fakes.FakeTargetFault[] = [
+	fakes.FakeTargetFault.Errors,
+	fakes.FakeTargetFault.Shed,
+	fakes.FakeTargetFault.LoseAnswers,
+	fakes.FakeTargetFault.Stall,
+];
+
+const buildStreams = (profile: UserProfile): CallStream[] => {
+	const ratePerSecond = (findCapacityPerSecond(profile) * LOAD_RATIO) / WORKSPACE_COUNT;
+	return Array.from({length: WORKSPACE_COUNT}, (_, index) => ({
+		workspace: `workspace-${index}`,
+		path: '/work/sheet',
+		peakPerSecond: ratePerSecond,
+		ratePerSecond: () => ratePerSecond,
+	}));
+};
+
+const runFault = async (
+	profile: UserProfile,
+	fault: fakes.FakeTargetFault,
+	options: MeasureOptions,
+): Promise<RetryFigures> => {
+	const {service, targetCount: count, slotCount, places} = profile;
+	const entry = fakes.buildEntry({
+		service,
+		routes: [fakes.buildRoute({deadlineMs: DEADLINE_MS})],
+		targets: fakes.buildTargets({service, count, slotCount, places}),
+		retryBudgetRatio: BUDGET_RATIO,
+	});
+	const built = await SYSTEM_BUILDERS[SystemName.Product]({profile, entry, seed: options.seed});
+	const random = fakes.createSeededRandom(options.seed + 1);
+	built.targets.forEach((target, index) => {
+		target.serviceTimeMs = () => drawServiceTime(random, SHORT_SERVICE_MS);
+		// Targets take the places in turn, so a failing round of places meets all zones; the last target makes it half.
+		const isFailing = Math.floor(index / places.length) % 2 === 1 || index === count - 1;
+		target.fault = isFailing ? fault : fakes.FakeTargetFault.None;
+	});
+	const samples = await runLoad({
+		system: built,
+		streams: buildStreams(profile),
+		durationMs: DURATION_MS,
+		settleMs: 3 * DEADLINE_MS,
+		random: fakes.createSeededRandom(options.seed + 2),
+	});
+	built.stop();
+	const attemptCount = built.targets.reduce((sum, target) => sum + target.receivedCount(), 0);
+	const servedCount = samples.filter(sample => sample.outcome !== domain.Outcome.NotRun).length;
+	const figures = {
+		attemptsPerCall: attemptCount / samples.length,
+		callerErrorRatio: samples.filter(sample => !sample.isUseful).length / samples.length,
+	};
+	options.reportProgress(
+		`retries ${profile.name} ${fault}: ${JSON.stringify(figures)}, ${servedCount} of ${samples.length} calls not refused`,
+	);
+	return figures;
+};
+
+/** Measures the attempts for each call, and callers' errors, with half of the targets failing; worst user and fault. */
+export const measureRetries: Measure = async options => {
+	const figures: RetryFigures[] = [];
+	for (const profile of USER_PROFILES) {
+		for (const fault of FAULTS) {
+			figures.push(await runFault(profile, fault, options));
+		}
+	}
+
+	return {
+		attemptsPerCall: roundFigure(Math.max(...figures.map(figure => figure.attemptsPerCall))),
+		budgetRatio: BUDGET_RATIO,
+		callerErrorRatio: roundFigure(Math.max(...figures.map(figure => figure.callerErrorRatio))),
+	};
+};
--- a/packages/measures/src/run-measure.ts
+++ b/packages/measures/src/run-measure.ts
@@ -5,10 +5,18 @@
 
 /** The measurements by name. Each is loaded only when it is run. */
 const MEASURES: Readonly<Record<string, () => Promise<Measure>>> = {
+	async blocking() {
+		const {measureBlocking} = await import('./blocking.js');
+		return measureBlocking;
+	},
 	async crest() {
 		const {measureCrest} = await import('./crest.js');
 		return measureCrest;
 	},
+	async retries() {
+		const {measureRetries} = await import('./retries.js');
+		return measureRetries;
+	},
 };
 
 await new commander.Command('measure')
