--- a/packages/adapters/src/front/front-app.ts
+++ b/packages/adapters/src/front/front-app.ts
@@ -4,11 +4,12 @@
 import * as nodeServerResponse from '@hono/node-server/utils/response';
 import * as hono from 'hono';
 import type {NodeBindings} from '../http/http-listener.js';
+import {addOperationsRoutes, type OperationsRoutesOptions} from './operations-routes.js';
 import {readCallRequest} from './read-call-request.js';
 import {writeCallEnding} from './write-call-ending.js';
 
 export type FrontAppOptions = {
-	readonly node: Pick<core.Node, 'handleCall'>;
+	readonly node: Pick<core.Node, 'handleCall'> & OperationsRoutesOptions['node'];
 	readonly random: core.Random;
 	readonly logger: core.Logger;
 };
@@ -20,7 +21,8 @@
 ): Promise<void> => {
 	const request = readCallRequest(incoming, options.random.token());
 	if (request.isErr()) {
-		await writeCallEnding(outgoing, domain.notRun(domain.RefusalReason.BadRequest, request.error));
+		const refuse = incoming.headers['operation-id'] === undefined ? domain.notRun : domain.unknown;
+		await writeCallEnding(outgoing, refuse(domain.RefusalReason.BadRequest, request.error));
 		return;
 	}
 
@@ -42,6 +44,7 @@
 /** The listener for callers. */
 export const createFrontApp = (options: FrontAppOptions): hono.Hono<NodeBindings> => {
 	const app = new hono.Hono<NodeBindings>();
+	addOperationsRoutes(app, options);
 	app.all('*', async context => {
 		await handleRequest(options, context.env.incoming, context.env.outgoing);
 		return nodeServerResponse.RESPONSE_ALREADY_SENT;
--- a/packages/adapters/src/front/read-call-request.ts
+++ b/packages/adapters/src/front/read-call-request.ts
@@ -8,6 +8,14 @@
 const DEADLINE_PATTERN = /^\d{1,9}$/;
 const DEFAULT_WORKSPACE = 'default';
 
+/** Checks the value of the workspace header, and gives the default workspace when there is none. */
+export const parseWorkspace = (value: string | undefined): neverthrow.Result<string, string> => {
+	const workspace = value ?? DEFAULT_WORKSPACE;
+	return WORKSPACE_PATTERN.test(workspace)
+		? neverthrow.ok(workspace)
+		: neverthrow.err('Bilberrydoor-Workspace must be 1 to 64 letters, digits, dots, hyphens or underscores');
+};
+
 const readBody = (incoming: http.IncomingMessage): Pick<domain.CallRequest, 'body' | 'bodyLengthBytes'> => {
 	const declared = incoming.headers['content-length'];
 	const isChunked = incoming.headers['transfer-encoding'] !== undefined;
@@ -32,9 +40,9 @@
 	}
 
 	const list = headers.pairRawHeaders(incoming.rawHeaders);
-	const workspace = headers.findHeader(list, 'bilberrydoor-workspace') ?? DEFAULT_WORKSPACE;
-	if (!WORKSPACE_PATTERN.test(workspace)) {
-		return neverthrow.err('Bilberrydoor-Workspace must be 1 to 64 letters, digits, dots, hyphens or underscores');
+	const workspace = parseWorkspace(headers.findHeader(list, 'bilberrydoor-workspace'));
+	if (workspace.isErr()) {
+		return neverthrow.err(workspace.error);
 	}
 
 	const deadline = headers.findHeader(list, 'bilberrydoor-deadline-ms');
@@ -50,7 +58,7 @@
 		headers: headers
 			.removeHopHeaders(list)
 			.filter(([name]) => name !== 'host' && name !== 'content-length' && name !== 'operation-id'),
-		workspace,
+		workspace: workspace.value,
 		...readBody(incoming),
 		deadlineMs: deadline === undefined ? undefined : Number(deadline),
 		operationId: headers.findHeader(list, 'operation-id'),
--- a/packages/adapters/src/peer/forwarded-call-codec.ts
+++ b/packages/adapters/src/peer/forwarded-call-codec.ts
@@ -12,6 +12,7 @@
 	groupId: zod.string().max(200),
 	requiredIncarnationId: zod.string().max(64).optional(),
 	remainingMs: zod.number(),
+	remainingStartMs: zod.number().optional(),
 	hasBody: zod.boolean(),
 	call: zod.object({
 		callId: zod.string().max(64),
--- a/packages/adapters/src/peer/http-peer-client.ts
+++ b/packages/adapters/src/peer/http-peer-client.ts
@@ -7,7 +7,7 @@
 import {decodeEnding, encodeForwardedCall, ENDING_HEADER, FORWARDED_CALL_HEADER} from './forwarded-call-codec.js';
 import {CONTROL_PATH, FORWARD_PATH} from './peer-app.js';
 import {AUTHENTICATION_HEADER, type PeerEnvelope} from './peer-envelope.js';
-import {PEER_MESSAGE_SCHEMAS} from './peer-message-schemas.js';
+import {PEER_MESSAGE_SCHEMAS, PEER_REQUEST_ENCODERS} from './peer-message-schemas.js';
 
 export type HttpPeerClientOptions = {
 	/** Longest time for opening a connection, in ms. */
@@ -86,7 +86,8 @@
 	return {
 		async request(address, kind, request, signal) {
 			try {
-				const reply: unknown = await createControlClient(address, signal).mutation(kind, request);
+				const content = PEER_REQUEST_ENCODERS[kind]?.(request) ?? request;
+				const reply: unknown = await createControlClient(address, signal).mutation(kind, content);
 				const parsed = PEER_MESSAGE_SCHEMAS[kind].reply.safeParse(reply);
 				return parsed.success
 					? neverthrow.ok(parsed.data)
--- a/packages/adapters/src/peer/peer-message-schemas.ts
+++ b/packages/adapters/src/peer/peer-message-schemas.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
 import * as zod from 'zod';
@@ -29,21 +30,37 @@
 const count = zod.number().int().min(0).max(10_000);
 const empty = zod.strictObject({});
 
+/** Bytes travel in base64. */
+const bytesSchema = zod.codec(zod.base64(), zod.instanceof(Uint8Array), {
+	decode: text => new Uint8Array(Buffer.from(text, 'base64')),
+	encode: bytes => Buffer.from(bytes).toString('base64'),
+});
+
 const transferredOperationSchema = zod.object({
 	serial: zod.number().int().min(0),
 	service: shortText,
 	workspace: shortText,
 	fingerprint: shortText,
-	state: zod.enum(domain.OperationState),
+	state: zod.enum([domain.OperationState.Completed, domain.OperationState.NotRun, domain.OperationState.Unknown]),
 	reason: zod.enum(domain.RefusalReason).optional(),
+	detail: detailText,
 	answer: zod
 		.object({
 			status: zod.number().int(),
 			headers: zod.array(zod.tuple([zod.string(), zod.string()])),
-			bodyBase64: zod.string().optional(),
+			body: bytesSchema.optional(),
 		})
 		.optional(),
-	remainingRetentionMs: zod.number(),
+});
+
+const takeOverRequestSchema = zod.object({
+	from: incarnationSchema,
+	senderId: shortText,
+	batchIndex: count,
+	batchCount: count.min(1),
+	records: zod.array(transferredOperationSchema).max(1000),
+	forgotten: zod.array(zod.object({service: shortText, untilMs: zod.number()})).max(100_000),
+	remainingRetentionMs: zod.number().min(0),
 });
 
 /** Schemas of request and reply for each kind of control message. */
@@ -80,6 +97,7 @@
 	[core.PeerMessageKind.ReadOperation]: {
 		request: zod.object({operationId: zod.string().max(1024), workspace: shortText}),
 		reply: zod.object({
+			isAuthoritative: zod.boolean(),
 			state: zod.enum(domain.OperationState).optional(),
 			isExpired: zod.boolean(),
 			reason: zod.enum(domain.RefusalReason).optional(),
@@ -88,12 +106,8 @@
 		}),
 	},
 	[core.PeerMessageKind.TakeOverOperations]: {
-		request: zod.object({
-			from: incarnationSchema,
-			records: zod.array(transferredOperationSchema).max(1000),
-			isLast: zod.boolean(),
-		}),
-		reply: zod.object({isAccepted: zod.boolean()}),
+		request: takeOverRequestSchema,
+		reply: zod.object({isAccepted: zod.boolean(), isComplete: zod.boolean()}),
 	},
 	[core.PeerMessageKind.ReportLeavingTarget]: {
 		request: zod.object({service: shortText, targetId: shortText}),
@@ -104,3 +118,11 @@
 		reply: zod.object({isReached: zod.boolean(), latencyMs: zod.number()}),
 	},
 };
+
+/** Writes requests whose fields JSON cannot hold. Requests of the other kinds travel as they are. */
+export const PEER_REQUEST_ENCODERS: {
+	readonly [Kind in core.PeerMessageKind]?: (request: core.PeerMessages[Kind]['request']) => unknown;
+} = {
+	[core.PeerMessageKind.TakeOverOperations]: request =>
+		zod.encode(takeOverRequestSchema, request as zod.output<typeof takeOverRequestSchema>),
+};
--- a/packages/core/src/entry/entry-service.ts
+++ b/packages/core/src/entry/entry-service.ts
@@ -23,7 +23,8 @@
 	readonly deadlineAtMs: number;
 };
 
-const ROUTE_MISS_REASONS: Record<routeTables.RouteMiss, domain.RefusalReason> = {
+/** Reason of the refusal for each way to miss a route. */
+export const ROUTE_MISS_REASONS: Record<routeTables.RouteMiss, domain.RefusalReason> = {
 	[routeTables.RouteMiss.UnknownPath]: domain.RefusalReason.UnknownRoute,
 	[routeTables.RouteMiss.MethodNotAllowed]: domain.RefusalReason.MethodNotAllowed,
 };
@@ -53,7 +54,10 @@
 	schedulers: SchedulerRegistry;
 	delivery: GroupDelivery;
 	isReady: () => boolean;
+	/** Handles single work that carries no operation id. */
 	handleSingleWork: SingleWorkHandler;
+	/** Handles every call that carries an operation id. */
+	submitOperation: (call: domain.CallRequest, signal: AbortSignal) => Promise<domain.CallEnding>;
 }): EntryService => {
 	const {clock, metrics, random} = dependencies.ports;
 
@@ -71,6 +75,12 @@
 	};
 
 	const admitCall = async (call: domain.CallRequest, signal: AbortSignal): Promise<domain.CallEnding> => {
+		// The operation may have run through another node, so only its executor may say that it did not run. This holds
+		// even when this node's catalogue is behind or calls the route repeatable by now.
+		if (call.operationId !== undefined) {
+			return dependencies.submitOperation(call, signal);
+		}
+
 		if (!dependencies.isReady()) {
 			return domain.notRun(domain.RefusalReason.NoCatalogue, 'this node has no catalogue yet', {
 				retryAfterMs: 1000,
--- a/packages/core/src/entry/group-delivery.ts
+++ b/packages/core/src/entry/group-delivery.ts
@@ -62,6 +62,11 @@
 				service: group.service,
 				groupId: group.groupId,
 				remainingMs: scheduled.deadlineAtMs - clock.monotonicMs(),
+				...(scheduled.startDeadlineAtMs !== undefined && {
+					remainingStartMs: scheduled.startDeadlineAtMs - clock.monotonicMs(),
+					// A copy of the message that reaches a later run of the node must not start the work there.
+					requiredIncarnationId: node.incarnationId === '' ? undefined : node.incarnationId,
+				}),
 				call: scheduled.call,
 			},
 			signal,
@@ -75,19 +80,15 @@
 	return {
 		rankNodes,
 		async deliver(group, scheduled, signal) {
-			let isFirst = true;
 			for (const node of rankNodes(group)) {
 				if (node.address === directory.self.address) {
 					return scheduleHere(group, scheduled, signal);
 				}
 
-				if (isFirst) {
-					const refusal = scheduled.beforeDispatch?.();
-					if (refusal) {
-						return refusal;
-					}
-
-					isFirst = false;
+				// Asked for each node, because trying an unreachable one takes time.
+				const refusal = scheduled.beforeDispatch?.();
+				if (refusal) {
+					return refusal;
 				}
 
 				const forwarded = await forwardToPeer(node, group, scheduled, signal);
--- a/packages/core/src/node/call-tracker.ts
+++ b/packages/core/src/node/call-tracker.ts
@@ -14,13 +14,14 @@
 	track(
 		handle: () => Promise<domain.CallEnding>,
 		signal: AbortSignal,
-		refusal?: domain.NotRunEnding,
+		refusal?: domain.CallEnding,
 	): Promise<domain.CallEnding>;
 	/** The refusal for new calls once the notice period of a planned stop has passed. */
-	refuseNewCalls(): domain.NotRunEnding | undefined;
+	refuseNewCalls(call: domain.CallRequest): domain.CallEnding | undefined;
 	isDraining(): boolean;
 	inFlightCount(): number;
-	drain(options: {noticeMs: number; limitMs: number}): Promise<DrainResult>;
+	/** `onNoticeOver` is called when new calls are refused from then on. */
+	drain(options: {noticeMs: number; limitMs: number; onNoticeOver?: () => void}): Promise<DrainResult>;
 };
 
 export const createCallTracker = (dependencies: {clock: ports.Clock}): CallTracker => {
@@ -64,18 +65,25 @@
 
 			return domain.completed({...ending.answer, body: observeBody(ending.answer.body, {onEnd: finish})});
 		},
-		refuseNewCalls: () =>
-			isNoticeOver
+		refuseNewCalls(call) {
+			if (!isNoticeOver) {
+				return undefined;
+			}
+
+			// An operation may have been submitted through another node, so this node cannot tell that it did not run.
+			return call.operationId === undefined
 				? domain.notRun(domain.RefusalReason.Draining, 'this node is stopping; another node serves the call', {
 						retryAfterMs: 1000,
 					})
-				: undefined,
+				: domain.unknown(domain.RefusalReason.Draining, 'this node is stopping; submit the operation id again');
+		},
 		isDraining: () => isDraining,
 		inFlightCount: () => inFlightCount,
-		async drain({noticeMs, limitMs}) {
+		async drain({noticeMs, limitMs, onNoticeOver}) {
 			isDraining = true;
 			await clock.sleep(noticeMs);
 			isNoticeOver = true;
+			onNoticeOver?.();
 			if (inFlightCount > 0) {
 				await clock.sleep(limitMs, idleController.signal);
 			}
--- a/packages/core/src/node/create-node.ts
+++ b/packages/core/src/node/create-node.ts
@@ -5,6 +5,8 @@
 import {createEntryService} from '../entry/entry-service.js';
 import {createGroupDelivery} from '../entry/group-delivery.js';
 import * as memberDirectory from '../membership/member-directory.js';
+import {createOperations, type Operations, type OperationsOptions} from '../operations/operations.js';
+import {runWithStartLimit} from '../operations/start-limit.js';
 import * as ports from '../ports/index.js';
 import {createRouteTable} from '../routing/route-table.js';
 import {createSchedulerRegistry, type SchedulerRegistry} from '../scheduling/scheduler-registry.js';
@@ -17,6 +19,7 @@
 	readonly self: Omit<domain.NodeDescription, 'incarnationId'>;
 	readonly catalogue?: Partial<catalogueReplicator.CatalogueReplicatorOptions>;
 	readonly membership?: Partial<memberDirectory.MembershipOptions>;
+	readonly operations?: Partial<OperationsOptions>;
 };
 
 /** A node, assembled over its ports. It knows no protocol, codec or real time. */
@@ -28,6 +31,8 @@
 	readonly schedulers: SchedulerRegistry;
 	readonly administration: Administration;
 	readonly peerHandlers: ports.PeerHandlers;
+	/** Mints operation ids and tells what became of an operation. */
+	readonly operations: Pick<Operations, 'mintOperations' | 'readOperation'>;
 	/**
 	 * Handles a caller's request. `signal` is aborted when the caller has gone, and also once the ending has been
 	 * delivered, so that whatever the call still holds is released.
@@ -35,13 +40,18 @@
 	handleCall(call: domain.CallRequest, signal: AbortSignal): Promise<domain.CallEnding>;
 	/** Handles a call that a peer has forwarded. */
 	handleForwardedCall(forwarded: ports.ForwardedCall, signal: AbortSignal): Promise<domain.CallEnding>;
+	/** Service whose route accepts a method and path. */
+	findService(method: string, path: string): string | undefined;
 	/** Number of calls in flight. */
 	inFlightCount(): number;
 	/** Whether the node may receive callers' requests. */
 	isReady(): boolean;
 	/** Runs the node's tasks until `signal` is aborted. */
 	run(signal: AbortSignal): Promise<void>;
-	/** Refuses new calls after `noticeMs` and resolves when no call is in flight, or after `limitMs`. */
+	/**
+	 * Refuses new calls after `noticeMs`, waits until no call is in flight, for at most `limitMs`, and hands the records of
+	 * operations over to other nodes.
+	 */
 	drain(options: {noticeMs: number; limitMs: number}): Promise<DrainResult>;
 };
 
@@ -67,6 +77,15 @@
 	});
 	const {directory} = membership;
 	const delivery = createGroupDelivery({ports: dependencies.ports, directory, schedulers});
+	const operations = createOperations({
+		ports: dependencies.ports,
+		directory,
+		store,
+		routeTable,
+		schedulers,
+		delivery,
+		options: settings.operations,
+	});
 	const entryService = createEntryService({
 		ports: dependencies.ports,
 		directory,
@@ -74,8 +93,8 @@
 		schedulers,
 		delivery,
 		isReady: replicator.isReady,
-		handleSingleWork: async () =>
-			domain.notRun(domain.RefusalReason.OperationIdRequired, 'this work runs at most once and needs an operation id'),
+		handleSingleWork: operations.requireOperationId,
+		submitOperation: operations.submit,
 	});
 	const callTracker = createCallTracker({clock});
 
@@ -91,14 +110,25 @@
 			});
 		}
 
-		const deadlineAtMs = clock.monotonicMs() + forwarded.remainingMs;
-		return scheduler.schedule({call: forwarded.call, route: route.value.route, deadlineAtMs}, signal);
+		const nowMs = clock.monotonicMs();
+		const scheduled = {call: forwarded.call, route: route.value.route, deadlineAtMs: nowMs + forwarded.remainingMs};
+		if (forwarded.remainingStartMs === undefined) {
+			return scheduler.schedule(scheduled, signal);
+		}
+
+		const startDeadlineAtMs = nowMs + forwarded.remainingStartMs;
+		// This node's catalogue may call the route repeatable by now; the sender's decision holds.
+		const single = {...scheduled.route, repeatability: domain.Repeatability.Single};
+		return runWithStartLimit(
+			{clock, scheduled: {...scheduled, route: single, startDeadlineAtMs}, startDeadlineAtMs, signal},
+			scheduler.schedule,
+		);
 	};
 
 	const forwardHandlers: Record<ports.ForwardPurpose, typeof scheduleForwardedCall> = {
 		[ports.ForwardPurpose.Schedule]: scheduleForwardedCall,
-		[ports.ForwardPurpose.Execute]: async () =>
-			domain.notRun(domain.RefusalReason.OperationIdInvalid, 'this node executes no operations yet'),
+		[ports.ForwardPurpose.Execute]: operations.executeForwarded,
+		[ports.ForwardPurpose.Consult]: operations.consultForwarded,
 	};
 
 	return {
@@ -108,16 +138,28 @@
 		directory,
 		schedulers,
 		administration: createAdministration({ports: dependencies.ports, store, replicator, directory, schedulers}),
-		peerHandlers: createPeerHandlers({self, store}),
+		peerHandlers: createPeerHandlers({self, store, operations}),
+		operations,
 		handleCall: async (call, signal) =>
-			callTracker.track(async () => entryService.handleCall(call, signal), signal, callTracker.refuseNewCalls()),
+			callTracker.track(async () => entryService.handleCall(call, signal), signal, callTracker.refuseNewCalls(call)),
 		handleForwardedCall: async (forwarded, signal) =>
 			callTracker.track(async () => forwardHandlers[forwarded.purpose](forwarded, signal), signal),
+		findService: (method, path) => routeTable.findRoute(method, path).unwrapOr(undefined)?.service,
 		inFlightCount: callTracker.inFlightCount,
 		isReady: () => replicator.isReady() && !callTracker.isDraining(),
 		async run(signal) {
-			await Promise.all([replicator.run(signal), membership.run(signal), schedulers.run(signal)]);
+			await Promise.all([
+				replicator.run(signal),
+				membership.run(signal),
+				schedulers.run(signal),
+				operations.run(signal),
+			]);
+		},
+		async drain(options) {
+			operations.stopMinting();
+			const result = await callTracker.drain({...options, onNoticeOver: operations.seal});
+			await operations.handOver(options.limitMs);
+			return result;
 		},
-		drain: async options => callTracker.drain(options),
 	};
 };
--- /dev/null
+++ b/packages/core/src/operations/hand-over.ts
@@ -0,0 +1,140 @@
+import * as domain from '@bilberrydoor/domain';
+import type {MemberDirectory} from '../membership/member-directory.js';
+import * as ports from '../ports/index.js';
+import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
+import {runWithTimeout} from '../shared/run-with-timeout.js';
+import type {OperationRecord} from './operation-record.js';
+
+export type HandOverOptions = {
+	/** Nodes that get all records, so that the loss of one of them loses nothing. */
+	readonly copyCount: number;
+	/** Records in one message. */
+	readonly batchLimitCount: number;
+	/** Bytes of answers in one message; far below the limit of a control message. */
+	readonly batchLimitBytes: number;
+	/** Longest wait for the reply to one message, in ms. */
+	readonly replyTimeoutMs: number;
+	/** How often one message is sent to a node. Receiving it again changes nothing. */
+	readonly sendLimitCount: number;
+};
+
+export const DEFAULT_HAND_OVER_OPTIONS: HandOverOptions = {
+	copyCount: 2,
+	batchLimitCount: 500,
+	batchLimitBytes: 1_048_576,
+	replyTimeoutMs: 2000,
+	sendLimitCount: 3,
+};
+
+/** How many nodes of an incarnation's ranking may have taken over its records. */
+const SUCCESSOR_LIMIT_COUNT = 4;
+
+/** What a stopped incarnation leaves behind. */
+export type Estate = Pick<ports.TakeOverOperationsRequest, 'from' | 'records' | 'forgotten' | 'remainingRetentionMs'>;
+
+/**
+ * Nodes that may have taken over an incarnation's records, best first. Every node derives the same order from the
+ * incarnation and the live nodes, so a successor is found without an announcement.
+ */
+export const rankSuccessors = (directory: MemberDirectory, executor: domain.Incarnation): domain.NodeDescription[] =>
+	rankByRendezvous(
+		`${executor.vmId} ${executor.address} ${executor.incarnationId}`,
+		directory.listLiveNodes().filter(node => node.address !== executor.address),
+		SUCCESSOR_LIMIT_COUNT,
+	);
+
+/** Writes a record for a hand-over. An operation that is still open is unknown to its successor. */
+export const transferRecord = (record: OperationRecord): ports.TransferredOperation => {
+	const {serial, service, workspace, fingerprint, ending} = record;
+	const head = {serial, service, workspace, fingerprint};
+	if (ending?.outcome === domain.Outcome.Completed) {
+		const {status, headers, body} = ending;
+		return {...head, state: domain.OperationState.Completed, answer: {status, headers, body}};
+	}
+
+	const state =
+		record.state === domain.OperationState.NotRun ? domain.OperationState.NotRun : domain.OperationState.Unknown;
+	return {...head, state, reason: ending?.reason ?? domain.RefusalReason.TargetLost, detail: ending?.detail};
+};
+
+/** Hands records to the successors. Returns how many nodes have taken over all of them. */
+export type HandOver = (estate: Estate, signal: AbortSignal) => Promise<number>;
+
+export const createHandOver = (dependencies: {
+	ports: ports.NodePorts;
+	directory: MemberDirectory;
+	options?: Partial<HandOverOptions>;
+}): HandOver => {
+	const {directory} = dependencies;
+	const {clock, peerClient, logger} = dependencies.ports;
+	const options = {...DEFAULT_HAND_OVER_OPTIONS, ...dependencies.options};
+
+	const splitRecords = (records: readonly ports.TransferredOperation[]): ports.TransferredOperation[][] => {
+		let bytes = 0;
+		return records.reduce<ports.TransferredOperation[][]>(
+			(batches, record) => {
+				const recordBytes = record.answer?.body?.byteLength ?? 0;
+				const last = batches.at(-1)!;
+				const isFull = last.length >= options.batchLimitCount || bytes + recordBytes > options.batchLimitBytes;
+				if (last.length > 0 && isFull) {
+					bytes = recordBytes;
+					batches.push([record]);
+				} else {
+					bytes += recordBytes;
+					last.push(record);
+				}
+
+				return batches;
+			},
+			[[]],
+		);
+	};
+
+	const sendBatch = async (
+		address: string,
+		request: ports.TakeOverOperationsRequest,
+		signal: AbortSignal,
+	): Promise<ports.TakeOverOperationsReply | undefined> => {
+		for (let count = 0; count < options.sendLimitCount && !signal.aborted; count++) {
+			const sent = await runWithTimeout({clock, timeoutMs: options.replyTimeoutMs, signal}, async sendSignal =>
+				peerClient.request(address, ports.PeerMessageKind.TakeOverOperations, request, sendSignal),
+			);
+			if (!sent.isTimedOut && sent.value.isOk()) {
+				return sent.value.value;
+			}
+		}
+
+		return undefined;
+	};
+
+	const sendEstate = async (address: string, estate: Estate, signal: AbortSignal): Promise<boolean> => {
+		const batches = splitRecords(estate.records);
+		let isComplete = false;
+		for (const [batchIndex, records] of batches.entries()) {
+			const senderId = directory.self.incarnationId;
+			const request = {...estate, senderId, records, batchIndex, batchCount: batches.length};
+			const reply = await sendBatch(address, request, signal);
+			if (!reply?.isAccepted) {
+				return false;
+			}
+
+			isComplete = reply.isComplete;
+		}
+
+		return isComplete;
+	};
+
+	return async (estate, signal) => {
+		const successors = rankSuccessors(directory, estate.from).filter(node => node.address !== directory.self.address);
+		let copyCount = 0;
+		for (const node of successors) {
+			if (copyCount < options.copyCount && (await sendEstate(node.address, estate, signal))) {
+				copyCount++;
+			}
+		}
+
+		const fields = {incarnationId: estate.from.incarnationId, recordCount: estate.records.length, copyCount};
+		logger.info('operation records handed over', fields);
+		return copyCount;
+	};
+};
--- /dev/null
+++ b/packages/core/src/operations/operation-entry.ts
@@ -0,0 +1,285 @@
+import * as domain from '@bilberrydoor/domain';
+import * as neverthrow from 'neverthrow';
+import type {AdmittedCall} from '../entry/entry-service.js';
+import type {GroupDelivery} from '../entry/group-delivery.js';
+import type {MemberDirectory} from '../membership/member-directory.js';
+import * as ports from '../ports/index.js';
+import type {RouteTable} from '../routing/route-table.js';
+import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
+import {bufferBody, BufferError, replayBody} from '../shared/buffer-body.js';
+import {runWithTimeout} from '../shared/run-with-timeout.js';
+import {rankSuccessors} from './hand-over.js';
+import type {OperationExecutor} from './operation-executor.js';
+import {computeFingerprint} from './operation-fingerprint.js';
+import {createOperationMinter, type MintOperations} from './operation-minter.js';
+import {decodeOperationId} from './operation-token.js';
+import type {TakenOverRecords} from './taken-over-records.js';
+
+export type OperationEntryOptions = {
+	/** Largest body that is held in memory for sending it again, in bytes. */
+	readonly bodyLimitBytes: number;
+	/** Largest answer that is held in memory, in bytes. */
+	readonly answerLimitBytes: number;
+	/** Deadline when neither the caller nor a route gives one, in ms. */
+	readonly defaultDeadlineMs: number;
+	/** How long after the deadline the executor's reply is awaited, in ms: more than its settle margin and a round trip. */
+	readonly replyMarginMs: number;
+	/** Longest wait for the reply to a control message, in ms. */
+	readonly controlTimeoutMs: number;
+};
+
+export const DEFAULT_OPERATION_ENTRY_OPTIONS: OperationEntryOptions = {
+	bodyLimitBytes: 1_048_576,
+	answerLimitBytes: 4_194_304,
+	defaultDeadlineMs: 30_000,
+	replyMarginMs: 500,
+	controlTimeoutMs: 1000,
+};
+
+/** Longest deadline that an entry may have, in ms. */
+const DEADLINE_LIMIT_MS = 600_000;
+/** Nodes that are asked when the executor itself cannot be reached. */
+const CONSULTED_LIMIT_COUNT = 3;
+
+/** What a caller learns when nobody can tell the state of an operation. */
+export type LookupFailure = {readonly reason: domain.RefusalReason; readonly detail: string};
+
+/** The part of single work that any node does for its callers. */
+export type OperationEntry = {
+	readonly mint: MintOperations;
+	/** Refuses a call without an id, and gives the caller an id to repeat it with. */
+	requireOperationId(admitted: AdmittedCall, signal: AbortSignal): Promise<domain.CallEnding>;
+	/** Brings a call with an id to its executor. */
+	submit(call: domain.CallRequest, signal: AbortSignal): Promise<domain.CallEnding>;
+	read(
+		operationId: string,
+		workspace: string,
+		signal: AbortSignal,
+	): Promise<neverthrow.Result<ports.ReadOperationReply, LookupFailure>>;
+	/** Answers another node on behalf of an executor that it cannot reach. */
+	consult(forwarded: ports.ForwardedCall, signal: AbortSignal): Promise<domain.CallEnding>;
+};
+
+type Question = {
+	readonly identity: domain.OperationIdentity;
+	/** The call with its body in memory. */
+	readonly call: domain.CallRequest;
+	readonly body: Uint8Array;
+	readonly deadlineAtMs: number;
+};
+
+type Route = Pick<ports.ForwardedCall, 'purpose' | 'requiredIncarnationId'> & {readonly address: string};
+
+const BODY_ERRORS: Record<BufferError, domain.RefusalReason> = {
+	[BufferError.TooLarge]: domain.RefusalReason.BodyTooLarge,
+	[BufferError.Broken]: domain.RefusalReason.CallerCancelled,
+};
+
+const executorUnreachable = (): domain.UnknownEnding =>
+	domain.unknown(
+		domain.RefusalReason.ExecutorUnreachable,
+		'the executor of the operation could not be asked; submit the same id again or look it up later',
+	);
+
+const isAnswered = (ending: domain.CallEnding | undefined): ending is domain.CallEnding =>
+	ending !== undefined &&
+	!(ending.outcome === domain.Outcome.Unknown && ending.reason === domain.RefusalReason.ExecutorUnreachable);
+
+const directRoute = ({executor}: domain.OperationIdentity): Route => ({
+	address: executor.address,
+	purpose: ports.ForwardPurpose.Execute,
+	requiredIncarnationId: executor.incarnationId,
+});
+
+export const createOperationEntry = (dependencies: {
+	ports: ports.NodePorts;
+	directory: MemberDirectory;
+	routeTable: RouteTable;
+	schedulers: SchedulerRegistry;
+	delivery: GroupDelivery;
+	executor: OperationExecutor;
+	takenOver: TakenOverRecords;
+	options?: Partial<OperationEntryOptions>;
+}): OperationEntry => {
+	const {directory, executor, takenOver} = dependencies;
+	const {authenticator, clock, metrics, peerClient} = dependencies.ports;
+	const options = {...DEFAULT_OPERATION_ENTRY_OPTIONS, ...dependencies.options};
+
+	const readQuestion = async (
+		call: domain.CallRequest,
+		deadlineMs: number,
+		signal: AbortSignal,
+	): Promise<neverthrow.Result<Question, domain.CallEnding>> => {
+		const deadlineAtMs = clock.monotonicMs() + deadlineMs;
+		// A caller may have garbled the id of an operation that has run, so nothing is known about a wrong one.
+		const decoded = decodeOperationId(authenticator, call.operationId ?? '');
+		if (decoded.isErr()) {
+			return neverthrow.err(domain.unknown(domain.RefusalReason.OperationIdInvalid, decoded.error));
+		}
+
+		const read = await runWithTimeout({clock, timeoutMs: deadlineMs, signal}, async () =>
+			bufferBody(call.body, options.bodyLimitBytes),
+		);
+		if (read.isTimedOut || read.value.isErr()) {
+			const reason = read.isTimedOut
+				? domain.RefusalReason.DeadlineExceeded
+				: BODY_ERRORS[read.value._unsafeUnwrapErr()];
+			const detail = `the body must arrive whole before the deadline, in at most ${options.bodyLimitBytes} bytes`;
+			return neverthrow.err(domain.unknown(reason, detail));
+		}
+
+		const body = read.value.value;
+		const hasBody = call.body !== undefined;
+		const buffered = {...call, ...(hasBody && {body: replayBody(body), bodyLengthBytes: body.byteLength})};
+		return neverthrow.ok({identity: decoded.value, call: buffered, body, deadlineAtMs});
+	};
+
+	/** Answers from this node's own knowledge, when it has any. */
+	const answerHere = async (
+		{identity, call, body, deadlineAtMs}: Question,
+		signal: AbortSignal,
+	): Promise<domain.CallEnding | undefined> => {
+		if (domain.isSameIncarnation(identity.executor, directory.self)) {
+			return executor.submit({identity, call, remainingMs: deadlineAtMs - clock.monotonicMs()}, signal);
+		}
+
+		const fingerprint = computeFingerprint(authenticator, call, body);
+		return takenOver.answer(identity, {fingerprint, workspace: call.workspace});
+	};
+
+	const forward = async (
+		{identity, call, deadlineAtMs}: Question,
+		{address, ...purpose}: Route,
+		signal: AbortSignal,
+	): Promise<domain.CallEnding | undefined> => {
+		const remainingMs = deadlineAtMs - clock.monotonicMs();
+		const forwarded = await peerClient.forwardCall(
+			address,
+			{...purpose, service: identity.service, groupId: '', remainingMs, call},
+			signal,
+		);
+		if (forwarded.isErr() || forwarded.value.outcome !== domain.Outcome.Completed) {
+			return forwarded.unwrapOr(undefined);
+		}
+
+		// The answer is read whole before the caller gets any of it, because the executor can be asked again.
+		const {answer} = forwarded.value;
+		const body = await bufferBody(answer.body, options.answerLimitBytes);
+		return body.isOk() ? domain.completed({...answer, body: replayBody(body.value)}) : undefined;
+	};
+
+	/** Asks over several ways in turn. The executor gives every submission of an id the same ending. */
+	const ask = async (question: Question, routes: readonly Route[], signal: AbortSignal): Promise<domain.CallEnding> => {
+		for (const [index, route] of routes.entries()) {
+			const leftMs = question.deadlineAtMs + options.replyMarginMs - clock.monotonicMs();
+			if (leftMs <= 0 || signal.aborted) {
+				break;
+			}
+
+			const timeoutMs = index === routes.length - 1 ? leftMs : leftMs / 2;
+			const result = await runWithTimeout({clock, timeoutMs, signal}, async routeSignal =>
+				forward(question, route, routeSignal),
+			);
+			if (!result.isTimedOut && isAnswered(result.value)) {
+				return result.value;
+			}
+
+			const {service} = question.identity;
+			metrics.increment(ports.CounterName.Retries, {service, reason: domain.RetryReason.PeerLost});
+		}
+
+		return executorUnreachable();
+	};
+
+	const listRoutes = ({identity}: Question): Route[] => {
+		const direct = directRoute(identity);
+		const consulted = rankSuccessors(directory, identity.executor)
+			.filter(node => node.address !== directory.self.address)
+			.slice(0, CONSULTED_LIMIT_COUNT)
+			.map(({address}) => ({address, purpose: ports.ForwardPurpose.Consult}));
+		return [direct, ...consulted, direct];
+	};
+
+	const mint = createOperationMinter({...dependencies, controlTimeoutMs: options.controlTimeoutMs});
+
+	const readAt = async (
+		address: string,
+		operationId: string,
+		workspace: string,
+		signal: AbortSignal,
+	): Promise<ports.ReadOperationReply | undefined> => {
+		const sent = await runWithTimeout({clock, timeoutMs: options.controlTimeoutMs, signal}, async requestSignal =>
+			peerClient.request(address, ports.PeerMessageKind.ReadOperation, {operationId, workspace}, requestSignal),
+		);
+		return sent.isTimedOut ? undefined : sent.value.unwrapOr(undefined);
+	};
+
+	return {
+		mint,
+		async requireOperationId({service, call}, signal) {
+			const minted = await mint(service, 1, signal);
+			if (minted.isErr()) {
+				return domain.notRun(domain.RefusalReason.ExecutorUnreachable, minted.error, {retryAfterMs: 1000});
+			}
+
+			const [operationId] = minted.value;
+			return call.idempotencyKey === undefined
+				? domain.notRun(
+						domain.RefusalReason.OperationIdRequired,
+						'this work runs at most once; repeat the request with the header Operation-Id',
+						{operationId},
+					)
+				: domain.notRun(
+						domain.RefusalReason.IdempotencyKeyUnsupported,
+						'a key chosen by the caller names no executor; repeat the request with the header Operation-Id',
+						{operationId},
+					);
+		},
+		async submit(call, signal) {
+			const found = dependencies.routeTable.findRoute(call.method, call.path);
+			const routeDeadlineMs = found.isOk() ? found.value.route.deadlineMs : DEADLINE_LIMIT_MS;
+			const defaultMs = found.isOk() ? routeDeadlineMs : options.defaultDeadlineMs;
+			const question = await readQuestion(call, Math.min(call.deadlineMs ?? defaultMs, routeDeadlineMs), signal);
+			if (question.isErr()) {
+				return question.error;
+			}
+
+			const known = await answerHere(question.value, signal);
+			return known ?? ask(question.value, listRoutes(question.value), signal);
+		},
+		async consult({call, remainingMs}, signal) {
+			const question = await readQuestion(call, remainingMs, signal);
+			if (question.isErr()) {
+				return question.error;
+			}
+
+			const known = await answerHere(question.value, signal);
+			return known ?? ask(question.value, [directRoute(question.value.identity)], signal);
+		},
+		async read(operationId, workspace, signal) {
+			const decoded = decodeOperationId(authenticator, operationId);
+			if (decoded.isErr()) {
+				return neverthrow.err({reason: domain.RefusalReason.OperationIdInvalid, detail: decoded.error});
+			}
+
+			const identity = decoded.value;
+			const known = domain.isSameIncarnation(identity.executor, directory.self)
+				? executor.read(identity, workspace)
+				: takenOver.read(identity, workspace);
+			if (known) {
+				return neverthrow.ok(known);
+			}
+
+			const addresses = [identity.executor, ...rankSuccessors(directory, identity.executor)].map(node => node.address);
+			for (const address of addresses.filter(other => other !== directory.self.address)) {
+				const reply = await readAt(address, operationId, workspace, signal);
+				if (reply?.isAuthoritative) {
+					return neverthrow.ok(reply);
+				}
+			}
+
+			const {reason, detail} = executorUnreachable();
+			return neverthrow.err({reason, detail});
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/operations/operations.ts
@@ -0,0 +1,161 @@
+import * as domain from '@bilberrydoor/domain';
+import type {CatalogueStore} from '../catalogue/catalogue-store.js';
+import type {GroupDelivery} from '../entry/group-delivery.js';
+import type {MemberDirectory} from '../membership/member-directory.js';
+import * as ports from '../ports/index.js';
+import type {RouteTable} from '../routing/route-table.js';
+import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
+import {runWithTimeout} from '../shared/run-with-timeout.js';
+import * as handOvers from './hand-over.js';
+import {createAttemptRunner} from './operation-attempt.js';
+import * as operationEntry from './operation-entry.js';
+import * as operationExecutor from './operation-executor.js';
+import {decodeOperationId} from './operation-token.js';
+import {createTakenOverRecords, type TakenOverRecordsOptions} from './taken-over-records.js';
+
+export type OperationsOptions = operationExecutor.OperationExecutorOptions &
+	operationEntry.OperationEntryOptions &
+	TakenOverRecordsOptions &
+	handOvers.HandOverOptions & {
+		/** Pause between searches for records that may be dropped, in ms. */
+		readonly sweepPeriodMs: number;
+	};
+
+const DEFAULT_SWEEP_PERIOD_MS = 10_000;
+/** Longest time for sending records to successors, in ms. */
+const HAND_OVER_LIMIT_MS = 30_000;
+/** Shortest retention at a successor, in ms, so that ids without a record are answered until they usually expire. */
+const SUCCESSOR_RETENTION_MS = 600_000;
+
+type OperationMessageKind =
+	| ports.PeerMessageKind.MintOperations
+	| ports.PeerMessageKind.ReadOperation
+	| ports.PeerMessageKind.TakeOverOperations;
+
+type ForwardHandler = (forwarded: ports.ForwardedCall, signal: AbortSignal) => Promise<domain.CallEnding>;
+
+/** Work that runs at most once, as one node takes part in it. */
+export type Operations = {
+	readonly requireOperationId: operationEntry.OperationEntry['requireOperationId'];
+	readonly submit: operationEntry.OperationEntry['submit'];
+	readonly mintOperations: operationEntry.OperationEntry['mint'];
+	readonly readOperation: operationEntry.OperationEntry['read'];
+	readonly executeForwarded: ForwardHandler;
+	readonly consultForwarded: ForwardHandler;
+	readonly peerHandlers: Pick<ports.PeerHandlers, OperationMessageKind>;
+	/** Mints no ids and takes over no records from now on. */
+	stopMinting(): void;
+	/** Starts no operation from now on. */
+	seal(): void;
+	/** Waits for open operations, for at most `limitMs`, and sends all records to successors. */
+	handOver(limitMs: number): Promise<void>;
+	run(signal: AbortSignal): Promise<void>;
+};
+
+export const createOperations = (dependencies: {
+	ports: ports.NodePorts;
+	directory: MemberDirectory;
+	store: CatalogueStore;
+	routeTable: RouteTable;
+	schedulers: SchedulerRegistry;
+	delivery: GroupDelivery;
+	options?: Partial<OperationsOptions>;
+}): Operations => {
+	const {directory, options = {}} = dependencies;
+	const {authenticator, clock, metrics} = dependencies.ports;
+	const {self} = directory;
+	const runAttempt = createAttemptRunner({
+		...dependencies,
+		region: self.region,
+		answerLimitBytes: options.answerLimitBytes ?? operationEntry.DEFAULT_OPERATION_ENTRY_OPTIONS.answerLimitBytes,
+	});
+	const executor = operationExecutor.createOperationExecutor({...dependencies, self, runAttempt});
+	const takenOver = createTakenOverRecords({clock, options});
+	const entry = operationEntry.createOperationEntry({...dependencies, executor, takenOver});
+	const handOver = handOvers.createHandOver(dependencies);
+	let isStopping = false;
+
+	const readHere = ({operationId, workspace}: ports.ReadOperationRequest): ports.ReadOperationReply => {
+		const identity = decodeOperationId(authenticator, operationId).unwrapOr(undefined);
+		const known =
+			identity &&
+			(domain.isSameIncarnation(identity.executor, self)
+				? executor.read(identity, workspace)
+				: takenOver.read(identity, workspace));
+		return known ?? {isAuthoritative: false, isExpired: false};
+	};
+
+	/** This node's own records, and those that it has taken over and knows to be complete. */
+	const listEstates = (): handOvers.Estate[] => {
+		const nowMs = clock.monotonicMs();
+		const records = executor.table.listRecords();
+		const latestDropAtMs = Math.max(...records.map(record => record.dropAtMs).filter(Number.isFinite), nowMs);
+		const own = {
+			from: {vmId: self.vmId, address: self.address, incarnationId: self.incarnationId},
+			records: records.map(handOvers.transferRecord),
+			forgotten: executor.table.listForgotten(),
+			remainingRetentionMs: Math.max(latestDropAtMs - nowMs, SUCCESSOR_RETENTION_MS),
+		};
+		const others = takenOver
+			.listOrigins()
+			.filter(origin => origin.isComplete && origin.dropAtMs > nowMs)
+			.map(origin => ({
+				from: origin.from,
+				records: [...origin.records.values()],
+				forgotten: [...origin.forgotten].map(([service, untilMs]) => ({service, untilMs})),
+				remainingRetentionMs: origin.dropAtMs - nowMs,
+			}));
+		return executor.hasMinted() ? [own, ...others] : others;
+	};
+
+	const executeForwarded: ForwardHandler = async ({call, remainingMs}, signal) => {
+		const identity = decodeOperationId(authenticator, call.operationId ?? '');
+		if (identity.isErr()) {
+			return domain.unknown(domain.RefusalReason.OperationIdInvalid, identity.error);
+		}
+
+		return domain.isSameIncarnation(identity.value.executor, self)
+			? executor.submit({identity: identity.value, call, remainingMs}, signal)
+			: domain.unknown(domain.RefusalReason.ExecutorUnreachable, 'the operation has another executor');
+	};
+
+	return {
+		requireOperationId: entry.requireOperationId,
+		submit: entry.submit,
+		mintOperations: entry.mint,
+		readOperation: entry.read,
+		executeForwarded,
+		consultForwarded: entry.consult,
+		peerHandlers: {
+			async [ports.PeerMessageKind.MintOperations]({service, count}) {
+				const operationIds = executor.mint(service, count);
+				return operationIds.length > 0 ? {operationIds} : {operationIds, detail: 'stopping, or the service is unknown'};
+			},
+			[ports.PeerMessageKind.ReadOperation]: async request => readHere(request),
+			[ports.PeerMessageKind.TakeOverOperations]: async request =>
+				isStopping ? {isAccepted: false, isComplete: false} : takenOver.takeOver(request),
+		},
+		stopMinting() {
+			isStopping = true;
+			executor.stopMinting();
+		},
+		seal: executor.seal,
+		async handOver(limitMs) {
+			const {signal} = new AbortController();
+			await runWithTimeout({clock, timeoutMs: limitMs, signal}, executor.waitUntilIdle);
+			await runWithTimeout({clock, timeoutMs: HAND_OVER_LIMIT_MS, signal}, async handOverSignal => {
+				for (const estate of listEstates()) {
+					await handOver(estate, handOverSignal);
+				}
+			});
+		},
+		async run(signal) {
+			while (!signal.aborted) {
+				await clock.sleep(options.sweepPeriodMs ?? DEFAULT_SWEEP_PERIOD_MS, signal);
+				executor.table.sweep(clock.monotonicMs());
+				takenOver.sweep(clock.monotonicMs());
+				metrics.set(ports.GaugeName.OperationRecords, {}, executor.table.recordCount());
+			}
+		},
+	};
+};
--- a/packages/core/src/ports/peer-client.ts
+++ b/packages/core/src/ports/peer-client.ts
@@ -22,6 +22,8 @@
 	Schedule = 'schedule',
 	/** Execute the operation that the call's operation id names. */
 	Execute = 'execute',
+	/** Answer for the executor of the call's operation: from records taken over, or by asking it. */
+	Consult = 'consult',
 }
 
 /** A call on its way from one node to another. */
@@ -33,6 +35,8 @@
 	readonly requiredIncarnationId?: string;
 	/** Time left until the call's deadline, in ms. */
 	readonly remainingMs: number;
+	/** Time left in which the work may start, in ms. Present for work that runs at most once. */
+	readonly remainingStartMs?: number;
 	readonly call: domain.CallRequest;
 };
 
--- a/packages/core/src/ports/peer-message.ts
+++ b/packages/core/src/ports/peer-message.ts
@@ -66,8 +66,11 @@
 export type ReadOperationRequest = {readonly operationId: string; readonly workspace: string};
 
 export type ReadOperationReply = {
-	/** Absent when the executor has no record of the id. */
+	/** True when the node is the executor itself or has taken over all its records. */
+	readonly isAuthoritative: boolean;
+	/** Absent when there is no record of the id for the workspace. */
 	readonly state?: domain.OperationState;
+	/** True when work that has not started under this id never starts. */
 	readonly isExpired: boolean;
 	readonly reason?: domain.RefusalReason;
 	/** Status of the target's answer; present with `Completed`. */
@@ -75,7 +78,7 @@
 	readonly detail?: string;
 };
 
-/** One operation record in a hand-over. */
+/** One operation record in a hand-over. Its state is final. */
 export type TransferredOperation = {
 	readonly serial: number;
 	readonly service: string;
@@ -83,24 +86,38 @@
 	readonly fingerprint: string;
 	readonly state: domain.OperationState;
 	readonly reason?: domain.RefusalReason;
+	readonly detail?: string;
+	/** Present with `Completed`. */
 	readonly answer?: {
 		readonly status: number;
 		readonly headers: domain.HeaderList;
-		/** Body copy in base64; absent when it was larger than the limit. */
-		readonly bodyBase64?: string;
+		/** Absent when it was too large to be kept. */
+		readonly body?: Uint8Array;
 	};
-	/** Time until the record may be dropped, in ms. */
-	readonly remainingRetentionMs: number;
 };
 
+/**
+ * One batch of the records of an incarnation that has sealed itself. Batches may arrive repeatedly and in any order; the
+ * hand-over is complete when all batches of one sender have arrived.
+ */
 export type TakeOverOperationsRequest = {
 	readonly from: domain.Incarnation;
+	/** Incarnation id of the sending node, which need not be the origin of the records. */
+	readonly senderId: string;
+	readonly batchIndex: number;
+	readonly batchCount: number;
 	readonly records: readonly TransferredOperation[];
-	/** True with the last batch. */
-	readonly isLast: boolean;
+	/** Latest expiry, on the executor's clock, of ids whose records have been dropped. */
+	readonly forgotten: ReadonlyArray<{readonly service: string; readonly untilMs: number}>;
+	/** Time for which the records are to be kept, in ms. */
+	readonly remainingRetentionMs: number;
 };
 
-export type TakeOverOperationsReply = {readonly isAccepted: boolean};
+export type TakeOverOperationsReply = {
+	readonly isAccepted: boolean;
+	/** True when all batches have arrived. */
+	readonly isComplete: boolean;
+};
 
 export type ReportLeavingTargetRequest = {readonly service: string; readonly targetId: string};
 
--- a/packages/core/src/scheduling/scheduled-call.ts
+++ b/packages/core/src/scheduling/scheduled-call.ts
@@ -6,6 +6,11 @@
 	readonly route: domain.RouteEntry;
 	/** Instant on this node's monotonic clock when the call's time is up, in ms. */
 	readonly deadlineAtMs: number;
+	/**
+	 * Instant on this node's monotonic clock after which the work is not started, in ms. Present for work that runs at most
+	 * once, whose `deadlineAtMs` is later so that a late answer still tells the ending.
+	 */
+	readonly startDeadlineAtMs?: number;
 	/**
 	 * Asked immediately before the first byte can reach a target. An ending refuses the dispatch. Work that runs at most
 	 * once marks its record here.
--- /dev/null
+++ b/packages/fakes/src/__tests__/operations-property.test.ts
@@ -0,0 +1,64 @@
+import * as domain from '@bilberrydoor/domain';
+import test from 'ava';
+import * as fastCheck from 'fast-check';
+import {FakeTargetFault} from '../fake-target.js';
+import {FleetEventKind} from '../fleet-event.js';
+import {DEFAULT_SIMULATION_OPTIONS, simulateOperations} from '../simulate-operations.js';
+
+const NODE_COUNT = 4;
+const RUN_COUNT = 500;
+const SEED = 20_261_204;
+
+const place = fastCheck.nat({max: NODE_COUNT - 1});
+const operation = fastCheck.record({
+	startAtMs: fastCheck.nat({max: 3000}),
+	mintAt: place,
+	submitAt: fastCheck.array(place, {minLength: 1, maxLength: 4}),
+	gapMs: fastCheck.constantFrom(0, 5, 30, 400),
+	isImpatient: fastCheck.boolean(),
+});
+const event = fastCheck.record({
+	atMs: fastCheck.nat({max: 4000}),
+	kind: fastCheck.constantFrom(...Object.values(FleetEventKind)),
+	node: place,
+	other: place,
+	targetFault: fastCheck.constantFrom(...Object.values(FakeTargetFault)),
+});
+const schedule = fastCheck.record({
+	seed: fastCheck.nat({max: 1_000_000}),
+	operations: fastCheck.array(operation, {minLength: 1, maxLength: 6}),
+	events: fastCheck.array(event, {maxLength: 8}),
+	expiryMs: fastCheck.constantFrom(300, 1500, 60_000),
+	retentionMs: fastCheck.constantFrom(0, 60_000),
+	serviceTimeMs: fastCheck.constantFrom(5, 80, 900),
+	recordLimitCount: fastCheck.constantFrom(1, 1000),
+	copyLimitBytes: fastCheck.constantFrom(0, 1_000_000),
+});
+
+// Guards against a second execution, a false `not-run`, a call without an ending and an answer to another's request
+// under any order of submissions, faults, pauses, planned stops and duplicated messages.
+test('single work holds its promises under random schedules', async t => {
+	await fastCheck.assert(
+		fastCheck.asyncProperty(schedule, async ({expiryMs, retentionMs, recordLimitCount, copyLimitBytes, ...plan}) => {
+			const {submissions, executionCounts} = await simulateOperations({
+				...plan,
+				nodeCount: NODE_COUNT,
+				operationLimit: {...DEFAULT_SIMULATION_OPTIONS.operationLimit, expiryMs, retentionMs},
+				coolDownMs: 4000,
+				settings: {
+					operations: {recordLimitCount, copyLimitBytes, sealLimitCount: 2, sweepPeriodMs: 400, lateAnswerMs: 1000},
+				},
+			});
+			const falseNotRun = submissions.filter(
+				({outcome, operation: index}) => outcome === domain.Outcome.NotRun && executionCounts[index]! > 0,
+			);
+			const wrong = submissions.filter(({isRightAnswer}) => !isRightAnswer);
+			const unended = submissions.filter(({isUnended}) => isUnended);
+			return (
+				Math.max(...executionCounts) <= 1 && falseNotRun.length === 0 && wrong.length === 0 && unended.length === 0
+			);
+		}),
+		{numRuns: RUN_COUNT, seed: SEED},
+	);
+	t.pass();
+});
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -6,5 +6,7 @@
 export * from './fake-observability.js';
 export * from './fake-target.js';
 export * from './fake-vm-list.js';
+export * from './fleet-event.js';
 export * from './seeded-random.js';
+export * from './simulate-operations.js';
 export * from './virtual-clock.js';
--- /dev/null
+++ b/packages/fakes/src/simulate-operations.ts
@@ -0,0 +1,223 @@
+import type * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import {buildCall, buildEntry, buildRoute, buildTargets, readText} from './build-entry.js';
+import {createFakeFleet, type FakeFleet, type FakeNode} from './fake-fleet.js';
+import {type EventFleet, type FleetEvent, runFleetEvents} from './fleet-event.js';
+
+/** One operation as a caller plans it. */
+export type PlannedOperation = {
+	readonly startAtMs: number;
+	/** Place of the node that mints the id. */
+	readonly mintAt: number;
+	/** Places of the nodes that get a submission, in order. */
+	readonly submitAt: readonly number[];
+	/** Pause before the next submission, in ms. */
+	readonly gapMs: number;
+	/** True when the next submission does not wait for the ending of the one before, and comes in any case. */
+	readonly isImpatient: boolean;
+};
+
+/** What became of one submission. */
+export type SubmissionResult = {
+	readonly operation: number;
+	/** Absent when the call did not end, or its entry node was killed before that. */
+	outcome?: domain.Outcome;
+	reason?: domain.RefusalReason;
+	isRightAnswer: boolean;
+	/** True when the entry node lived to the end and the call had still not ended. */
+	isUnended: boolean;
+	/** When the submission was sent and ended, on the fleet's clock, in ms. */
+	readonly sentAtMs: number;
+	endedAtMs?: number;
+};
+
+export type SimulationResult = {
+	readonly submissions: readonly SubmissionResult[];
+	/** Executions by operation. */
+	readonly executionCounts: readonly number[];
+};
+
+/** Submits a call for an operation through a node. */
+export type SubmitCall = (
+	node: FakeNode,
+	call: domain.CallRequest,
+	operationId: string | undefined,
+	signal: AbortSignal,
+) => Promise<domain.CallEnding>;
+
+export type SimulationOptions = {
+	readonly seed: number;
+	readonly nodeCount: number;
+	readonly targetCount: number;
+	readonly operations: readonly PlannedOperation[];
+	readonly events: readonly FleetEvent[];
+	readonly serviceTimeMs: number;
+	readonly routeDeadlineMs: number;
+	readonly operationLimit: domain.OperationLimit;
+	readonly settings?: Partial<core.NodeSettings>;
+	/** Time after the last submission in which calls end and late answers arrive, in ms. */
+	readonly coolDownMs: number;
+	/** What is under test; the nodes' own handling by default. */
+	readonly createSubmit: (fleet: FakeFleet) => SubmitCall;
+	/** Whether callers mint ids. */
+	readonly isMinting: boolean;
+};
+
+export const DEFAULT_SIMULATION_OPTIONS: SimulationOptions = {
+	seed: 1,
+	nodeCount: 4,
+	targetCount: 2,
+	operations: [],
+	events: [],
+	serviceTimeMs: 20,
+	routeDeadlineMs: 1000,
+	operationLimit: {expiryMs: 60_000, retentionMs: 60_000, answerCopyLimitBytes: 16_384},
+	coolDownMs: 30_000,
+	createSubmit: () => async (node, call, operationId, signal) => node.node.handleCall({...call, operationId}, signal),
+	isMinting: true,
+};
+
+const REGION = 'pwani';
+const SERVICE = 'malipo';
+/** How long a caller waits beyond the deadline before it closes the connection, in ms. */
+const CALLER_PATIENCE_MS = 2000;
+
+const encoder = new TextEncoder();
+
+const createCall = (operation: number): domain.CallRequest =>
+	buildCall({
+		method: 'POST',
+		path: `/work/${operation}`,
+		headers: [['x-operation', String(operation)]],
+		workspace: `workspace-${operation % 3}`,
+		body: {
+			async *[Symbol.asyncIterator]() {
+				yield encoder.encode(`mark ${operation}`);
+			},
+		},
+	});
+
+/** Starts a fleet with one service of single work. */
+export const startOperationsFleet = async (options: SimulationOptions): Promise<EventFleet> => {
+	const fleet = createFakeFleet({seed: options.seed, settings: options.settings});
+	const places = Array.from({length: options.nodeCount}, (_, index) => ({
+		address: `node-${index}:1`,
+		region: REGION,
+		availabilityZone: `zone-${index % 2}`,
+	}));
+	const entry = buildEntry({
+		service: SERVICE,
+		routes: [buildRoute({repeatability: domain.Repeatability.Single, deadlineMs: options.routeDeadlineMs})],
+		targets: buildTargets({service: SERVICE, count: options.targetCount, slotCount: 4, places}),
+		operations: options.operationLimit,
+	});
+	const current = places.map(place => fleet.startNode(place));
+	fleet.addTargets(entry);
+	fleet.targets.forEach(target => {
+		target.serviceTimeMs = () => options.serviceTimeMs;
+	});
+	await fleet.publishEntry(entry);
+	return {fleet, places, targetIds: entry.targets.map(target => target.targetId), current};
+};
+
+const createCaller = (
+	options: SimulationOptions,
+	eventFleet: EventFleet,
+	submissions: SubmissionResult[],
+	entryNodes: Map<SubmissionResult, FakeNode>,
+) => {
+	const {clock} = eventFleet.fleet;
+	const submit = options.createSubmit(eventFleet.fleet);
+
+	const findNode = (place: number): FakeNode | undefined =>
+		[...eventFleet.current.slice(place), ...eventFleet.current.slice(0, place)].find(node => node !== undefined);
+
+	const mintId = async (place: number): Promise<string | undefined> => {
+		const node = findNode(place);
+		const finished = new AbortController();
+		const minting = node?.node.operations.mintOperations(SERVICE, 1, finished.signal);
+		const minted = await Promise.race([minting, clock.sleep(CALLER_PATIENCE_MS, finished.signal)]);
+		finished.abort();
+		return minted?.unwrapOr([])[0];
+	};
+
+	const submitOnce = async (operation: number, operationId: string | undefined, place: number): Promise<boolean> => {
+		const node = findNode(place);
+		if (!node) {
+			return false;
+		}
+
+		const result: SubmissionResult = {operation, isRightAnswer: true, isUnended: false, sentAtMs: clock.monotonicMs()};
+		submissions.push(result);
+		entryNodes.set(result, node);
+		const controller = new AbortController();
+		const finished = new AbortController();
+		const handle = async (): Promise<void> => {
+			const ending = await submit(node, createCall(operation), operationId, controller.signal);
+			const isCompleted = ending.outcome === domain.Outcome.Completed;
+			const text = isCompleted ? await readText(ending.answer.body) : undefined;
+			if (node.host.isDead()) {
+				return;
+			}
+
+			result.isRightAnswer = text === undefined || text.endsWith(` /work/${operation}`);
+			result.reason = isCompleted ? undefined : ending.reason;
+			result.outcome = ending.outcome;
+			result.endedAtMs = clock.monotonicMs();
+		};
+
+		await Promise.race([handle(), clock.sleep(options.routeDeadlineMs + CALLER_PATIENCE_MS, finished.signal)]);
+		finished.abort();
+		controller.abort();
+		return result.outcome !== undefined && result.outcome !== domain.Outcome.Unknown;
+	};
+
+	return async (operation: number, plan: PlannedOperation): Promise<void> => {
+		await clock.sleep(plan.startAtMs);
+		const operationId = options.isMinting ? await mintId(plan.mintAt) : undefined;
+		if (options.isMinting && operationId === undefined) {
+			return;
+		}
+
+		const running: Array<Promise<boolean>> = [];
+		for (const place of plan.submitAt) {
+			const submitted = submitOnce(operation, operationId, place);
+			running.push(submitted);
+			const isSettled = !plan.isImpatient && (await submitted);
+			if (isSettled) {
+				return;
+			}
+
+			await clock.sleep(plan.gapMs);
+		}
+
+		await Promise.all(running);
+	};
+};
+
+/** Runs planned operations against a fleet under events, in virtual time. */
+export const simulateOperations = async (given: Partial<SimulationOptions>): Promise<SimulationResult> => {
+	const options = {...DEFAULT_SIMULATION_OPTIONS, ...given};
+	const eventFleet = await startOperationsFleet(options);
+	const {clock, targets} = eventFleet.fleet;
+	const submissions: SubmissionResult[] = [];
+	const entryNodes = new Map<SubmissionResult, FakeNode>();
+	const runOperation = createCaller(options, eventFleet, submissions, entryNodes);
+	const all = Promise.all([
+		runFleetEvents(clock, eventFleet, options.events),
+		...options.operations.map(async (plan, index) => runOperation(index, plan)),
+	]);
+	await clock.runUntilSettled(all, 3_600_000);
+	eventFleet.current.forEach(node => node?.host.resume());
+	await clock.advance(options.coolDownMs);
+	submissions.forEach(result => {
+		result.isUnended = result.outcome === undefined && !entryNodes.get(result)!.host.isDead();
+	});
+	const executionCounts = options.operations.map((_, index) =>
+		[...targets.values()].reduce((sum, target) => sum + (target.executions.get(String(index)) ?? 0), 0),
+	);
+	eventFleet.fleet.nodes.forEach(node => {
+		node.stop();
+	});
+	return {submissions, executionCounts};
+};
