--- /dev/null
+++ b/packages/fakes/src/__tests__/operations-identity.test.ts
@@ -0,0 +1,180 @@
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import test from 'ava';
+import {buildCall, readText} from '../build-entry.js';
+import type {FakeNode} from '../fake-fleet.js';
+import {createFakeAuthenticator} from '../fake-authenticator.js';
+import {DEFAULT_SIMULATION_OPTIONS, startOperationsFleet} from '../simulate-operations.js';
+
+const {Completed, NotRun, Unknown} = domain.Outcome;
+const Reason = domain.RefusalReason;
+const encoder = new TextEncoder();
+const neverAborted = (): AbortSignal => new AbortController().signal;
+
+const toBody = (text: string): domain.BodyStream => core.replayBody(encoder.encode(text));
+const mark = (given: Partial<domain.CallRequest> = {}): domain.CallRequest =>
+	buildCall({method: 'POST', path: '/work/1', headers: [['x-operation', '0']], body: toBody('mark'), ...given});
+
+const startFleet = async () => {
+	const eventFleet = await startOperationsFleet(DEFAULT_SIMULATION_OPTIONS);
+	const {clock, targets} = eventFleet.fleet;
+	const [first, second] = eventFleet.current as [FakeNode, FakeNode];
+	const call = async (node: FakeNode, request: domain.CallRequest): Promise<domain.CallEnding> =>
+		clock.runUntilSettled(node.node.handleCall(request, neverAborted()), 10_000);
+	const mint = async (): Promise<string> => {
+		const minted = await clock.runUntilSettled(first.node.operations.mintOperations('malipo', 1, neverAborted()), 5000);
+		return minted._unsafeUnwrap()[0]!;
+	};
+
+	const read = async (operationId: string, workspace: string) => {
+		const reading = second.node.operations.readOperation(operationId, workspace, neverAborted());
+		const reply = await clock.runUntilSettled(reading, 10_000);
+		return reply.match(
+			({state, answerStatus}) => [state, answerStatus],
+			({reason}) => [reason],
+		);
+	};
+
+	const countExecutions = (): number =>
+		[...targets.values()].reduce((sum, target) => sum + (target.executions.get('0') ?? 0), 0);
+	return {...eventFleet, clock, first, second, call, mint, read, countExecutions};
+};
+
+const COMPLETED = [Completed, undefined];
+
+const describe = (ending: domain.CallEnding) => [
+	ending.outcome,
+	ending.outcome === Completed ? undefined : ending.reason,
+];
+
+// Guards against single work that runs without an id, and against a refusal that gives no usable id.
+[
+	{name: 'no id', given: {}, reason: Reason.OperationIdRequired},
+	{name: 'an Idempotency-Key only', given: {idempotencyKey: 'k'}, reason: Reason.IdempotencyKeyUnsupported},
+].forEach(({name, given, reason}) => {
+	test(`a request with ${name} is refused with an id that works`, async t => {
+		const {first, second, call, countExecutions} = await startFleet();
+		const refused = await call(first, mark(given));
+		t.deepEqual(describe(refused), [NotRun, reason]);
+		t.is(countExecutions(), 0);
+		const {operationId} = refused as domain.NotRunEnding;
+		const ending = await call(second, mark({...given, operationId}));
+		t.is(ending.outcome, Completed);
+		t.regex(await readText((ending as domain.CompletedEnding).answer.body), /\/work\/1$/);
+	});
+});
+
+// Guards against an answer to another request, and against telling others whether an operation ran.
+[
+	{name: 'another body', given: {body: toBody('other')}},
+	{name: 'no body', given: {body: undefined}},
+	{name: 'another workspace', given: {workspace: 'foreign'}},
+	{name: 'another path', given: {path: '/work/2'}},
+	{name: 'another query', given: {query: '?a=1'}},
+	{name: 'another method', given: {method: 'GET'}},
+].forEach(({name, given}) => {
+	test(`an id with ${name} learns nothing`, async t => {
+		const {first, second, call, mint, countExecutions} = await startFleet();
+		const operationId = await mint();
+		t.deepEqual(describe(await call(first, mark({operationId}))), COMPLETED);
+		t.deepEqual(describe(await call(second, mark({operationId, ...given}))), [Unknown, Reason.OperationMismatch]);
+		t.is(countExecutions(), 1);
+	});
+});
+
+// Guards against forged ids. The caller may have garbled an id that ran, so the ending is never `not-run`.
+[
+	{name: 'empty', change: () => ''},
+	{name: 'of another form', change: () => 'order-17'},
+	{name: 'with another serial', change: (id: string) => id.replace('~malipo~0~', '~malipo~1~')},
+	{name: 'with a later expiry', change: (id: string) => id.replace(/~(\d+)~(\w+)$/, '~9$1~$2')},
+	{name: 'with another code', change: (id: string) => id.replace(/\w+$/, '0')},
+	{name: 'longer than the limit', change: (id: string) => id + 'x'.repeat(600)},
+].forEach(({name, change}) => {
+	test(`an id ${name} is refused as unknown`, async t => {
+		const {first, call, mint, countExecutions} = await startFleet();
+		const operationId = change(await mint());
+		t.deepEqual(describe(await call(first, mark({operationId}))), [Unknown, Reason.OperationIdInvalid]);
+		t.is(countExecutions(), 0);
+	});
+});
+
+// Guards against an id of one service that starts work of another, and against a later answer that contradicts `not-run`.
+test('an id of another service starts nothing, and a path without a route seals the id', async t => {
+	const {first, call, mint, countExecutions, current} = await startFleet();
+	const identity = core.decodeOperationId(createFakeAuthenticator(), await mint())._unsafeUnwrap();
+	const foreign = core.encodeOperationId(createFakeAuthenticator(), {...identity, service: 'picha'});
+	t.deepEqual(describe(await call(first, mark({operationId: foreign}))), [Unknown, Reason.OperationMismatch]);
+	const operationId = await mint();
+	const request = mark({operationId, path: '/nowhere'});
+	t.deepEqual(describe(await call(first, request)), [NotRun, Reason.UnknownRoute]);
+	t.deepEqual(describe(await call(current[3]!, request)), [NotRun, Reason.UnknownRoute]);
+	t.is(countExecutions(), 0);
+});
+
+// Guards against `not-run` from a node that knows only a part of the operation's history.
+test('a draining node gives `unknown` to a call with an id and `not-run` to one without', async t => {
+	const {clock, first, second, call, mint} = await startFleet();
+	const operationId = await mint();
+	t.deepEqual(describe(await call(second, mark({operationId}))), COMPLETED);
+	void first.node.drain({noticeMs: 0, limitMs: 60_000});
+	await clock.advance(1);
+	t.deepEqual(describe(await call(first, mark({operationId}))), [Unknown, Reason.Draining]);
+	t.deepEqual(describe(await call(first, mark())), [NotRun, Reason.Draining]);
+});
+
+// Guards against a node without a catalogue that refuses an operation which ran through another node.
+test('a node without a catalogue asks the executor', async t => {
+	const {fleet, places, second, call, mint} = await startFleet();
+	const operationId = await mint();
+	t.deepEqual(describe(await call(second, mark({operationId}))), COMPLETED);
+	const fresh = fleet.startNode({...places[0]!, address: 'node-9:1'});
+	t.deepEqual(describe(await call(fresh, mark({operationId}))), COMPLETED);
+});
+
+// Guards against a second run after an edit that calls the route repeatable.
+test('a call with an id stays single when the route becomes repeatable', async t => {
+	const {fleet, first, second, call, mint, countExecutions} = await startFleet();
+	const operationId = await mint();
+	t.deepEqual(describe(await call(first, mark({operationId}))), COMPLETED);
+	const {entry, revision} = first.node.store.findItem('malipo')!;
+	const routes = entry!.routes.map(route => ({...route, repeatability: domain.Repeatability.Repeatable}));
+	await fleet.publishEntry({...entry!, routes}, revision);
+	t.deepEqual(describe(await call(second, mark({operationId}))), COMPLETED);
+	t.is(countExecutions(), 1);
+});
+
+// Guards against a lookup that tells a foreign workspace anything, or that loses the state.
+test('a lookup tells the state to its own workspace only', async t => {
+	const {first, call, mint, read} = await startFleet();
+	const operationId = await mint();
+	t.deepEqual(await read(operationId, 'default'), [undefined, undefined]);
+	await call(first, mark({operationId}));
+	t.deepEqual(await read(operationId, 'default'), [domain.OperationState.Completed, 200]);
+	t.deepEqual(await read(operationId, 'foreign'), [undefined, undefined]);
+	t.deepEqual(await read(`${operationId}x`, 'default'), [Reason.OperationIdInvalid]);
+});
+
+// Guards against a forwarded operation that starts after its time on the scheduling node.
+test('a scheduling node does not start forwarded work after its start limit', async t => {
+	const {clock, first, countExecutions} = await startFleet();
+	const [group] = first.node.schedulers.listGroups('malipo');
+	const forward = async (remainingStartMs: number) =>
+		clock.runUntilSettled(
+			first.node.handleForwardedCall(
+				{
+					purpose: core.ForwardPurpose.Schedule,
+					service: 'malipo',
+					groupId: group!.groupId,
+					remainingMs: 1000,
+					remainingStartMs,
+					call: mark(),
+				},
+				neverAborted(),
+			),
+			5000,
+		);
+	t.deepEqual(describe(await forward(0)), [NotRun, Reason.DeadlineExceeded]);
+	t.is(countExecutions(), 0);
+	t.deepEqual(describe(await forward(500)), COMPLETED);
+});
