--- /dev/null
+++ b/packages/adapters/src/front/proxy-app.ts
@@ -0,0 +1,236 @@
+import {Buffer} from 'node:buffer';
+import type * as http from 'node:http';
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import * as nodeServerResponse from '@hono/node-server/utils/response';
+import * as hono from 'hono';
+import * as neverthrow from 'neverthrow';
+import * as headers from '../http/headers.js';
+import type {NodeBindings} from '../http/http-listener.js';
+import type {WireDialect} from '../http/wire-dialect.js';
+import {writeBody} from '../http/write-body.js';
+
+export type ProxyAppOptions = {
+	readonly dialect: WireDialect;
+	readonly proxy: core.CallProxy;
+	readonly clock: core.Clock;
+	readonly random: core.Random;
+	readonly logger: core.Logger;
+	/** Largest request body in bytes, as the catalogue says now. */
+	readonly readBodyLimitBytes: () => number;
+	/** Whether connections are to be closed after their answers. */
+	readonly isClosing: () => boolean;
+	/** Bodies up to this size are read before a target is chosen, in bytes. */
+	readonly heldBodyLimitBytes?: number;
+};
+
+/** Larger than the users' largest photos, so that a slow caller holds no slot of a target. */
+const DEFAULT_HELD_BODY_LIMIT_BYTES = 524_288;
+
+const MS_PER_SECOND = 1000;
+const BODYLESS_STATUSES = new Set([204, 304]);
+
+/** Statuses of calls that no target ran, where they differ from 503. */
+const REFUSED_STATUSES: Partial<Record<domain.RefusalReason, number>> = {
+	[domain.RefusalReason.UnknownRoute]: 404,
+	[domain.RefusalReason.BadRequest]: 400,
+	[domain.RefusalReason.BodyTooLarge]: 413,
+};
+const DEFAULT_REFUSED_STATUS = 503;
+
+/** Statuses of calls that may have run, where they differ from 502. They promise nothing. */
+const FAILED_STATUSES: Partial<Record<domain.RefusalReason, number>> = {
+	[domain.RefusalReason.DeadlineExceeded]: 504,
+	[domain.RefusalReason.TargetTimedOut]: 504,
+};
+const DEFAULT_FAILED_STATUS = 502;
+
+enum BodyProblem {
+	TooLarge = 'too-large',
+	BrokenOff = 'broken-off',
+}
+
+type ReadBody = Pick<domain.ProxiedCall, 'body' | 'bodyLengthBytes'>;
+
+/** Continues a body after the chunks that were read ahead, within the limit. */
+async function* continueBody(
+	chunks: readonly Uint8Array[],
+	rest: AsyncIterator<Uint8Array>,
+	leftBytes: number,
+): AsyncGenerator<Uint8Array> {
+	yield* chunks;
+	let allowedBytes = leftBytes;
+	for (let next = await rest.next(); !next.done; next = await rest.next()) {
+		allowedBytes -= next.value.byteLength;
+		if (allowedBytes < 0) {
+			throw new Error('the body is larger than the limit');
+		}
+
+		yield next.value;
+	}
+}
+
+/** Reads the body ahead, and leaves what does not fit as a stream. */
+const readBody = async (
+	incoming: http.IncomingMessage,
+	limits: {heldBytes: number; totalBytes: number},
+): Promise<neverthrow.Result<ReadBody, BodyProblem>> => {
+	const declaredBytes = incoming.headers['content-length'] === undefined ? undefined : Number(incoming.headers['content-length']);
+	const hasBody = incoming.headers['transfer-encoding'] !== undefined || (declaredBytes ?? 0) > 0;
+	if (!hasBody) {
+		return neverthrow.ok({body: declaredBytes === undefined ? undefined : new Uint8Array(0), bodyLengthBytes: undefined});
+	}
+
+	if ((declaredBytes ?? 0) > limits.totalBytes) {
+		return neverthrow.err(BodyProblem.TooLarge);
+	}
+
+	const chunks: Uint8Array[] = [];
+	let sizeBytes = 0;
+	const iterator: AsyncIterator<Uint8Array> = incoming[Symbol.asyncIterator]();
+	try {
+		for (let next = await iterator.next(); !next.done; next = await iterator.next()) {
+			chunks.push(next.value);
+			sizeBytes += next.value.byteLength;
+			if (sizeBytes > limits.totalBytes) {
+				return neverthrow.err(BodyProblem.TooLarge);
+			}
+
+			if (sizeBytes > limits.heldBytes) {
+				const body = continueBody(chunks, iterator, limits.totalBytes - sizeBytes);
+				return neverthrow.ok({body, bodyLengthBytes: declaredBytes});
+			}
+		}
+	} catch {
+		// The caller's connection broke, so nobody waits for an answer.
+		return neverthrow.err(BodyProblem.BrokenOff);
+	}
+
+	return neverthrow.ok({body: Buffer.concat(chunks), bodyLengthBytes: undefined});
+};
+
+const parseDeadline = (value: string | undefined): number | undefined => {
+	const deadlineMs = Number(value);
+	return value !== undefined && Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : undefined;
+};
+
+const formatSeconds = (durationMs: number): string => (durationMs / MS_PER_SECOND).toFixed(3);
+
+/** The listener for callers. */
+export const createProxyApp = (options: ProxyAppOptions): hono.Hono<NodeBindings> => {
+	const {dialect, clock} = options;
+	const heldBytes = options.heldBodyLimitBytes ?? DEFAULT_HELD_BODY_LIMIT_BYTES;
+	const ownHeaders = new Set([dialect.remainingMsHeader, dialect.expectedTargetHeader, 'host', 'content-length']);
+
+	const buildConnection = (): Record<string, string> => (options.isClosing() ? {connection: 'close'} : {});
+
+	const writeAnswer = async (outgoing: http.ServerResponse, answer: domain.TargetAnswer, method: string) => {
+		const kept = headers.removeHopHeaders(answer.headers);
+		const isHeld = answer.body instanceof Uint8Array;
+		const isBodyless = method === 'HEAD' || BODYLESS_STATUSES.has(answer.status);
+		const passed = kept.filter(([name]) => isBodyless || !isHeld || name !== 'content-length');
+		outgoing.writeHead(answer.status, {
+			...headers.groupHeaders(passed),
+			...(isHeld && !isBodyless && {'content-length': String((answer.body as Uint8Array).byteLength)}),
+			...buildConnection(),
+		});
+		if (answer.body instanceof Uint8Array) {
+			outgoing.end(answer.body);
+			return;
+		}
+
+		await writeBody(answer.body, outgoing);
+	};
+
+	const writeEmpty = (
+		outgoing: http.ServerResponse,
+		status: number,
+		requestId: string,
+		extraHeaders: Record<string, string> = {},
+	): void => {
+		outgoing.writeHead(status, {
+			[dialect.requestIdHeader]: requestId,
+			'content-length': '0',
+			...extraHeaders,
+			...buildConnection(),
+		});
+		outgoing.end();
+	};
+
+	type EndingWriters = {
+		[Outcome in domain.ProxyOutcome]: (
+			outgoing: http.ServerResponse,
+			ending: Extract<domain.ProxyEnding, {outcome: Outcome}>,
+			call: domain.ProxiedCall,
+		) => Promise<void>;
+	};
+
+	const endingWriters: EndingWriters = {
+		[domain.ProxyOutcome.Answered]: async (outgoing, ending, call) => writeAnswer(outgoing, ending.answer, call.method),
+		async [domain.ProxyOutcome.Refused](outgoing, ending, call) {
+			const status = REFUSED_STATUSES[ending.reason] ?? DEFAULT_REFUSED_STATUS;
+			const extraHeaders: Record<string, string> =
+				ending.retryAfterMs === undefined ? {} : {'retry-after': formatSeconds(ending.retryAfterMs)};
+			writeEmpty(outgoing, status, call.requestId, extraHeaders);
+		},
+		async [domain.ProxyOutcome.Failed](outgoing, ending, call) {
+			writeEmpty(outgoing, FAILED_STATUSES[ending.reason] ?? DEFAULT_FAILED_STATUS, call.requestId);
+		},
+		async [domain.ProxyOutcome.Abandoned](outgoing) {
+			outgoing.destroy();
+		},
+	};
+
+	const handleRequest = async (incoming: http.IncomingMessage, outgoing: http.ServerResponse): Promise<void> => {
+		const receivedAtMs = clock.monotonicMs();
+		const list = headers.pairRawHeaders(incoming.rawHeaders);
+		const requestId = headers.findHeader(list, dialect.requestIdHeader) ?? options.random.token();
+		const controller = new AbortController();
+		outgoing.on('close', () => {
+			controller.abort(core.STOP_REASON);
+		});
+		const body = await readBody(incoming, {heldBytes, totalBytes: options.readBodyLimitBytes()});
+		if (body.isErr()) {
+			options.logger.info('request body refused', {event: 'body-refused', requestId, problem: body.error});
+			if (body.error === BodyProblem.TooLarge) {
+				writeEmpty(outgoing, 413, requestId, {connection: 'close'});
+			}
+
+			return;
+		}
+
+		const call: domain.ProxiedCall = {
+			requestId,
+			host: incoming.headers.host ?? '',
+			method: incoming.method ?? 'GET',
+			pathAndQuery: incoming.url ?? '/',
+			headers: headers.removeHopHeaders(list).filter(([name]) => !ownHeaders.has(name)),
+			...body.value,
+			deadlineMs: parseDeadline(headers.findHeader(list, dialect.remainingMsHeader)),
+			receivedAtMs,
+		};
+		const ending = await options.proxy.handle(call, controller.signal);
+		if (!outgoing.destroyed) {
+			const write = endingWriters[ending.outcome] as (
+				outgoing: http.ServerResponse,
+				ending: domain.ProxyEnding,
+				call: domain.ProxiedCall,
+			) => Promise<void>;
+			await write(outgoing, ending, call);
+		}
+	};
+
+	const app = new hono.Hono<NodeBindings>();
+	app.all('*', async context => {
+		const {incoming, outgoing} = context.env;
+		try {
+			await handleRequest(incoming, outgoing);
+		} catch (error) {
+			options.logger.error('call handling failed', {event: 'call-handling-failed', error: String(error)});
+			outgoing.destroy();
+		}
+
+		return nodeServerResponse.RESPONSE_ALREADY_SENT;
+	});
+	return app;
+};
--- a/packages/adapters/src/http/http-listener.ts
+++ b/packages/adapters/src/http/http-listener.ts
@@ -41,6 +41,8 @@
 	close(): Promise<void>;
 	/** Destroys all connections. */
 	destroy(): void;
+	/** Changes how long idle connections are kept, in ms. */
+	setKeepAlive(keepAliveMs: number): void;
 };
 
 /** Splits `127.0.0.1:8080` into host and port. */
@@ -84,5 +86,8 @@
 		destroy() {
 			server.closeAllConnections();
 		},
+		setKeepAlive(keepAliveMs) {
+			server.keepAliveTimeout = keepAliveMs;
+		},
 	};
 };
--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -37,6 +37,11 @@
 		help: 'Control messages by kind and result',
 		labelNames: ['kind', 'result'],
 	},
+	[core.CounterName.StoreCalls]: {
+		name: 'store_calls_total',
+		help: "Calls to the platform's store by kind and result",
+		labelNames: ['kind', 'result'],
+	},
 };
 
 const GAUGES: Record<core.GaugeName, MetricDefinition> = {
@@ -83,10 +88,19 @@
 ): Record<Key, Result> =>
 	Object.fromEntries(Object.entries<Value>(table).map(([key, value]) => [key, convert(value)])) as Record<Key, Result>;
 
-/** Metrics in a registry of their own. */
-export const createPrometheusMetrics = (): {metrics: core.Metrics; registry: prometheus.Registry} => {
+/**
+ * Metrics in a registry of their own.
+ *
+ * @param given.hasProcessMetrics whether to measure the process too; its event loop monitor wakes the process every 10 ms
+ */
+export const createPrometheusMetrics = (
+	given: {hasProcessMetrics?: boolean} = {},
+): {metrics: core.Metrics; registry: prometheus.Registry} => {
 	const registry = new prometheus.Registry();
-	prometheus.collectDefaultMetrics({register: registry, prefix: PREFIX});
+	if (given.hasProcessMetrics ?? true) {
+		prometheus.collectDefaultMetrics({register: registry, prefix: PREFIX});
+	}
+
 	const describe = (definition: MetricDefinition) => ({
 		...definition,
 		labelNames: [...definition.labelNames],
--- a/packages/adapters/src/observability/winston-logger.ts
+++ b/packages/adapters/src/observability/winston-logger.ts
@@ -1,17 +1,23 @@
 import type * as core from '@bilberrydoor/core';
 import * as winston from 'winston';
 
-/** Logger that writes JSON lines to standard error. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+const LEVELS: readonly LogLevel[] = ['debug', 'info', 'warn', 'error'];
+
+/** Logger that writes JSON lines. */
 export const createWinstonLogger = (options: {
-	level: 'debug' | 'info' | 'warn' | 'error';
+	level: LogLevel;
 	/** Fields of every line, such as the VM id. */
 	fields?: Readonly<Record<string, unknown>>;
+	/** Stream of the process; standard error by default. */
+	stream?: 'stdout' | 'stderr';
 }): core.Logger => {
 	const logger = winston.createLogger({
 		level: options.level,
 		defaultMeta: options.fields,
 		format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
-		transports: [new winston.transports.Console({stderrLevels: ['debug', 'info', 'warn', 'error']})],
+		transports: [new winston.transports.Console({stderrLevels: options.stream === 'stdout' ? [] : [...LEVELS]})],
 	});
 	return {
 		debug(message, fields) {
--- /dev/null
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -0,0 +1,131 @@
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import * as zod from 'zod';
+
+const targetSchema = zod.object({
+	targetId: zod.string(),
+	startedAtMs: zod.number(),
+	service: zod.string(),
+	address: zod.string(),
+	region: zod.string(),
+	availabilityZone: zod.string(),
+	slotCount: zod.int().positive(),
+	readiness: zod.enum(domain.TargetReadiness),
+	warmUpLeftMs: zod.number(),
+});
+
+const nodeSchema = zod.object({
+	nodeId: zod.string(),
+	incarnationId: zod.string(),
+	address: zod.string(),
+	region: zod.string(),
+	availabilityZone: zod.string(),
+});
+
+const catalogueSchema = zod.object({
+	version: zod.number(),
+	routes: zod.array(
+		zod.object({
+			routeId: zod.string(),
+			host: zod.string(),
+			pathPrefix: zod.string(),
+			shares: zod.array(zod.object({service: zod.string(), weight: zod.number()})).min(1),
+			repeatability: zod.enum(domain.Repeatability),
+			isBulk: zod.boolean(),
+			timeoutMs: zod.number(),
+			latencyObjectiveMs: zod.number(),
+			attemptLimit: zod.int().positive(),
+			priority: zod.number(),
+		}),
+	),
+	services: zod.array(zod.object({service: zod.string(), healthPath: zod.string(), connectionLimit: zod.number()})),
+	limits: zod.object({
+		headerLimitBytes: zod.number(),
+		bodyLimitBytes: zod.number(),
+		headerTimeoutMs: zod.number(),
+		idleTimeoutMs: zod.number(),
+	}),
+});
+
+const buildChangesSchema = <Value extends zod.ZodType>(value: Value) =>
+	zod.object({
+		records: zod.array(
+			zod.object({
+				key: zod.string(),
+				offset: zod.int(),
+				value: value.optional(),
+				isProvisional: zod.boolean().optional(),
+			}),
+		),
+		nextOffset: zod.int(),
+		isWhole: zod.boolean(),
+		isProvisional: zod.boolean().optional(),
+	});
+
+const acquireSchema = zod.object({
+	requestId: zod.string(),
+	nodeId: zod.string(),
+	service: zod.string(),
+	region: zod.string(),
+	priority: zod.number(),
+	repeatability: zod.enum(domain.Repeatability),
+	attemptIndex: zod.int().nonnegative(),
+	remainingMs: zod.number(),
+	objectiveLeftMs: zod.number(),
+	waitLimitMs: zod.number(),
+	isLastResort: zod.boolean(),
+	excludedTargetIds: zod.array(zod.string()),
+});
+
+const acquireReplySchema = zod.discriminatedUnion('isGranted', [
+	zod.object({
+		isGranted: zod.literal(true),
+		grantId: zod.string(),
+		target: targetSchema,
+		standing: zod.string(),
+		usualDurationMs: zod.number().optional(),
+	}),
+	zod.object({
+		isGranted: zod.literal(false),
+		refusal: zod.enum(core.GrantRefusal),
+		predictedWaitMs: zod.number(),
+	}),
+]);
+
+type MessageSchemas = {
+	readonly [Kind in core.FleetMessageKind]: {
+		readonly request: zod.ZodType<core.FleetMessages[Kind]['request']>;
+		readonly reply: zod.ZodType<core.FleetMessages[Kind]['reply']>;
+	};
+};
+
+/** Form of each message between nodes. */
+export const FLEET_MESSAGE_SCHEMAS: MessageSchemas = {
+	[core.FleetMessageKind.AcquireGrant]: {request: acquireSchema, reply: acquireReplySchema},
+	[core.FleetMessageKind.ReportResult]: {
+		request: zod.object({
+			grantId: zod.string(),
+			nodeId: zod.string(),
+			service: zod.string(),
+			region: zod.string(),
+			targetId: zod.string(),
+			result: zod.enum(core.GrantResult),
+			durationMs: zod.number(),
+		}),
+		reply: zod.object({}) as zod.ZodType<Record<string, never>>,
+	},
+	[core.FleetMessageKind.PullRegistry]: {
+		request: zod.object({
+			fromOffsets: zod.record(zod.enum(core.RegistryTopic), zod.int()),
+			waitMs: zod.number().nonnegative().max(30_000),
+		}),
+		reply: zod.object({
+			topics: zod.object({
+				[core.RegistryTopic.Catalogue]: buildChangesSchema(catalogueSchema),
+				[core.RegistryTopic.Targets]: buildChangesSchema(targetSchema),
+				[core.RegistryTopic.Nodes]: buildChangesSchema(nodeSchema),
+			}),
+			ageMs: zod.number(),
+		}) as zod.ZodType<core.PullRegistryReply>,
+	},
+};
--- /dev/null
+++ b/packages/adapters/src/peer/fleet-peer-app.ts
@@ -0,0 +1,49 @@
+import * as core from '@bilberrydoor/core';
+import * as trpc from '@trpc/server';
+import * as trpcFetch from '@trpc/server/adapters/fetch';
+import * as hono from 'hono';
+import * as honoBodyLimit from 'hono/body-limit';
+import type {NodeBindings} from '../http/http-listener.js';
+import {FLEET_MESSAGE_SCHEMAS} from './fleet-message-schemas.js';
+
+/** Largest message in bytes; the largest are requests for grants with a handful of excluded targets. */
+const MESSAGE_LIMIT_BYTES = 65_536;
+
+export const FLEET_PATH = '/fleet';
+
+export type FleetPeerAppOptions = {
+	readonly handlers: core.FleetMessageHandlers;
+	readonly logger: core.Logger;
+	readonly metrics: core.Metrics;
+};
+
+const builder = trpc.initTRPC.context<{signal: AbortSignal}>().create();
+
+const createProcedure = <Kind extends core.FleetMessageKind>(kind: Kind, handlers: core.FleetMessageHandlers) =>
+	builder.procedure
+		.input(FLEET_MESSAGE_SCHEMAS[kind].request)
+		.mutation(async ({input, ctx}) => handlers[kind](input as core.FleetMessages[Kind]['request'], ctx.signal));
+
+/** The listener for the other nodes: one tRPC procedure for each kind of message. */
+export const createFleetPeerApp = (options: FleetPeerAppOptions): hono.Hono<NodeBindings> => {
+	const router = builder.router(
+		Object.fromEntries(
+			Object.values(core.FleetMessageKind).map(kind => [kind, createProcedure(kind, options.handlers)]),
+		),
+	);
+	const app = new hono.Hono<NodeBindings>();
+	app.use(`${FLEET_PATH}/*`, honoBodyLimit.bodyLimit({maxSize: MESSAGE_LIMIT_BYTES}));
+	app.all(`${FLEET_PATH}/*`, async context =>
+		trpcFetch.fetchRequestHandler({
+			endpoint: FLEET_PATH,
+			req: context.req.raw,
+			router,
+			createContext: () => ({signal: context.req.raw.signal}),
+			onError({error, path}) {
+				options.metrics.increment(core.CounterName.PeerMessages, {kind: path ?? 'unknown', result: error.code});
+				options.logger.warn('peer message refused', {event: 'peer-message-refused', path, detail: error.message});
+			},
+		}),
+	);
+	return app;
+};
--- /dev/null
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -0,0 +1,158 @@
+import type * as domain from '@bilberrydoor/domain';
+import {createDispatcherTable, type DispatcherTable} from '../grants/dispatcher-table.js';
+import type {DispatcherOptions} from '../grants/dispatcher-options.js';
+import {createGrantClient} from '../grants/grant-client.js';
+import * as ports from '../ports/index.js';
+import {createCallProxy, type CallProxy} from '../proxy/call-proxy.js';
+import {createPeerStanding} from '../registry/peer-standing.js';
+import {createRegistry, type Registry} from '../registry/registry.js';
+import {runRegistrySync} from '../registry/registry-sync.js';
+import {createStoreReader} from '../registry/store-reader.js';
+import {createBackOff} from '../shared/back-off.js';
+import {runWithTimeout} from '../shared/run-with-timeout.js';
+
+export type FleetNodePorts = {
+	readonly clock: ports.Clock;
+	readonly random: ports.Random;
+	readonly logger: ports.Logger;
+	readonly metrics: ports.Metrics;
+	readonly store: ports.RegistryStore;
+	readonly peerClient: ports.FleetPeerClient;
+	readonly targetClient: ports.FleetTargetClient;
+};
+
+export type FleetNodeSettings = {
+	readonly self: domain.RegisteredNode;
+	/** Addresses of nodes to ask at the start; they may be stale. */
+	readonly seedAddresses: readonly string[];
+	readonly dispatcher?: Partial<DispatcherOptions>;
+};
+
+/** A node of the fleet on the platform. */
+export type FleetNode = {
+	readonly self: domain.RegisteredNode;
+	readonly proxy: CallProxy;
+	readonly registry: Registry;
+	readonly dispatchers: DispatcherTable;
+	readonly messageHandlers: ports.FleetMessageHandlers;
+	/** Whether the node can serve callers. */
+	isReady(): boolean;
+	/** Runs the node's own tasks until the signal is aborted. */
+	run(signal: AbortSignal): Promise<void>;
+	/** Calls that are being handled. */
+	countCalls(): number;
+	/** Takes the node out of the others' rankings. Call once when it is told to stop. */
+	leave(): Promise<void>;
+};
+
+/** Pauses between attempts to register; other nodes start at the same time. */
+const REGISTRATION_BACK_OFF = {firstMs: 300, limitMs: 3000};
+
+/** How often a node checks its registration: beyond the 6 s after which a lost write takes effect at the latest. */
+const REGISTRATION_CHECK_MS = 7000;
+
+/** A leaving node tells the store within this time or not at all; peers notice its absence anyway. */
+const LEAVE_TIMEOUT_MS = 1000;
+
+export const createFleetNode = (options: {ports: FleetNodePorts; settings: FleetNodeSettings}): FleetNode => {
+	const {clock, random, logger, metrics, store, peerClient} = options.ports;
+	const {self, seedAddresses} = options.settings;
+	const stopping = new AbortController();
+	const peerStanding = createPeerStanding({clock, logger});
+	const registry = createRegistry({self, clock, logger, peerStanding});
+	const storeReader = createStoreReader({registry, store, clock, random, logger});
+	const dispatchers = createDispatcherTable({
+		registry,
+		options: options.settings.dispatcher,
+		clock,
+		random,
+		logger,
+		metrics,
+	});
+	const grants = createGrantClient({
+		self,
+		registry,
+		dispatchers,
+		peerClient,
+		peerStanding,
+		clock,
+		logger,
+		metrics,
+		stopSignal: stopping.signal,
+	});
+	let callCount = 0;
+	const callProxy = createCallProxy({
+		registry,
+		grants,
+		targetClient: options.ports.targetClient,
+		clock,
+		random,
+		logger,
+		metrics,
+	});
+
+	const proxy: CallProxy = {
+		async handle(call, signal) {
+			callCount++;
+			try {
+				return await callProxy.handle(call, signal);
+			} finally {
+				callCount--;
+			}
+		},
+	};
+
+	const isRegistered = (): boolean =>
+		registry.replicas.nodes.values().get(self.nodeId)?.incarnationId === self.incarnationId;
+
+	/** Registers the node, and again when its record is lost: a write of its former run may take effect late. */
+	const registerNode = async (signal: AbortSignal): Promise<void> => {
+		const backOff = createBackOff({random, ...REGISTRATION_BACK_OFF});
+		while (!signal.aborted) {
+			const published = await store.publishNode(self, signal);
+			if (published.isErr()) {
+				logger.warn('node not registered', {event: 'node-not-registered', detail: published.error.detail});
+				await clock.sleep(backOff.nextMs(), signal);
+				continue;
+			}
+
+			logger.info('node registered', {event: 'node-registered', nodeId: self.nodeId});
+			do {
+				await clock.sleep(REGISTRATION_CHECK_MS, signal);
+			} while (!signal.aborted && !stopping.signal.aborted && isRegistered());
+
+			if (stopping.signal.aborted) {
+				return;
+			}
+		}
+	};
+
+	return {
+		self,
+		proxy,
+		registry,
+		dispatchers,
+		messageHandlers: {
+			[ports.FleetMessageKind.AcquireGrant]: async (request, signal) =>
+				dispatchers.get(request.service, request.region).acquire(request, signal),
+			async [ports.FleetMessageKind.ReportResult](request) {
+				dispatchers.get(request.service, request.region).report(request);
+				return {};
+			},
+			[ports.FleetMessageKind.PullRegistry]: async (request, signal) => registry.pull(request, signal),
+		},
+		countCalls: () => callCount,
+		isReady: () => !stopping.signal.aborted && registry.catalogue() !== undefined,
+		async run(signal) {
+			const sync = {self, seedAddresses, registry, storeReader, peerClient, peerStanding, clock, random, logger};
+			await Promise.all([runRegistrySync(sync, signal), registerNode(signal)]);
+		},
+		async leave() {
+			stopping.abort();
+			const {signal} = new AbortController();
+			await runWithTimeout({clock, timeoutMs: LEAVE_TIMEOUT_MS, signal}, async leaveSignal =>
+				store.withdrawNode(self.nodeId, leaveSignal),
+			);
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/grants/dispatcher-options.ts
@@ -0,0 +1,40 @@
+/** Settings of a group's dispatcher. */
+export type DispatcherOptions = {
+	/** Retries allowed as a fraction of first attempts. */
+	readonly retryRatio: number;
+	/** Retries that may be saved up, and that a new dispatcher starts with. */
+	readonly retryBurstCount: number;
+	/** Share of a target's calls that fails while it is gray, as the judgement assumes it. */
+	readonly grayFailureRatio: number;
+	/** Share of targets that is gray at a time, as the judgement assumes it before it has seen anything. */
+	readonly grayPrior: number;
+	/** First absence of a target that was found gray, in ms; doubled when its return fails. */
+	readonly firstAbsenceMs: number;
+	readonly absenceLimitMs: number;
+	/** Time after which a target on trial counts as sound again without a success, in ms. */
+	readonly trialLimitMs: number;
+	/** How long a node avoids a target that it failed to reach, in ms. */
+	readonly pathAbsenceMs: number;
+	/** How long a target that refused a call for lack of room is spared, in ms. */
+	readonly shedPauseMs: number;
+	/** Share of the sound targets' slots in use from which targets on trial get work that may not be repeated. */
+	readonly trialOccupancyRatio: number;
+	/** Time beyond a call's deadline after which its grant is forgotten, in ms. */
+	readonly grantSlackMs: number;
+};
+
+export const DEFAULT_DISPATCHER_OPTIONS: DispatcherOptions = {
+	// The platform allows 0.2 over the whole fleet; the rest covers takeovers, where two dispatchers count apart.
+	retryRatio: 0.14,
+	// The platform allows a slack of about 60 over all regions and takeovers.
+	retryBurstCount: 8,
+	grayFailureRatio: 0.5,
+	grayPrior: 0.05,
+	firstAbsenceMs: 4000,
+	absenceLimitMs: 16_000,
+	trialLimitMs: 10_000,
+	pathAbsenceMs: 4000,
+	shedPauseMs: 300,
+	trialOccupancyRatio: 0.6,
+	grantSlackMs: 500,
+};
--- /dev/null
+++ b/packages/core/src/grants/dispatcher-table.ts
@@ -0,0 +1,38 @@
+import type * as ports from '../ports/index.js';
+import {buildGroupId, type Registry} from '../registry/registry.js';
+import {DEFAULT_DISPATCHER_OPTIONS, type DispatcherOptions} from './dispatcher-options.js';
+import {createGroupDispatcher, type GroupDispatcher} from './group-dispatcher.js';
+
+export type DispatcherTableParts = {
+	readonly registry: Registry;
+	readonly options?: Partial<DispatcherOptions>;
+	readonly clock: ports.Clock;
+	readonly random: ports.Random;
+	readonly logger: ports.Logger;
+	readonly metrics: ports.Metrics;
+};
+
+/** The dispatchers that run on this node. Any node can become the dispatcher of any group. */
+export type DispatcherTable = {
+	get(service: string, region: string): GroupDispatcher;
+};
+
+export const createDispatcherTable = (parts: DispatcherTableParts): DispatcherTable => {
+	const options = {...DEFAULT_DISPATCHER_OPTIONS, ...parts.options};
+	const dispatchers = new Map<string, GroupDispatcher>();
+	return {
+		get(service, region) {
+			const groupId = buildGroupId(service, region);
+			const existing = dispatchers.get(groupId);
+			if (existing) {
+				return existing;
+			}
+
+			const {clock, random, logger, metrics, registry} = parts;
+			const listTargets = () => registry.targetsOf(service, region);
+			const dispatcher = createGroupDispatcher({groupId, options, clock, random, logger, metrics, listTargets});
+			dispatchers.set(groupId, dispatcher);
+			return dispatcher;
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/grants/grant-client.ts
@@ -0,0 +1,170 @@
+import type * as domain from '@bilberrydoor/domain';
+import * as ports from '../ports/index.js';
+import type {PeerStanding} from '../registry/peer-standing.js';
+import {buildGroupId, type Registry} from '../registry/registry.js';
+import {runWithTimeout} from '../shared/run-with-timeout.js';
+import type {DispatcherTable} from './dispatcher-table.js';
+
+/** What a call asks for, without the parts that depend on where it asks. */
+export type GrantWish = Omit<ports.AcquireGrantRequest, 'region' | 'waitLimitMs' | 'isLastResort' | 'nodeId'>;
+
+/** A grant with the node that gave it. */
+export type HeldGrant = ports.Grant & {readonly region: string; readonly dispatcher: domain.RegisteredNode};
+
+export type GrantAnswer = HeldGrant | ports.GrantDenial;
+
+/** Asks dispatchers for slots and reports what became of them. */
+export type GrantClient = {
+	acquire(wish: GrantWish, signal: AbortSignal): Promise<GrantAnswer>;
+	/** Tells the dispatchers an attempt's result. Does not wait for them. */
+	report(service: string, grant: HeldGrant, result: ports.GrantResult, durationMs: number): void;
+};
+
+export type GrantClientParts = {
+	readonly self: domain.RegisteredNode;
+	readonly registry: Registry;
+	readonly dispatchers: DispatcherTable;
+	readonly peerClient: ports.FleetPeerClient;
+	readonly peerStanding: PeerStanding;
+	readonly clock: ports.Clock;
+	readonly logger: ports.Logger;
+	readonly metrics: ports.Metrics;
+	/** Aborted when the node stops. */
+	readonly stopSignal: AbortSignal;
+};
+
+/** Nodes of a ranking that are asked and told: the dispatcher and the one that follows it when it is lost. */
+const RANKING_COUNT = 2;
+
+/** Time beyond the wait in which a dispatcher answers: a round trip between regions is 40 ms, the rest is for slow nodes. */
+const DISPATCHER_SLACK_MS = 250;
+
+/** Time in which a dispatcher takes a report. */
+const REPORT_TIMEOUT_MS = 1000;
+
+/** How long a call waits in one region before it asks the next: twice the round trip between regions. */
+const SPILL_WAIT_MS = 80;
+
+/** Share of its remaining time that a call waits for a slot; the rest is for the work. */
+const WAIT_RATIO = 0.4;
+
+type Step = {readonly region: string; readonly waitLimitMs: number; readonly isLastResort: boolean};
+
+export const createGrantClient = (parts: GrantClientParts): GrantClient => {
+	const {self, registry, dispatchers, peerStanding, metrics} = parts;
+
+	const rankDispatchers = (service: string, region: string): readonly domain.RegisteredNode[] =>
+		registry.rankNodes(buildGroupId(service, region), region, RANKING_COUNT);
+
+	const askPeer = async (
+		dispatcher: domain.RegisteredNode,
+		request: ports.AcquireGrantRequest,
+		signal: AbortSignal,
+	): Promise<ports.AcquireGrantReply | undefined> => {
+		const timeoutMs = request.waitLimitMs + DISPATCHER_SLACK_MS;
+		const timed = await runWithTimeout({clock: parts.clock, timeoutMs, signal}, async askSignal =>
+			parts.peerClient.request(dispatcher.address, ports.FleetMessageKind.AcquireGrant, request, askSignal),
+		);
+		if (signal.aborted) {
+			return undefined;
+		}
+
+		if (timed.isTimedOut || timed.value.isErr()) {
+			peerStanding.recordFailure(dispatcher.address);
+			metrics.increment(ports.CounterName.PeerMessages, {kind: ports.FleetMessageKind.AcquireGrant, result: 'failed'});
+			return undefined;
+		}
+
+		peerStanding.recordSuccess(dispatcher.address);
+		return timed.value.value;
+	};
+
+	const askRegion = async (wish: GrantWish, step: Step, signal: AbortSignal): Promise<GrantAnswer> => {
+		const request = {...wish, ...step, nodeId: self.nodeId};
+		const ranking = rankDispatchers(wish.service, step.region);
+		for (const dispatcher of ranking.filter(({nodeId}) => nodeId !== self.nodeId)) {
+			if (ranking[0]?.nodeId === self.nodeId || signal.aborted) {
+				break;
+			}
+
+			const reply = await askPeer(dispatcher, request, signal);
+			if (reply) {
+				return reply.isGranted ? {...reply, region: step.region, dispatcher} : reply;
+			}
+		}
+
+		const reply = await dispatchers.get(wish.service, step.region).acquire(request, signal);
+		return reply.isGranted ? {...reply, region: step.region, dispatcher: self} : reply;
+	};
+
+	const planSteps = (wish: GrantWish): readonly Step[] => {
+		const regions = registry
+			.regionsOf(wish.service)
+			.toSorted((left, right) => Number(right === self.region) - Number(left === self.region));
+		return regions.map(region => ({region, waitLimitMs: SPILL_WAIT_MS, isLastResort: false}));
+	};
+
+	const tellDispatcher = async (node: domain.RegisteredNode, request: ports.ReportResultRequest): Promise<void> => {
+		if (node.nodeId === self.nodeId) {
+			dispatchers.get(request.service, request.region).report(request);
+			return;
+		}
+
+		const timed = await runWithTimeout(
+			{clock: parts.clock, timeoutMs: REPORT_TIMEOUT_MS, signal: parts.stopSignal},
+			async signal => parts.peerClient.request(node.address, ports.FleetMessageKind.ReportResult, request, signal),
+		);
+		if (timed.isTimedOut || timed.value.isErr()) {
+			// The grant expires by itself; only the evidence on the target is missing.
+			metrics.increment(ports.CounterName.PeerMessages, {kind: ports.FleetMessageKind.ReportResult, result: 'failed'});
+			parts.logger.debug('report lost', {event: 'report-lost', peer: node.address, grantId: request.grantId});
+		}
+	};
+
+	return {
+		async acquire(wish, signal) {
+			const steps = planSteps(wish);
+			const denials: Array<{step: Step; denial: ports.GrantDenial}> = [];
+			for (const step of steps) {
+				const answer = await askRegion(wish, step, signal);
+				if (answer.isGranted) {
+					return answer;
+				}
+
+				denials.push({step, denial: answer});
+			}
+
+			const nearest = denials.toSorted(
+				(left, right) => left.denial.predictedWaitMs - right.denial.predictedWaitMs,
+			)[0];
+			if (!nearest) {
+				return {isGranted: false, refusal: ports.GrantRefusal.NoTarget, predictedWaitMs: 0};
+			}
+
+			const isFinal = [ports.GrantRefusal.NoBudget, ports.GrantRefusal.TooLate].includes(nearest.denial.refusal);
+			if (isFinal || signal.aborted) {
+				return nearest.denial;
+			}
+
+			const waitLimitMs = Math.max(0, wish.remainingMs * WAIT_RATIO);
+			return askRegion(wish, {region: nearest.step.region, waitLimitMs, isLastResort: true}, signal);
+		},
+		report(service, grant, result, durationMs) {
+			const request = {
+				grantId: grant.grantId,
+				nodeId: self.nodeId,
+				service,
+				region: grant.region,
+				targetId: grant.target.targetId,
+				result,
+				durationMs: Math.round(durationMs),
+			};
+			// The own dispatcher learns too, for the time when no other can be reached.
+			const nodes = [grant.dispatcher, ...rankDispatchers(service, grant.region), self];
+			const receivers = new Map(nodes.map(node => [node.nodeId, node]));
+			[...receivers.values()].forEach(node => {
+				void tellDispatcher(node, request);
+			});
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -0,0 +1,270 @@
+import * as domain from '@bilberrydoor/domain';
+import * as ports from '../ports/index.js';
+import {createRetryBudget} from '../scheduling/retry-budget.js';
+import {STOP_REASON} from '../shared/stop-reason.js';
+import type {DispatcherOptions} from './dispatcher-options.js';
+import {createTargetLedger, GrantStanding, type TargetLedger} from './target-ledger.js';
+import {createUsualRates} from './usual-rates.js';
+import {createWaitingCalls, type WaitingCall} from './waiting-calls.js';
+
+/** How often a waiting call looks again, since absences and rests end without an event. */
+const WAIT_TURN_MS = 100;
+
+/** Share of the usual duration that must be left for a call to be worth starting. */
+const WORTHWHILE_RATIO = 0.5;
+
+/** Duration assumed before any call has ended, in ms. */
+const UNKNOWN_DURATION_MS = 250;
+
+/** Grants slots of one group's targets. */
+export type GroupDispatcher = {
+	acquire(request: ports.AcquireGrantRequest, signal: AbortSignal): Promise<ports.AcquireGrantReply>;
+	report(request: ports.ReportResultRequest): void;
+	/** Targets by standing, for metrics. */
+	countStandings(): ReadonlyMap<GrantStanding, number>;
+};
+
+export type GroupDispatcherParts = {
+	readonly groupId: string;
+	readonly options: DispatcherOptions;
+	readonly clock: ports.Clock;
+	readonly random: ports.Random;
+	readonly logger: ports.Logger;
+	readonly metrics: ports.Metrics;
+	/** Targets of the group as they are registered now. */
+	readonly listTargets: () => readonly domain.RegisteredTarget[];
+};
+
+/** A node id that no path was lost from, for looking at a target as such. */
+const ANY_NODE = '';
+
+export const createGroupDispatcher = (parts: GroupDispatcherParts): GroupDispatcher => {
+	const {options, clock, logger, metrics, groupId} = parts;
+	const rates = createUsualRates();
+	const ledgers = new Map<string, TargetLedger>();
+	const waiting = createWaitingCalls();
+	const budget = createRetryBudget({
+		budgetRatio: options.retryRatio,
+		burstCount: options.retryBurstCount,
+		initialCount: options.retryBurstCount,
+	});
+	let order = 0;
+
+	/** Ledgers of the targets that are registered and ready. */
+	const listLedgers = (): readonly TargetLedger[] => {
+		const targets = parts.listTargets();
+		const known = new Set(targets.map(({targetId}) => targetId));
+		[...ledgers.keys()]
+			.filter(targetId => !known.has(targetId))
+			.forEach(targetId => {
+				ledgers.delete(targetId);
+			});
+		return targets
+			.map(target => {
+				const existing = ledgers.get(target.targetId);
+				if (existing?.target().startedAtMs === target.startedAtMs) {
+					existing.update(target);
+					return existing;
+				}
+
+				const ledger = createTargetLedger(target, {options, clock, rates});
+				ledgers.set(target.targetId, ledger);
+				return ledger;
+			})
+			.filter(ledger => ledger.target().readiness === domain.TargetReadiness.Ready);
+	};
+
+	const hasRoom = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
+
+	const pickCheapest = (candidates: readonly TargetLedger[], nodeId: string): TargetLedger | undefined => {
+		const priced = candidates.map(ledger => ({ledger, cost: ledger.costFor(nodeId) + parts.random.fraction() * 0.05}));
+		return priced.reduce<{ledger: TargetLedger; cost: number} | undefined>(
+			(best, candidate) => (best && best.cost <= candidate.cost ? best : candidate),
+			undefined,
+		)?.ledger;
+	};
+
+	/**
+	 * Picks a target: a sound one with a free slot; one on trial when the call may be repeated or sound ones are scarce;
+	 * and, as a last resort, the one whose last fault is the longest ago.
+	 */
+	const pickTarget = (request: ports.AcquireGrantRequest): TargetLedger | undefined => {
+		const excluded = new Set(request.excludedTargetIds);
+		const usable = listLedgers().filter(ledger => !excluded.has(ledger.target().targetId));
+		const byStanding = (standing: GrantStanding): TargetLedger[] =>
+			usable.filter(ledger => ledger.standingFor(request.nodeId) === standing);
+		const sound = byStanding(GrantStanding.Sound);
+		const free = sound.filter(hasRoom);
+		const onTrial = byStanding(GrantStanding.OnTrial).filter(ledger => ledger.openCount() === 0);
+		const openCount = sound.reduce((sum, ledger) => sum + ledger.openCount(), 0);
+		const slotCount = sound.reduce((sum, ledger) => sum + ledger.slotCount(), 0);
+		const isRepeatable = request.repeatability === domain.Repeatability.Repeatable && request.attemptIndex === 0;
+		const isScarce = openCount >= slotCount * options.trialOccupancyRatio;
+		if (onTrial.length > 0 && (isRepeatable || isScarce || free.length === 0)) {
+			return pickCheapest(onTrial, request.nodeId);
+		}
+
+		const best = pickCheapest(free, request.nodeId);
+		if (best || !request.isLastResort) {
+			return best;
+		}
+
+		return [
+			...byStanding(GrantStanding.Resting),
+			...byStanding(GrantStanding.SetAside),
+			...byStanding(GrantStanding.OnTrial),
+		]
+			.filter(hasRoom)
+			.toSorted((left, right) => left.lastFaultAtMs() - right.lastFaultAtMs())[0];
+	};
+
+	const tryGrant = (request: ports.AcquireGrantRequest): ports.Grant | undefined => {
+		const ledger = pickTarget(request);
+		if (!ledger) {
+			return undefined;
+		}
+
+		const grantId = `${request.requestId}.${request.attemptIndex}.${order++}`;
+		const standing = ledger.standingFor(request.nodeId);
+		ledger.open(grantId, request.nodeId, request.remainingMs + options.grantSlackMs);
+		return {isGranted: true, grantId, target: ledger.target(), standing, usualDurationMs: rates.durationMs()};
+	};
+
+	const serveWaiting = (): void => {
+		waiting.list().forEach(call => {
+			const grant = tryGrant(call.request);
+			if (grant) {
+				call.offer(grant);
+			}
+		});
+	};
+
+	const deny = (refusal: ports.GrantRefusal, predictedWaitMs: number): ports.GrantDenial => ({
+		isGranted: false,
+		refusal,
+		predictedWaitMs: Math.round(predictedWaitMs),
+	});
+
+	/** Time until a call of the rank gets a slot, from the calls before it and the usual duration, in ms. */
+	const predictWaitMs = (priority: number): number => {
+		const sound = listLedgers().filter(ledger => ledger.standingFor(ANY_NODE) === GrantStanding.Sound);
+		const slotCount = sound.reduce((sum, ledger) => sum + ledger.slotCount(), 0);
+		const durationMs = rates.durationMs() ?? UNKNOWN_DURATION_MS;
+		return (durationMs * (waiting.countBefore(priority) + 1)) / Math.max(1, slotCount);
+	};
+
+	/** Refusal of a call that must not be served, whatever is free. */
+	const checkAdmission = (request: ports.AcquireGrantRequest): ports.GrantDenial | undefined => {
+		if (request.remainingMs < (rates.durationMs() ?? 0) * WORTHWHILE_RATIO) {
+			return deny(ports.GrantRefusal.TooLate, 0);
+		}
+
+		if (request.attemptIndex === 0) {
+			return undefined;
+		}
+
+		const isCrowded = waiting.list().length > 0;
+		return isCrowded || !budget.hasRetry() ? deny(ports.GrantRefusal.NoBudget, 0) : undefined;
+	};
+
+	const waitForGrant = async (
+		request: ports.AcquireGrantRequest,
+		signal: AbortSignal,
+	): Promise<ports.Grant | undefined> => {
+		const deadlineMs = clock.monotonicMs() + request.waitLimitMs;
+		const controller = new AbortController();
+		let grant: ports.Grant | undefined;
+		const call: WaitingCall = {
+			request,
+			order: order++,
+			offer(offered) {
+				grant = offered;
+				waiting.remove(call);
+				controller.abort(STOP_REASON);
+			},
+		};
+		const stop = (): void => {
+			controller.abort(STOP_REASON);
+		};
+
+		signal.addEventListener('abort', stop, {once: true});
+		waiting.add(call);
+		while (!grant && !signal.aborted && clock.monotonicMs() < deadlineMs) {
+			await clock.sleep(Math.min(WAIT_TURN_MS, deadlineMs - clock.monotonicMs()), controller.signal);
+			serveWaiting();
+		}
+
+		waiting.remove(call);
+		signal.removeEventListener('abort', stop);
+		return grant;
+	};
+
+	const recordGrant = (request: ports.AcquireGrantRequest): void => {
+		if (request.attemptIndex === 0) {
+			budget.recordFirstAttempt();
+			return;
+		}
+
+		budget.take();
+	};
+
+	return {
+		async acquire(request, signal) {
+			const refused = checkAdmission(request);
+			if (refused) {
+				return refused;
+			}
+
+			// Calls that already wait go first.
+			serveWaiting();
+			const grant = tryGrant(request);
+			if (grant) {
+				recordGrant(request);
+				return grant;
+			}
+
+			const predictedWaitMs = predictWaitMs(request.priority);
+			if (listLedgers().length === 0) {
+				return deny(ports.GrantRefusal.NoTarget, predictedWaitMs);
+			}
+
+			if (predictedWaitMs > request.waitLimitMs) {
+				return deny(ports.GrantRefusal.Busy, predictedWaitMs);
+			}
+
+			const awaited = await waitForGrant(request, signal);
+			if (!awaited) {
+				return deny(ports.GrantRefusal.Busy, predictWaitMs(request.priority));
+			}
+
+			recordGrant(request);
+			return awaited;
+		},
+		report(request) {
+			const ledger = ledgers.get(request.targetId);
+			const isSetAside = ledger?.close(request.grantId, request.nodeId, request.result, request.durationMs) ?? false;
+			if (isSetAside) {
+				metrics.increment(ports.CounterName.Ejections, {service: request.service, reason: request.result});
+				logger.info('target set aside', {
+					event: 'target-set-aside',
+					groupId,
+					targetId: request.targetId,
+					grantId: request.grantId,
+					result: request.result,
+					reporter: request.nodeId,
+					usualFailureRatio: Number(rates.failureRatio().toFixed(4)),
+				});
+			}
+
+			serveWaiting();
+		},
+		countStandings() {
+			const counts = new Map<GrantStanding, number>();
+			listLedgers().forEach(ledger => {
+				const standing = ledger.standingFor(ANY_NODE);
+				counts.set(standing, (counts.get(standing) ?? 0) + 1);
+			});
+			return counts;
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/grants/target-ledger.ts
@@ -0,0 +1,228 @@
+import type * as domain from '@bilberrydoor/domain';
+import * as ports from '../ports/index.js';
+import type {DispatcherOptions} from './dispatcher-options.js';
+import type {UsualRates} from './usual-rates.js';
+
+/** Where a target stands for new work. */
+export enum GrantStanding {
+	Sound = 'sound',
+	/** Its absence is over, and no call has succeeded since. */
+	OnTrial = 'on-trial',
+	/** It was found gray and gets work only when nothing else is left. */
+	SetAside = 'set-aside',
+	/** It refused work for lack of room a moment ago. */
+	Resting = 'resting',
+	/** The asking node could not reach it a moment ago. */
+	PathLost = 'path-lost',
+}
+
+/** Half of the evidence against a target is forgotten in this time. */
+const EVIDENCE_HALF_LIFE_MS = 5000;
+
+/** Evidence of a lost path: two nodes that fail within seconds make the target suspect, one does not. */
+const PATH_EVIDENCE = 2;
+
+/** Evidence of a refusal by a target whose slots were mostly free. */
+const EARLY_SHED_EVIDENCE = 1.5;
+
+/** A target's mean duration follows this many calls. */
+const DURATION_WINDOW_COUNT = 6;
+
+/** A call that takes this many times the usual duration counts as overdue: longer than all but 2 in 100 calls. */
+const OVERDUE_FACTOR = 4;
+
+/** A target's connection of a node is reused for about this time. */
+const CONNECTION_REUSE_MS = 4000;
+
+type OpenGrant = {readonly grantedAtMs: number; readonly expiresAtMs: number};
+
+export type LedgerParts = {
+	readonly options: DispatcherOptions;
+	readonly clock: ports.Clock;
+	readonly rates: UsualRates;
+};
+
+/** What a dispatcher knows of one incarnation of a target. */
+export type TargetLedger = {
+	target(): domain.RegisteredTarget;
+	/** Takes over a newer record of the same incarnation. */
+	update(target: domain.RegisteredTarget): void;
+	openCount(): number;
+	/** Calls that the target may be given at once. */
+	slotCount(): number;
+	standingFor(nodeId: string): GrantStanding;
+	/** Relative cost of one more call; the lowest is the best choice. */
+	costFor(nodeId: string): number;
+	/** Monotonic time of the last sign of a fault, in ms; 0 when there was none. */
+	lastFaultAtMs(): number;
+	hasSucceeded(): boolean;
+	open(grantId: string, nodeId: string, ttlMs: number): void;
+	/** Records an attempt's result. True when the target was set aside by it. */
+	close(grantId: string, nodeId: string, result: ports.GrantResult, durationMs: number): boolean;
+};
+
+export const createTargetLedger = (first: domain.RegisteredTarget, parts: LedgerParts): TargetLedger => {
+	const {options, clock, rates} = parts;
+	const priorOdds = Math.log(options.grayPrior / (1 - options.grayPrior));
+	const openGrants = new Map<string, OpenGrant>();
+	const lostPaths = new Map<string, number>();
+	const lastUseByNode = new Map<string, number>();
+	const knownSinceMs = clock.monotonicMs();
+	let target = first;
+	/** Evidence against the target, in log odds above the prior. */
+	let evidence = 0;
+	let evidenceAtMs = knownSinceMs;
+	let absence: {readonly untilMs: number; readonly durationMs: number} | undefined;
+	let lastFaultAtMs = 0;
+	let successCount = 0;
+	let meanDurationMs: number | undefined;
+	let restingUntilMs = 0;
+	let shedSlotCount = 0;
+
+	const readEvidence = (): number => {
+		const nowMs = clock.monotonicMs();
+		evidence *= 0.5 ** ((nowMs - evidenceAtMs) / EVIDENCE_HALF_LIFE_MS);
+		evidenceAtMs = nowMs;
+		return evidence;
+	};
+
+	const forgetExpired = (): void => {
+		const nowMs = clock.monotonicMs();
+		[...openGrants]
+			.filter(([, grant]) => grant.expiresAtMs <= nowMs)
+			.forEach(([grantId]) => {
+				openGrants.delete(grantId);
+			});
+	};
+
+	const slotCount = (): number => Math.max(1, target.slotCount - shedSlotCount);
+
+	/** Sets the target aside, longer when its last return failed. */
+	const setAside = (): void => {
+		const nowMs = clock.monotonicMs();
+		const isFailedReturn = absence !== undefined && nowMs >= absence.untilMs;
+		const durationMs =
+			absence === undefined
+				? options.firstAbsenceMs
+				: isFailedReturn
+					? Math.min(absence.durationMs * 2, options.absenceLimitMs)
+					: absence.durationMs;
+		absence = {untilMs: nowMs + durationMs, durationMs};
+		evidence = 0;
+	};
+
+	const addEvidence = (amount: number): boolean => {
+		lastFaultAtMs = clock.monotonicMs();
+		evidence = readEvidence() + amount;
+		const isOnTrial = absence !== undefined && lastFaultAtMs >= absence.untilMs;
+		if (isOnTrial || priorOdds + evidence > 0) {
+			setAside();
+			return true;
+		}
+
+		return false;
+	};
+
+	const losePath = (nodeId: string): boolean => {
+		lostPaths.set(nodeId, clock.monotonicMs() + options.pathAbsenceMs);
+		return addEvidence(PATH_EVIDENCE);
+	};
+
+	const resultHandlers: Record<ports.GrantResult, (nodeId: string, durationMs: number) => boolean> = {
+		[ports.GrantResult.Success](nodeId, durationMs) {
+			const isReturned = absence !== undefined && clock.monotonicMs() >= absence.untilMs;
+			absence = isReturned ? undefined : absence;
+			evidence = Math.max(0, readEvidence() + Math.log((1 - options.grayFailureRatio) / (1 - rates.failureRatio())));
+			successCount++;
+			shedSlotCount = Math.max(0, shedSlotCount - 1);
+			meanDurationMs =
+				meanDurationMs === undefined
+					? durationMs
+					: meanDurationMs + (durationMs - meanDurationMs) / DURATION_WINDOW_COUNT;
+			lostPaths.delete(nodeId);
+			rates.recordSuccess(durationMs);
+			return false;
+		},
+		[ports.GrantResult.Failure]() {
+			const amount = Math.log(options.grayFailureRatio / rates.failureRatio());
+			if (absence === undefined) {
+				rates.recordFailure();
+			}
+
+			return addEvidence(amount);
+		},
+		[ports.GrantResult.Shed]() {
+			restingUntilMs = clock.monotonicMs() + options.shedPauseMs;
+			const isEarly = openGrants.size + 1 <= slotCount() / 2;
+			shedSlotCount = Math.min(target.slotCount - 1, shedSlotCount + 1);
+			return isEarly && addEvidence(EARLY_SHED_EVIDENCE);
+		},
+		[ports.GrantResult.Replaced]() {
+			setAside();
+			return true;
+		},
+		[ports.GrantResult.Unreachable]: losePath,
+		[ports.GrantResult.Broken]: losePath,
+		[ports.GrantResult.Silent]: losePath,
+		[ports.GrantResult.Cancelled]: () => false,
+	};
+
+	return {
+		target: () => target,
+		update(newer) {
+			target = newer;
+		},
+		openCount() {
+			forgetExpired();
+			return openGrants.size;
+		},
+		slotCount,
+		standingFor(nodeId) {
+			const nowMs = clock.monotonicMs();
+			if ((lostPaths.get(nodeId) ?? 0) > nowMs) {
+				return GrantStanding.PathLost;
+			}
+
+			if (absence !== undefined) {
+				if (nowMs < absence.untilMs) {
+					return GrantStanding.SetAside;
+				}
+
+				if (nowMs < absence.untilMs + options.trialLimitMs) {
+					return GrantStanding.OnTrial;
+				}
+			}
+
+			return nowMs < restingUntilMs ? GrantStanding.Resting : GrantStanding.Sound;
+		},
+		costFor(nodeId) {
+			const nowMs = clock.monotonicMs();
+			const usualMs = rates.durationMs();
+			const relativeDuration = usualMs && meanDurationMs ? Math.min(4, Math.max(0.7, meanDurationMs / usualMs)) : 1;
+			const warmUpFactor = nowMs - knownSinceMs < target.warmUpLeftMs ? 2 : 1;
+			const overdueCount = usualMs
+				? [...openGrants.values()].filter(grant => nowMs - grant.grantedAtMs > usualMs * OVERDUE_FACTOR).length
+				: 0;
+			const hasConnection = nowMs - (lastUseByNode.get(nodeId) ?? -CONNECTION_REUSE_MS) < CONNECTION_REUSE_MS;
+			const occupancy = (openGrants.size + 1) / slotCount();
+			return (
+				occupancy * relativeDuration * warmUpFactor +
+				overdueCount * 0.5 +
+				Math.max(0, readEvidence()) * 0.2 -
+				(hasConnection ? 0.1 : 0)
+			);
+		},
+		lastFaultAtMs: () => lastFaultAtMs,
+		hasSucceeded: () => successCount > 0,
+		open(grantId, nodeId, ttlMs) {
+			const nowMs = clock.monotonicMs();
+			openGrants.set(grantId, {grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
+			lastUseByNode.set(nodeId, nowMs);
+		},
+		close(grantId, nodeId, result, durationMs) {
+			openGrants.delete(grantId);
+			lastUseByNode.set(nodeId, clock.monotonicMs());
+			return resultHandlers[result](nodeId, durationMs);
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -0,0 +1,142 @@
+import type * as domain from '@bilberrydoor/domain';
+import type * as neverthrow from 'neverthrow';
+import type {PeerError} from './peer-client.js';
+import type {RegistryRecord, RegistryTopic} from './registry-store.js';
+
+/** Kinds of messages between the nodes of the fleet. */
+export enum FleetMessageKind {
+	AcquireGrant = 'acquireGrant',
+	ReportResult = 'reportResult',
+	PullRegistry = 'pullRegistry',
+}
+
+/** Result of one attempt at a target, as evidence on its health. */
+export enum GrantResult {
+	/** The target answered, and not with a failure of its own. */
+	Success = 'success',
+	/** The target ran the call and answered with a failure. */
+	Failure = 'failure',
+	/** The target refused the call before it ran it. */
+	Shed = 'shed',
+	/** Another process has the target's address. */
+	Replaced = 'replaced',
+	/** No connection to the target could be opened. */
+	Unreachable = 'unreachable',
+	/** The call was sent, and the connection broke or brought bytes that are no answer. */
+	Broken = 'broken',
+	/** The call was sent, and there was no answer in its time. */
+	Silent = 'silent',
+	/** The caller left, so nothing is known about the target. */
+	Cancelled = 'cancelled',
+}
+
+export type AcquireGrantRequest = {
+	readonly requestId: string;
+	readonly nodeId: string;
+	readonly service: string;
+	/** Region of the group's targets. */
+	readonly region: string;
+	readonly priority: number;
+	readonly repeatability: domain.Repeatability;
+	/** 0 for the first attempt of a call. */
+	readonly attemptIndex: number;
+	/** Time left until the call's deadline, in ms. */
+	readonly remainingMs: number;
+	/** Time left until the answer loses its full value, in ms; negative when it has. */
+	readonly objectiveLeftMs: number;
+	/** How long the call may wait for a slot, in ms. */
+	readonly waitLimitMs: number;
+	/** Whether targets that are set aside may be granted when no other has a free slot. */
+	readonly isLastResort: boolean;
+	/** Targets that this node cannot use for the call. */
+	readonly excludedTargetIds: readonly string[];
+};
+
+/** Why a dispatcher gave no target. */
+export enum GrantRefusal {
+	/** It knows no target of the group that may be used. */
+	NoTarget = 'no-target',
+	/** All slots are in use, and none is expected to be free in time. */
+	Busy = 'busy',
+	/** The retry budget is used up. */
+	NoBudget = 'no-budget',
+	/** The answer would come after the call's deadline. */
+	TooLate = 'too-late',
+}
+
+export type Grant = {
+	readonly isGranted: true;
+	readonly grantId: string;
+	readonly target: domain.RegisteredTarget;
+	/** Why the target was chosen, for the log. */
+	readonly standing: string;
+	/** Median duration of the service's calls here, in ms; absent when too few have ended. */
+	readonly usualDurationMs?: number;
+};
+
+export type GrantDenial = {
+	readonly isGranted: false;
+	readonly refusal: GrantRefusal;
+	/** Time until a slot is expected to be free, in ms. */
+	readonly predictedWaitMs: number;
+};
+
+export type AcquireGrantReply = Grant | GrantDenial;
+
+export type ReportResultRequest = {
+	readonly grantId: string;
+	readonly nodeId: string;
+	readonly service: string;
+	readonly region: string;
+	readonly targetId: string;
+	readonly result: GrantResult;
+	/** Time from sending to the end of the attempt, in ms. */
+	readonly durationMs: number;
+};
+
+export type PullRegistryRequest = {
+	/** For each topic the offset to continue from; -1 to get everything. */
+	readonly fromOffsets: Readonly<Record<RegistryTopic, number>>;
+	/** How long the peer may wait for a change, in ms. */
+	readonly waitMs: number;
+};
+
+export type TopicChanges<Topic extends RegistryTopic> = {
+	readonly records: ReadonlyArray<RegistryRecord<Topic>>;
+	readonly nextOffset: number;
+	/** True when `records` holds everything, so that other keys are gone. */
+	readonly isWhole: boolean;
+	/** True when the store was away just before, so that missing keys may come back. */
+	readonly isProvisional?: boolean;
+};
+
+export type PullRegistryReply = {
+	readonly topics: {readonly [Topic in RegistryTopic]: TopicChanges<Topic>};
+	/** Time since the store last answered the node that reads it, in ms. */
+	readonly ageMs: number;
+};
+
+/** Types of each message. */
+export type FleetMessages = {
+	[FleetMessageKind.AcquireGrant]: {request: AcquireGrantRequest; reply: AcquireGrantReply};
+	[FleetMessageKind.ReportResult]: {request: ReportResultRequest; reply: Record<string, never>};
+	[FleetMessageKind.PullRegistry]: {request: PullRegistryRequest; reply: PullRegistryReply};
+};
+
+/** What a node does with each kind of message. */
+export type FleetMessageHandlers = {
+	readonly [Kind in FleetMessageKind]: (
+		request: FleetMessages[Kind]['request'],
+		signal: AbortSignal,
+	) => Promise<FleetMessages[Kind]['reply']>;
+};
+
+/** Sends messages to other nodes. */
+export type FleetPeerClient = {
+	request<Kind extends FleetMessageKind>(
+		address: string,
+		kind: Kind,
+		request: FleetMessages[Kind]['request'],
+		signal: AbortSignal,
+	): Promise<neverthrow.Result<FleetMessages[Kind]['reply'], PeerError>>;
+};
--- a/packages/core/src/ports/index.ts
+++ b/packages/core/src/ports/index.ts
@@ -13,6 +13,8 @@
 export type * from './authenticator.js';
 export type * from './catalogue-codec.js';
 export type * from './clock.js';
+export * from './fleet-peer.js';
+export * from './fleet-target-client.js';
 export * from './log-service.js';
 export type * from './logger.js';
 export * from './metrics.js';
@@ -20,6 +22,7 @@
 export * from './peer-client.js';
 export * from './peer-message.js';
 export type * from './random.js';
+export * from './registry-store.js';
 export * from './target-client.js';
 export type * from './vm-list.js';
 
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -9,6 +9,7 @@
 	LinkBytes = 'linkBytes',
 	CatalogueEdits = 'catalogueEdits',
 	PeerMessages = 'peerMessages',
+	StoreCalls = 'storeCalls',
 }
 
 export enum GaugeName {
--- /dev/null
+++ b/packages/core/src/ports/registry-store.ts
@@ -0,0 +1,62 @@
+import type * as domain from '@bilberrydoor/domain';
+import type * as neverthrow from 'neverthrow';
+
+/** Kinds of records that every node holds. */
+export enum RegistryTopic {
+	Catalogue = 'catalogue',
+	Targets = 'targets',
+	Nodes = 'nodes',
+}
+
+/** Type of a record's value by topic. */
+export type RegistryValues = {
+	[RegistryTopic.Catalogue]: domain.FleetCatalogue;
+	[RegistryTopic.Targets]: domain.RegisteredTarget;
+	[RegistryTopic.Nodes]: domain.RegisteredNode;
+};
+
+/** The newest record of a key. */
+export type RegistryRecord<Topic extends RegistryTopic> = {
+	readonly key: string;
+	/** Place in the topic; a later record of a key has a higher one. */
+	readonly offset: number;
+	/** Absent when the record was removed or cannot be used. */
+	readonly value: RegistryValues[Topic] | undefined;
+	/**
+	 * True for a removal that was seen just after the store was away. Registrations lapse during an outage and come back
+	 * shortly after it, so such a removal takes effect later.
+	 */
+	readonly isProvisional?: boolean;
+};
+
+export type RegistryChanges<Topic extends RegistryTopic> = {
+	readonly records: ReadonlyArray<RegistryRecord<Topic>>;
+	/** Offset to continue from. */
+	readonly nextOffset: number;
+};
+
+export enum RegistryErrorKind {
+	/** The store cannot be reached, is too slow or refuses this node. */
+	Unavailable = 'unavailable',
+	/** The asked records are no longer kept, so the topic has to be read whole. */
+	Expired = 'expired',
+}
+
+export type RegistryError = {readonly kind: RegistryErrorKind; readonly detail: string};
+
+/** The platform's store of keyed records. Each call may fail at any moment. */
+export type RegistryStore = {
+	/** Records from `fromOffset` on, waiting up to `waitMs` for the first. */
+	readChanges<Topic extends RegistryTopic>(
+		topic: Topic,
+		request: {fromOffset: number; waitMs: number},
+		signal: AbortSignal,
+	): Promise<neverthrow.Result<RegistryChanges<Topic>, RegistryError>>;
+	/** The newest record of every key. */
+	readAll<Topic extends RegistryTopic>(
+		topic: Topic,
+		signal: AbortSignal,
+	): Promise<neverthrow.Result<RegistryChanges<Topic>, RegistryError>>;
+	publishNode(node: domain.RegisteredNode, signal: AbortSignal): Promise<neverthrow.Result<void, RegistryError>>;
+	withdrawNode(nodeId: string, signal: AbortSignal): Promise<neverthrow.Result<void, RegistryError>>;
+};
--- /dev/null
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -0,0 +1,397 @@
+import * as domain from '@bilberrydoor/domain';
+import type {GrantAnswer, GrantClient, HeldGrant} from '../grants/grant-client.js';
+import * as ports from '../ports/index.js';
+import type {Registry} from '../registry/registry.js';
+import {runWithTimeout} from '../shared/run-with-timeout.js';
+import {createHostRoutes, type HostRoutes} from './host-routes.js';
+import {pickService} from './pick-service.js';
+import {DEFAULT_PROXY_OPTIONS, type ProxyOptions} from './proxy-options.js';
+
+export type CallProxyParts = {
+	readonly registry: Registry;
+	readonly grants: GrantClient;
+	readonly targetClient: ports.FleetTargetClient;
+	readonly clock: ports.Clock;
+	readonly random: ports.Random;
+	readonly logger: ports.Logger;
+	readonly metrics: ports.Metrics;
+	readonly options?: Partial<ProxyOptions>;
+};
+
+/** Takes calls from callers to targets. */
+export type CallProxy = {
+	/** Handles one call; `signal` is aborted when the caller leaves. */
+	handle(call: domain.ProxiedCall, signal: AbortSignal): Promise<domain.ProxyEnding>;
+};
+
+/** What one call has been through. */
+type CallState = {
+	readonly call: domain.ProxiedCall;
+	readonly route: domain.HostRoute;
+	readonly service: string;
+	readonly catalogueVersion: number;
+	/** Monotonic time at which the caller must have an ending, in ms. */
+	readonly deadlineAtMs: number;
+	readonly excludedTargetIds: string[];
+	sentCount: number;
+	unreachableCount: number;
+	/** Whether a target may have run the call. */
+	mayHaveRun: boolean;
+	/** Whether an attempt is under way, whose target may be running the call. */
+	isAttempting: boolean;
+	/** A target's own failure, to hand on when nothing better comes. */
+	lastAnswer?: domain.TargetAnswer;
+	lastReason: domain.RefusalReason;
+};
+
+/** What an attempt's result means for the call. */
+type Verdict = {
+	readonly result: ports.GrantResult;
+	readonly reason: domain.RefusalReason;
+	/** Whether the call was on the wire. */
+	readonly isSent: boolean;
+	readonly mayHaveRun: boolean;
+};
+
+const ERROR_VERDICTS: Record<ports.AttemptErrorKind, Verdict> = {
+	[ports.AttemptErrorKind.Unreachable]: {
+		result: ports.GrantResult.Unreachable,
+		reason: domain.RefusalReason.TargetUnreachable,
+		isSent: false,
+		mayHaveRun: false,
+	},
+	[ports.AttemptErrorKind.CancelledUnsent]: {
+		result: ports.GrantResult.Unreachable,
+		reason: domain.RefusalReason.TargetUnreachable,
+		isSent: false,
+		mayHaveRun: false,
+	},
+	[ports.AttemptErrorKind.Broken]: {
+		result: ports.GrantResult.Broken,
+		reason: domain.RefusalReason.TargetLost,
+		isSent: true,
+		mayHaveRun: true,
+	},
+	[ports.AttemptErrorKind.CancelledSent]: {
+		result: ports.GrantResult.Silent,
+		reason: domain.RefusalReason.TargetTimedOut,
+		isSent: true,
+		mayHaveRun: true,
+	},
+};
+
+const ANSWER_VERDICTS: Record<ports.AnswerMeaning, Verdict> = {
+	[ports.AnswerMeaning.Completed]: {
+		result: ports.GrantResult.Success,
+		reason: domain.RefusalReason.Internal,
+		isSent: true,
+		mayHaveRun: true,
+	},
+	[ports.AnswerMeaning.Failed]: {
+		result: ports.GrantResult.Failure,
+		reason: domain.RefusalReason.TargetLost,
+		isSent: true,
+		mayHaveRun: true,
+	},
+	[ports.AnswerMeaning.NotRun]: {
+		result: ports.GrantResult.Shed,
+		reason: domain.RefusalReason.TargetRefused,
+		isSent: true,
+		mayHaveRun: false,
+	},
+	[ports.AnswerMeaning.Replaced]: {
+		result: ports.GrantResult.Replaced,
+		reason: domain.RefusalReason.TargetRefused,
+		isSent: true,
+		mayHaveRun: false,
+	},
+	[ports.AnswerMeaning.Foreign]: {
+		result: ports.GrantResult.Broken,
+		reason: domain.RefusalReason.TargetLost,
+		isSent: true,
+		mayHaveRun: true,
+	},
+};
+
+const GRANT_REFUSAL_REASONS: Record<ports.GrantRefusal, domain.RefusalReason> = {
+	[ports.GrantRefusal.NoTarget]: domain.RefusalReason.NoTarget,
+	[ports.GrantRefusal.Busy]: domain.RefusalReason.QueueFull,
+	[ports.GrantRefusal.NoBudget]: domain.RefusalReason.RateLimited,
+	[ports.GrantRefusal.TooLate]: domain.RefusalReason.DeadlineTooShort,
+};
+
+/** Time after which a caller may come back while this node knows no catalogue, in ms. */
+const NO_CATALOGUE_RETRY_MS = 500;
+
+const refuse = (reason: domain.RefusalReason, retryAfterMs?: number): domain.RefusedEnding => ({
+	outcome: domain.ProxyOutcome.Refused,
+	reason,
+	retryAfterMs,
+});
+
+export const createCallProxy = (parts: CallProxyParts): CallProxy => {
+	const {registry, grants, clock, logger, metrics} = parts;
+	const options = {...DEFAULT_PROXY_OPTIONS, ...parts.options};
+	let indexed: {readonly version: number; readonly routes: HostRoutes} | undefined;
+
+	const indexRoutes = (catalogue: domain.FleetCatalogue): HostRoutes => {
+		if (indexed?.version !== catalogue.version) {
+			indexed = {version: catalogue.version, routes: createHostRoutes(catalogue.routes)};
+		}
+
+		return indexed.routes;
+	};
+
+	const remainingMs = (state: CallState): number => state.deadlineAtMs - clock.monotonicMs();
+
+	/** Spreads callers over twice the predicted wait, so that they do not come back together. */
+	const planReturn = (predictedWaitMs: number): number =>
+		Math.min(
+			options.retryAfterMaximumMs,
+			Math.max(options.retryAfterMinimumMs, predictedWaitMs) * (1 + parts.random.fraction()),
+		);
+
+	const acquire = async (state: CallState, signal: AbortSignal): Promise<GrantAnswer> =>
+		grants.acquire(
+			{
+				requestId: state.call.requestId,
+				service: state.service,
+				priority: state.route.priority,
+				repeatability: state.route.repeatability,
+				attemptIndex: state.sentCount,
+				remainingMs: remainingMs(state),
+				objectiveLeftMs: state.call.receivedAtMs + state.route.latencyObjectiveMs - clock.monotonicMs(),
+				excludedTargetIds: state.excludedTargetIds,
+			},
+			signal,
+		);
+
+	/** Whether another attempt may follow one that may have run. */
+	const mayRepeat = (state: CallState): boolean =>
+		state.route.repeatability === domain.Repeatability.Repeatable && state.sentCount < state.route.attemptLimit;
+
+	/** Longest time for an attempt, in ms: the rest of the call's, or less while another attempt would still fit. */
+	const limitAttemptMs = (state: CallState, grant: HeldGrant): number => {
+		const leftMs = remainingMs(state);
+		const usualMs = grant.usualDurationMs;
+		const isRepeatable = mayRepeat(state) && state.sentCount + 1 < state.route.attemptLimit;
+		return isRepeatable && usualMs !== undefined
+			? Math.min(leftMs * options.slowAttemptRatio, usualMs * options.slowAttemptFactor)
+			: leftMs;
+	};
+
+	const logAttempt = (state: CallState, grant: HeldGrant, result: ports.GrantResult, fields: object): void => {
+		const isNotable = result !== ports.GrantResult.Success && result !== ports.GrantResult.Cancelled;
+		(isNotable ? logger.info : logger.debug)('attempt ended', {
+			event: 'attempt-ended',
+			requestId: state.call.requestId,
+			routeId: state.route.routeId,
+			service: state.service,
+			targetId: grant.target.targetId,
+			targetStartedAtMs: grant.target.startedAtMs,
+			standing: grant.standing,
+			dispatcher: grant.dispatcher.nodeId,
+			attempt: state.sentCount,
+			result,
+			...fields,
+		});
+	};
+
+	/** Sends the call to the granted target and notes what became of it. Resolves with the answer to hand on, if any. */
+	const attempt = async (
+		state: CallState,
+		grant: HeldGrant,
+		signal: AbortSignal,
+	): Promise<domain.TargetAnswer | undefined> => {
+		const startedAtMs = clock.monotonicMs();
+		const timeoutMs = limitAttemptMs(state, grant);
+		const sending = {call: state.call, target: grant.target, remainingMs: remainingMs(state)};
+		const controller = new AbortController();
+		const abort = (): void => {
+			controller.abort(signal.reason);
+		};
+
+		signal.addEventListener('abort', abort, {once: true});
+		const timer = new AbortController();
+		const stopLate = async (): Promise<void> => {
+			await clock.sleep(timeoutMs, timer.signal);
+			abort();
+		};
+
+		void stopLate();
+		metrics.increment(ports.CounterName.Attempts, {service: state.service});
+		state.isAttempting = true;
+		const result = await parts.targetClient.send(
+			{...sending, connectionLimit: options.connectionsPerTarget},
+			controller.signal,
+		);
+		const durationMs = clock.monotonicMs() - startedAtMs;
+		timer.abort();
+		state.isAttempting = false;
+		if (result.isErr()) {
+			signal.removeEventListener('abort', abort);
+		}
+
+		const verdict = result.isOk() ? ANSWER_VERDICTS[result.value.meaning] : ERROR_VERDICTS[result.error.kind];
+		const grantResult = signal.aborted && result.isErr() ? ports.GrantResult.Cancelled : verdict.result;
+		grants.report(state.service, grant, grantResult, durationMs);
+		logAttempt(state, grant, grantResult, {
+			durationMs: Math.round(durationMs),
+			timeoutMs: Math.round(timeoutMs),
+			status: result.isOk() ? result.value.answer.status : undefined,
+			detail: result.isErr() ? result.error.detail : undefined,
+		});
+		state.sentCount += verdict.isSent ? 1 : 0;
+		state.unreachableCount += verdict.isSent ? 0 : 1;
+		state.mayHaveRun ||= verdict.mayHaveRun;
+		state.lastReason = verdict.reason;
+		state.excludedTargetIds.push(grant.target.targetId);
+		if (result.isErr()) {
+			return undefined;
+		}
+
+		const {meaning, answer} = result.value;
+		if (meaning === ports.AnswerMeaning.Completed) {
+			return answer;
+		}
+
+		if (meaning === ports.AnswerMeaning.Failed) {
+			state.lastAnswer = answer;
+		}
+
+		return undefined;
+	};
+
+	/** Ending of a call that gets no further attempt. */
+	const giveUp = (state: CallState, reason: domain.RefusalReason, predictedWaitMs: number): domain.ProxyEnding => {
+		if (state.lastAnswer) {
+			return {outcome: domain.ProxyOutcome.Answered, answer: state.lastAnswer};
+		}
+
+		return state.mayHaveRun
+			? {outcome: domain.ProxyOutcome.Failed, reason: state.lastReason}
+			: refuse(reason, planReturn(predictedWaitMs));
+	};
+
+	const canTryAgain = (state: CallState): boolean => {
+		const isWithinLimits =
+			state.sentCount < state.route.attemptLimit && state.unreachableCount < options.unreachableLimit;
+		const isStreamUsed = state.sentCount > 0 && state.call.body !== undefined && !(state.call.body instanceof Uint8Array);
+		return isWithinLimits && !isStreamUsed && remainingMs(state) > 0 && (!state.mayHaveRun || mayRepeat(state));
+	};
+
+	const runAttempts = async (state: CallState, signal: AbortSignal): Promise<domain.ProxyEnding> => {
+		while (canTryAgain(state)) {
+			const grant = await acquire(state, signal);
+			if (signal.aborted) {
+				if (grant.isGranted) {
+					grants.report(state.service, grant, ports.GrantResult.Cancelled, 0);
+				}
+
+				break;
+			}
+
+			if (!grant.isGranted) {
+				return giveUp(state, GRANT_REFUSAL_REASONS[grant.refusal], grant.predictedWaitMs);
+			}
+
+			if (state.sentCount > 0) {
+				metrics.increment(ports.CounterName.Retries, {service: state.service, reason: state.lastReason});
+			}
+
+			const answer = await attempt(state, grant, signal);
+			if (answer) {
+				return {outcome: domain.ProxyOutcome.Answered, answer};
+			}
+
+			if (signal.aborted) {
+				break;
+			}
+		}
+
+		return signal.aborted ? {outcome: domain.ProxyOutcome.Abandoned} : giveUp(state, state.lastReason, 0);
+	};
+
+	/** Ends the call when its time is up, whatever the attempts do. */
+	const runWithinDeadline = async (state: CallState, signal: AbortSignal): Promise<domain.ProxyEnding> => {
+		const timed = await runWithTimeout({clock, timeoutMs: remainingMs(state), signal}, async callSignal =>
+			runAttempts(state, callSignal),
+		);
+		if (!timed.isTimedOut && timed.value.outcome !== domain.ProxyOutcome.Abandoned) {
+			return timed.value;
+		}
+
+		if (signal.aborted) {
+			return {outcome: domain.ProxyOutcome.Abandoned};
+		}
+
+		return state.isAttempting
+			? {outcome: domain.ProxyOutcome.Failed, reason: domain.RefusalReason.DeadlineExceeded}
+			: giveUp(state, domain.RefusalReason.DeadlineExceeded, 0);
+	};
+
+	const describeEnding = (ending: domain.ProxyEnding): object => ({
+		outcome: ending.outcome,
+		...(ending.outcome === domain.ProxyOutcome.Answered && {status: ending.answer.status}),
+		...('reason' in ending && {reason: ending.reason}),
+		...('retryAfterMs' in ending && {retryAfterMs: Math.round(ending.retryAfterMs ?? 0)}),
+	});
+
+	const recordEnding = (call: domain.ProxiedCall, ending: domain.ProxyEnding, state?: CallState): void => {
+		const elapsedMs = clock.monotonicMs() - call.receivedAtMs;
+		metrics.increment(ports.CounterName.Calls, {outcome: ending.outcome});
+		if ('reason' in ending) {
+			metrics.increment(ports.CounterName.Refusals, {reason: ending.reason});
+		}
+
+		metrics.observe(ports.HistogramName.CallSeconds, {workClass: state?.route.isBulk ? 'bulk' : 'short'}, elapsedMs / 1000);
+		const isPlain = ending.outcome === domain.ProxyOutcome.Answered && ending.answer.status < 500;
+		(isPlain ? logger.debug : logger.info)('call ended', {
+			event: 'call-ended',
+			requestId: call.requestId,
+			routeId: state?.route.routeId,
+			service: state?.service,
+			catalogueVersion: state?.catalogueVersion,
+			registryAgeMs: Math.round(registry.ageMs()),
+			attempts: state?.sentCount,
+			unreachable: state?.unreachableCount,
+			elapsedMs: Math.round(elapsedMs),
+			...describeEnding(ending),
+		});
+	};
+
+	const run = async (call: domain.ProxiedCall, signal: AbortSignal): Promise<domain.ProxyEnding> => {
+		const catalogue = registry.catalogue();
+		if (!catalogue) {
+			const refused = refuse(domain.RefusalReason.NoCatalogue, planReturn(NO_CATALOGUE_RETRY_MS));
+			recordEnding(call, refused);
+			return refused;
+		}
+
+		const route = indexRoutes(catalogue).find(call.host, call.pathAndQuery.split('?', 1)[0]!);
+		if (!route) {
+			const refused = refuse(domain.RefusalReason.UnknownRoute);
+			recordEnding(call, refused);
+			return refused;
+		}
+
+		const state: CallState = {
+			call,
+			route,
+			service: pickService(route.shares, parts.random.fraction()),
+			catalogueVersion: catalogue.version,
+			deadlineAtMs: call.receivedAtMs + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
+			excludedTargetIds: [],
+			sentCount: 0,
+			unreachableCount: 0,
+			mayHaveRun: false,
+			isAttempting: false,
+			lastReason: domain.RefusalReason.DeadlineTooShort,
+		};
+		const ending = await runWithinDeadline(state, signal);
+		recordEnding(call, ending, state);
+		return ending;
+	};
+
+	return {handle: run};
+};
--- /dev/null
+++ b/packages/core/src/registry/registry.ts
@@ -0,0 +1,166 @@
+import type * as domain from '@bilberrydoor/domain';
+import * as ports from '../ports/index.js';
+import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
+import {createChangeGate} from '../shared/change-gate.js';
+import {groupBy} from '../shared/group-by.js';
+import type {PeerStanding} from './peer-standing.js';
+import {createReplica, type Replica} from './replica.js';
+
+/** Age that a node reports which has never read the store. */
+export const NEVER_READ_AGE_MS = 1_000_000_000;
+
+/** Names the targets of a service in a region. */
+export const buildGroupId = (service: string, region: string): string => `${service}@${region}`;
+
+/** Everything that this node knows of the catalogue, the targets and the other nodes. */
+export type Registry = {
+	readonly replicas: {readonly [Topic in ports.RegistryTopic]: Replica<Topic>};
+	catalogue(): domain.FleetCatalogue | undefined;
+	/** Targets of a group by id. */
+	targetsOf(service: string, region: string): readonly domain.RegisteredTarget[];
+	/** Regions with targets of a service. */
+	regionsOf(service: string): readonly string[];
+	target(targetId: string): domain.RegisteredTarget | undefined;
+	/** Known nodes of a region, with this one. */
+	nodesOf(region: string): readonly domain.RegisteredNode[];
+	/**
+	 * Nodes of the region that can be reached, best first for the key. Ranks incarnations, so that a restarted node, which
+	 * has lost what it knew, rarely comes back to its former place.
+	 */
+	rankNodes(key: string, region: string, limitCount: number): readonly domain.RegisteredNode[];
+	/** Takes over what the store or a peer sent. */
+	apply(topics: Partial<ports.PullRegistryReply['topics']>, ageMs: number): void;
+	/** Time since the store last answered a node that this one learns from, in ms. */
+	ageMs(): number;
+	/** What a peer lacks; waits for a change when there is none. */
+	pull(request: ports.PullRegistryRequest, signal: AbortSignal): Promise<ports.PullRegistryReply>;
+	/** Resolves at the next change or after `waitMs`. */
+	waitForChange(waitMs: number, signal?: AbortSignal): Promise<void>;
+};
+
+export type RegistryOptions = {
+	readonly self: domain.RegisteredNode;
+	readonly clock: ports.Clock;
+	readonly logger: ports.Logger;
+	readonly peerStanding: PeerStanding;
+};
+
+const TOPICS = Object.values(ports.RegistryTopic);
+
+/** Targets in force change with the clock after an outage, so the index is rebuilt at this age at the latest. */
+const INDEX_AGE_LIMIT_MS = 250;
+
+type TargetIndex = {
+	readonly builtAtMs: number;
+	readonly revision: number;
+	readonly byId: ReadonlyMap<string, domain.RegisteredTarget>;
+	readonly byGroup: ReadonlyMap<string, readonly domain.RegisteredTarget[]>;
+};
+
+const createTargetIndex = (replica: Replica<ports.RegistryTopic.Targets>, clock: ports.Clock): (() => TargetIndex) => {
+	let index: TargetIndex | undefined;
+	return () => {
+		const nowMs = clock.monotonicMs();
+		if (index?.revision === replica.revision() && nowMs - index.builtAtMs < INDEX_AGE_LIMIT_MS) {
+			return index;
+		}
+
+		const byId = replica.values();
+		const byGroup = groupBy(byId.values(), ({service, region}) => buildGroupId(service, region));
+		index = {builtAtMs: nowMs, revision: replica.revision(), byId, byGroup};
+		return index;
+	};
+};
+
+export const createRegistry = (options: RegistryOptions): Registry => {
+	const {self, clock, logger} = options;
+	const replicas = {
+		[ports.RegistryTopic.Catalogue]: createReplica(ports.RegistryTopic.Catalogue, clock),
+		[ports.RegistryTopic.Targets]: createReplica(ports.RegistryTopic.Targets, clock),
+		[ports.RegistryTopic.Nodes]: createReplica(ports.RegistryTopic.Nodes, clock),
+	};
+	const gate = createChangeGate(clock);
+	const readTargetIndex = createTargetIndex(replicas.targets, clock);
+	let freshAtMs = -NEVER_READ_AGE_MS;
+	let catalogue: domain.FleetCatalogue | undefined;
+
+	const nodesOf = (region: string): readonly domain.RegisteredNode[] => {
+		const others = [...replicas.nodes.values().values()].filter(
+			node => node.region === region && node.nodeId !== self.nodeId,
+		);
+		return region === self.region ? [...others, self] : others;
+	};
+
+	const ageMs = (): number => Math.min(NEVER_READ_AGE_MS, clock.monotonicMs() - freshAtMs);
+
+	const takeCatalogue = (): void => {
+		const newest = [...replicas.catalogue.values().values()].reduce<domain.FleetCatalogue | undefined>(
+			(best, candidate) => (best && best.version >= candidate.version ? best : candidate),
+			catalogue,
+		);
+		if (newest && newest !== catalogue) {
+			logger.info('catalogue in force', {
+				event: 'catalogue-in-force',
+				version: newest.version,
+				previousVersion: catalogue?.version,
+				routeCount: newest.routes.length,
+				registryAgeMs: Math.round(ageMs()),
+			});
+			catalogue = newest;
+		}
+	};
+
+	/** The cast is safe because each topic's changes go to the replica of the same topic. */
+	const applyTopic = <Topic extends ports.RegistryTopic>(
+		topic: Topic,
+		changes: ports.TopicChanges<Topic> | undefined,
+	): boolean => changes !== undefined && (replicas[topic] as unknown as Replica<Topic>).apply(changes);
+
+	const hasChanges = ({fromOffsets}: ports.PullRegistryRequest): boolean =>
+		TOPICS.some(topic => replicas[topic].changesSince(fromOffsets[topic]).records.length > 0);
+
+	return {
+		replicas,
+		catalogue: () => catalogue,
+		targetsOf: (service, region) => readTargetIndex().byGroup.get(buildGroupId(service, region)) ?? [],
+		regionsOf: service => [
+			...new Set(
+				[...readTargetIndex().byId.values()].filter(target => target.service === service).map(({region}) => region),
+			),
+		],
+		target: targetId => readTargetIndex().byId.get(targetId),
+		nodesOf,
+		rankNodes: (key, region, limitCount) =>
+			rankByRendezvous(
+				key,
+				nodesOf(region)
+					.filter(({nodeId, address}) => nodeId === self.nodeId || options.peerStanding.isUsable(address))
+					.map(node => ({node, address: node.incarnationId})),
+				limitCount,
+			).map(({node}) => node),
+		apply(topics, sourceAgeMs) {
+			const changedTopics = TOPICS.filter(topic => applyTopic(topic, topics[topic] as never));
+			freshAtMs = Math.max(freshAtMs, clock.monotonicMs() - sourceAgeMs);
+			if (changedTopics.length > 0) {
+				takeCatalogue();
+				gate.announce();
+			}
+		},
+		ageMs,
+		async pull(request, signal) {
+			if (!hasChanges(request)) {
+				await gate.wait(request.waitMs, signal);
+			}
+
+			return {
+				topics: {
+					[ports.RegistryTopic.Catalogue]: replicas.catalogue.changesSince(request.fromOffsets.catalogue),
+					[ports.RegistryTopic.Targets]: replicas.targets.changesSince(request.fromOffsets.targets),
+					[ports.RegistryTopic.Nodes]: replicas.nodes.changesSince(request.fromOffsets.nodes),
+				},
+				ageMs: Math.round(ageMs()),
+			};
+		},
+		waitForChange: async (waitMs, signal) => gate.wait(waitMs, signal),
+	};
+};
--- /dev/null
+++ b/packages/core/src/registry/replica.ts
@@ -0,0 +1,128 @@
+import * as ports from '../ports/index.js';
+
+/** Registrations that lapsed in an outage of the store are back within 2 s of its return; the platform states the bound. */
+const LAPSE_GRACE_MS = 2000;
+
+type ReplicaEntry<Topic extends ports.RegistryTopic> = {
+	readonly record: ports.RegistryRecord<Topic>;
+	/** Value before a provisional removal, and when it stops being used. */
+	readonly lapsing?: {readonly value: ports.RegistryValues[Topic]; readonly untilMs: number};
+};
+
+/** This node's copy of one topic: the newest record of each key. */
+export type Replica<Topic extends ports.RegistryTopic> = {
+	/** Offset up to which the topic is known; -1 when nothing is. */
+	nextOffset(): number;
+	/** Rises whenever a value changes. */
+	revision(): number;
+	/** Takes over records; true when a value changed. */
+	apply(changes: ports.TopicChanges<Topic>): boolean;
+	/** Everything that a peer lacks which knows the topic up to `fromOffset`. */
+	changesSince(fromOffset: number): ports.TopicChanges<Topic>;
+	/** Values in force, by key. */
+	values(): ReadonlyMap<string, ports.RegistryValues[Topic]>;
+};
+
+type Same<Topic extends ports.RegistryTopic> = (
+	left: ports.RegistryValues[Topic],
+	right: ports.RegistryValues[Topic],
+) => boolean;
+
+/** Whether two values differ in nothing that peers need to hear of. */
+const IS_SAME: {readonly [Topic in ports.RegistryTopic]: Same<Topic>} = {
+	[ports.RegistryTopic.Catalogue]: (left, right) => left.version >= right.version,
+	// The time that is left of a warm-up changes with each heartbeat and follows from the first value.
+	[ports.RegistryTopic.Targets]: (left, right) =>
+		left.startedAtMs === right.startedAtMs &&
+		left.readiness === right.readiness &&
+		left.address === right.address &&
+		left.service === right.service &&
+		left.slotCount === right.slotCount &&
+		left.availabilityZone === right.availabilityZone,
+	[ports.RegistryTopic.Nodes]: (left, right) =>
+		left.incarnationId === right.incarnationId && left.address === right.address,
+};
+
+/** Topics whose last usable value stays in force when its record is removed or damaged. */
+const KEEPS_LAST_VALUE: Record<ports.RegistryTopic, boolean> = {
+	[ports.RegistryTopic.Catalogue]: true,
+	[ports.RegistryTopic.Targets]: false,
+	[ports.RegistryTopic.Nodes]: false,
+};
+
+export const createReplica = <Topic extends ports.RegistryTopic>(topic: Topic, clock: ports.Clock): Replica<Topic> => {
+	const entries = new Map<string, ReplicaEntry<Topic>>();
+	let nextOffset = -1;
+	let revision = 0;
+	/** Removals from before this offset may be unknown here, so a peer that knows less needs everything. */
+	let wholeFromOffset = 0;
+
+	const isUnchanged = (existing: ReplicaEntry<Topic> | undefined, record: ports.RegistryRecord<Topic>): boolean => {
+		const value = existing?.record.value;
+		if (record.value === undefined) {
+			return value === undefined || KEEPS_LAST_VALUE[topic];
+		}
+
+		return value !== undefined && IS_SAME[topic](value, record.value);
+	};
+
+	const applyRecord = (record: ports.RegistryRecord<Topic>): boolean => {
+		const existing = entries.get(record.key);
+		if ((existing && existing.record.offset >= record.offset) || isUnchanged(existing, record)) {
+			return false;
+		}
+
+		const value = existing?.record.value;
+		const isLapsing = record.value === undefined && record.isProvisional === true && value !== undefined;
+		entries.set(record.key, {
+			record,
+			...(isLapsing && {lapsing: {value, untilMs: clock.monotonicMs() + LAPSE_GRACE_MS}}),
+		});
+		return true;
+	};
+
+	const listMissing = (changes: ports.TopicChanges<Topic>): Array<ports.RegistryRecord<Topic>> => {
+		const present = new Set(changes.records.map(({key}) => key));
+		return [...entries.values()]
+			.map(({record}) => record)
+			.filter(record => record.value !== undefined && !present.has(record.key) && record.offset < changes.nextOffset)
+			.map(({key}) => ({
+				key,
+				offset: changes.nextOffset - 1,
+				value: undefined,
+				isProvisional: changes.isProvisional,
+			}));
+	};
+
+	return {
+		nextOffset: () => nextOffset,
+		revision: () => revision,
+		apply(changes) {
+			const removals = changes.isWhole ? listMissing(changes) : [];
+			const changed = [...changes.records, ...removals].filter(applyRecord);
+			if (changes.isWhole) {
+				wholeFromOffset = Math.max(wholeFromOffset, changes.nextOffset);
+			}
+
+			nextOffset = Math.max(nextOffset, changes.nextOffset);
+			revision += changed.length > 0 ? 1 : 0;
+			return changed.length > 0;
+		},
+		changesSince(fromOffset) {
+			const isWhole = fromOffset < wholeFromOffset;
+			const records = [...entries.values()]
+				.map(({record}) => record)
+				.filter(({offset, value}) => (isWhole ? value !== undefined : offset >= fromOffset));
+			return {records, nextOffset, isWhole};
+		},
+		values() {
+			const nowMs = clock.monotonicMs();
+			return new Map(
+				[...entries].flatMap(([key, {record, lapsing}]) => {
+					const value = record.value ?? (lapsing && lapsing.untilMs > nowMs ? lapsing.value : undefined);
+					return value === undefined ? [] : [[key, value] as const];
+				}),
+			);
+		},
+	};
+};
--- /dev/null
+++ b/packages/core/src/registry/store-reader.ts
@@ -0,0 +1,119 @@
+import * as ports from '../ports/index.js';
+import {createBackOff} from '../shared/back-off.js';
+import type {Registry} from './registry.js';
+
+export type StoreReaderOptions = {
+	readonly registry: Registry;
+	readonly store: ports.RegistryStore;
+	readonly clock: ports.Clock;
+	readonly random: ports.Random;
+	readonly logger: ports.Logger;
+};
+
+/** How a topic is read. */
+type ReadingPlan = {
+	/** How long the store may hold a read open, in ms. */
+	readonly waitMs: number;
+	/** Pause after each read, in ms. */
+	readonly pauseMs: number;
+};
+
+/**
+ * The targets' topic changes with every heartbeat, so it is read at intervals; a planned stop of a target must be known
+ * within 2.5 s. The others change rarely and are read by long polls.
+ */
+const READING_PLANS: Record<ports.RegistryTopic, ReadingPlan> = {
+	[ports.RegistryTopic.Catalogue]: {waitMs: 20_000, pauseMs: 20},
+	[ports.RegistryTopic.Targets]: {waitMs: 0, pauseMs: 800},
+	[ports.RegistryTopic.Nodes]: {waitMs: 20_000, pauseMs: 100},
+};
+
+/** Pauses after failed reads: short enough for the 2.5 s within which a change is in force once the store is back. */
+const BACK_OFF = {firstMs: 200, limitMs: 1000};
+
+/** Removals are provisional for this time after the store has come back: the platform states 2 s, with a margin. */
+const SETTLING_MS = 2500;
+
+/** Reads the store into the registry. */
+export type StoreReader = {
+	/** Reads all topics until the signal is aborted. */
+	run(signal: AbortSignal): Promise<void>;
+	/** Reads each topic once without waiting; true when all reads succeeded. */
+	readOnce(signal: AbortSignal): Promise<boolean>;
+};
+
+export const createStoreReader = (options: StoreReaderOptions): StoreReader => {
+	const {registry, store, clock, random, logger} = options;
+	let isStoreLost = false;
+	let settledAtMs = 0;
+
+	const recordResult = (topic: ports.RegistryTopic, error: ports.RegistryError | undefined): void => {
+		const isLost = error !== undefined;
+		if (isLost === isStoreLost) {
+			return;
+		}
+
+		isStoreLost = isLost;
+		if (isLost) {
+			logger.warn('store lost', {event: 'store-lost', topic, detail: error.detail});
+			return;
+		}
+
+		settledAtMs = clock.monotonicMs() + SETTLING_MS;
+		logger.info('store regained', {event: 'store-regained', topic});
+	};
+
+	const readTopic = async <Topic extends ports.RegistryTopic>(
+		topic: Topic,
+		waitMs: number,
+		signal: AbortSignal,
+	): Promise<boolean> => {
+		const fromOffset = registry.replicas[topic].nextOffset();
+		const changed =
+			fromOffset < 0
+				? await store.readAll(topic, signal)
+				: await store.readChanges(topic, {fromOffset, waitMs}, signal);
+		const isExpired = changed.isErr() && changed.error.kind === ports.RegistryErrorKind.Expired;
+		const result = isExpired ? await store.readAll(topic, signal) : changed;
+		if (signal.aborted) {
+			return false;
+		}
+
+		recordResult(topic, result.isErr() ? result.error : undefined);
+		if (result.isErr()) {
+			return false;
+		}
+
+		const isProvisional = clock.monotonicMs() < settledAtMs;
+		const records = isProvisional
+			? result.value.records.map(record => (record.value === undefined ? {...record, isProvisional} : record))
+			: result.value.records;
+		const isWhole = isExpired || fromOffset < 0;
+		registry.apply({[topic]: {records, nextOffset: result.value.nextOffset, isWhole, isProvisional}}, 0);
+		return true;
+	};
+
+	const followTopic = async (topic: ports.RegistryTopic, signal: AbortSignal): Promise<void> => {
+		const {waitMs, pauseMs} = READING_PLANS[topic];
+		const backOff = createBackOff({random, ...BACK_OFF});
+		while (!signal.aborted) {
+			const isRead = await readTopic(topic, waitMs, signal);
+			if (isRead) {
+				backOff.reset();
+			}
+
+			await clock.sleep(isRead ? pauseMs : backOff.nextMs(), signal);
+		}
+	};
+
+	return {
+		async run(signal) {
+			await Promise.all(Object.values(ports.RegistryTopic).map(async topic => followTopic(topic, signal)));
+		},
+		async readOnce(signal) {
+			const reads = Object.values(ports.RegistryTopic).map(async topic => readTopic(topic, 0, signal));
+			const results = await Promise.all(reads);
+			return results.every(Boolean);
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -0,0 +1,81 @@
+import process from 'node:process';
+import * as core from '@bilberrydoor/core';
+import type * as platform from '@bilberrydoor/platform';
+import {buildFleetPorts} from './build-fleet-ports.js';
+import {followIdleTimeout, startFleetListeners, type FleetListeners, type StopProgress} from './fleet-listeners.js';
+
+export type FleetDaemonOptions = {
+	readonly settings: platform.PlatformSettings;
+	readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+	readonly metricsPort: number | undefined;
+};
+
+/** The load balancer asks once a second and stops sending callers after two misses. */
+const ROTATION_MS = 2500;
+
+/** The process ends this long before the platform's kill. */
+const KILL_MARGIN_MS = 600;
+
+/** How often a stopping node looks whether its last call has ended. */
+const DRAIN_TURN_MS = 50;
+
+const waitForStopSignal = async (): Promise<string> =>
+	new Promise(resolve => {
+		process.once('SIGTERM', resolve);
+		process.once('SIGINT', resolve);
+	});
+
+const describeSelf = (settings: platform.PlatformSettings, incarnationId: string) => ({
+	nodeId: settings.nodeId,
+	incarnationId,
+	address: settings.peerAddress,
+	region: settings.region,
+	availabilityZone: settings.availabilityZone,
+});
+
+/** Serves until the load balancer has stopped sending callers, then until the last call has ended. */
+const drain = async (
+	listeners: FleetListeners,
+	options: {clock: core.Clock; graceMs: number; countCalls: () => number},
+): Promise<number> => {
+	const endAtMs = options.clock.monotonicMs() + options.graceMs - KILL_MARGIN_MS;
+	await options.clock.sleep(ROTATION_MS);
+	void listeners.front.close();
+	while (options.countCalls() > 0 && options.clock.monotonicMs() < endAtMs) {
+		await options.clock.sleep(DRAIN_TURN_MS);
+	}
+
+	return options.countCalls();
+};
+
+/** Runs a node of the fleet on the platform until it is told to stop. */
+export const runFleetDaemon = async (options: FleetDaemonOptions): Promise<void> => {
+	const {settings} = options;
+	const fleetPorts = buildFleetPorts(settings, options.logLevel);
+	const {clock, logger, random} = fleetPorts.ports;
+	const node = core.createFleetNode({
+		ports: fleetPorts.ports,
+		settings: {
+			self: describeSelf(settings, random.token()),
+			seedAddresses: settings.seedAddresses,
+			dispatcher: settings.dispatcher,
+		},
+	});
+	const stop: StopProgress = {isLeaving: false};
+	const listeners = await startFleetListeners({settings, fleetPorts, node, stop, metricsPort: options.metricsPort});
+	const controller = new AbortController();
+	const tasks = Promise.all([
+		node.run(controller.signal),
+		followIdleTimeout(listeners.front, node.registry, controller.signal),
+	]);
+	logger.info('node started', {event: 'node-started', incarnationId: node.self.incarnationId, ...settings});
+
+	const signalName = await waitForStopSignal();
+	stop.isLeaving = true;
+	logger.info('node stopping', {event: 'node-stopping', signal: signalName, callCount: node.countCalls()});
+	void node.leave();
+	const cutCallCount = await drain(listeners, {clock, graceMs: settings.graceMs, countCalls: node.countCalls});
+	controller.abort(core.STOP_REASON);
+	logger.info('node stopped', {event: 'node-stopped', cutCallCount});
+	await Promise.race([tasks, clock.sleep(KILL_MARGIN_MS / 2)]);
+};
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,12 +1,15 @@
-export type * from './call.js';
-export type * from './catalogue-entry.js';
 export * from './catalogue-record.js';
 export * from './endings.js';
 export * from './incarnation.js';
 export * from './member.js';
 export * from './operation.js';
 export * from './outcome.js';
+export * from './proxied-call.js';
 export * from './refusal-reason.js';
+export * from './registered-target.js';
 export * from './retry-reason.js';
 export * from './target-state.js';
 export * from './work-class.js';
+export type * from './call.js';
+export type * from './catalogue-entry.js';
+export type * from './fleet-catalogue.js';
