fix(grants): usual durations by route, and slow attempts give way only to a granted successor

Cause: routes that answer at once dragged down the usual duration of their service, so that attempts were cut after 30 ms.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -65,6 +65,7 @@
 const acquireSchema = zod.object({
 	requestId: zod.string(),
 	nodeId: zod.string(),
+	routeId: zod.string(),
 	service: zod.string(),
 	region: zod.string(),
 	priority: zod.number(),
@@ -106,6 +107,7 @@
 		request: zod.object({
 			grantId: zod.string(),
 			nodeId: zod.string(),
+			routeId: zod.string(),
 			service: zod.string(),
 			region: zod.string(),
 			targetId: zod.string(),
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -9,7 +9,11 @@
 export type GrantWish = Omit<ports.AcquireGrantRequest, 'region' | 'waitLimitMs' | 'isLastResort' | 'nodeId'>;
 
 /** A grant with the node that gave it. */
-export type HeldGrant = ports.Grant & {readonly region: string; readonly dispatcher: domain.RegisteredNode};
+export type HeldGrant = ports.Grant & {
+	readonly routeId: string;
+	readonly region: string;
+	readonly dispatcher: domain.RegisteredNode;
+};
 
 export type GrantAnswer = HeldGrant | ports.GrantDenial;
 
@@ -17,7 +21,7 @@
 export type GrantClient = {
 	acquire(wish: GrantWish, signal: AbortSignal): Promise<GrantAnswer>;
 	/** Tells the dispatchers an attempt's result. Does not wait for them. */
-	report(service: string, grant: HeldGrant, result: ports.GrantResult, durationMs: number): void;
+	report(grant: HeldGrant, result: ports.GrantResult, durationMs: number): void;
 };
 
 export type GrantClientParts = {
@@ -82,6 +86,8 @@
 	const askRegion = async (wish: GrantWish, step: Step, signal: AbortSignal): Promise<GrantAnswer> => {
 		const request = {...wish, ...step, nodeId: self.nodeId};
 		const ranking = rankDispatchers(wish.service, step.region);
+		const hold = (reply: ports.AcquireGrantReply, dispatcher: domain.RegisteredNode): GrantAnswer =>
+			reply.isGranted ? {...reply, routeId: wish.routeId, region: step.region, dispatcher} : reply;
 		for (const dispatcher of ranking.filter(({nodeId}) => nodeId !== self.nodeId)) {
 			if (ranking[0]?.nodeId === self.nodeId || signal.aborted) {
 				break;
@@ -89,12 +95,12 @@
 
 			const reply = await askPeer(dispatcher, request, signal);
 			if (reply) {
-				return reply.isGranted ? {...reply, region: step.region, dispatcher} : reply;
+				return hold(reply, dispatcher);
 			}
 		}
 
 		const reply = await dispatchers.get(wish.service, step.region).acquire(request, signal);
-		return reply.isGranted ? {...reply, region: step.region, dispatcher: self} : reply;
+		return hold(reply, self);
 	};
 
 	const planSteps = (wish: GrantWish): readonly Step[] => {
@@ -149,10 +155,12 @@
 			const waitLimitMs = Math.max(0, wish.remainingMs * WAIT_RATIO);
 			return askRegion(wish, {region: nearest.step.region, waitLimitMs, isLastResort: true}, signal);
 		},
-		report(service, grant, result, durationMs) {
+		report(grant, result, durationMs) {
+			const {service} = grant.target;
 			const request = {
 				grantId: grant.grantId,
 				nodeId: self.nodeId,
+				routeId: grant.routeId,
 				service,
 				region: grant.region,
 				targetId: grant.target.targetId,
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -4,7 +4,8 @@
 import {STOP_REASON} from '../shared/stop-reason.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {createTargetLedger, GrantStanding, type TargetLedger} from './target-ledger.js';
-import {createUsualRates} from './usual-rates.js';
+import {createUsualDurations} from './usual-durations.js';
+import {createUsualFailureRatio} from './usual-failure-ratio.js';
 import {createWaitingCalls, type WaitingCall} from './waiting-calls.js';
 
 /** How often a waiting call looks again, since absences and rests end without an event. */
@@ -40,7 +41,8 @@
 
 export const createGroupDispatcher = (parts: GroupDispatcherParts): GroupDispatcher => {
 	const {options, clock, logger, metrics, groupId} = parts;
-	const rates = createUsualRates();
+	const failureRatio = createUsualFailureRatio();
+	const durations = createUsualDurations();
 	const ledgers = new Map<string, TargetLedger>();
 	const waiting = createWaitingCalls();
 	const budget = createRetryBudget({
@@ -67,7 +69,7 @@
 					return existing;
 				}
 
-				const ledger = createTargetLedger(target, {options, clock, rates});
+				const ledger = createTargetLedger(target, {options, clock, failureRatio, durations});
 				ledgers.set(target.targetId, ledger);
 				return ledger;
 			})
@@ -126,8 +128,8 @@
 
 		const grantId = `${request.requestId}.${request.attemptIndex}.${order++}`;
 		const standing = ledger.standingFor(request.nodeId);
-		ledger.open(grantId, request.nodeId, request.remainingMs + options.grantSlackMs);
-		return {isGranted: true, grantId, target: ledger.target(), standing, usualDurationMs: rates.durationMs()};
+		ledger.open(grantId, request, request.remainingMs + options.grantSlackMs);
+		return {isGranted: true, grantId, target: ledger.target(), standing, usualDurationMs: durations.ofRoute(request.routeId)};
 	};
 
 	const serveWaiting = (): void => {
@@ -149,13 +151,13 @@
 	const predictWaitMs = (priority: number): number => {
 		const sound = listLedgers().filter(ledger => ledger.standingFor(ANY_NODE) === GrantStanding.Sound);
 		const slotCount = sound.reduce((sum, ledger) => sum + ledger.slotCount(), 0);
-		const durationMs = rates.durationMs() ?? UNKNOWN_DURATION_MS;
+		const durationMs = durations.overall() ?? UNKNOWN_DURATION_MS;
 		return (durationMs * (waiting.countBefore(priority) + 1)) / Math.max(1, slotCount);
 	};
 
 	/** Refusal of a call that must not be served, whatever is free. */
 	const checkAdmission = (request: ports.AcquireGrantRequest): ports.GrantDenial | undefined => {
-		if (request.remainingMs < (rates.durationMs() ?? 0) * WORTHWHILE_RATIO) {
+		if (request.remainingMs < (durations.ofRoute(request.routeId) ?? 0) * WORTHWHILE_RATIO) {
 			return deny(ports.GrantRefusal.TooLate, 0);
 		}
 
@@ -242,7 +244,7 @@
 		},
 		report(request) {
 			const ledger = ledgers.get(request.targetId);
-			const isSetAside = ledger?.close(request.grantId, request.nodeId, request.result, request.durationMs) ?? false;
+			const isSetAside = ledger?.close(request) ?? false;
 			if (isSetAside) {
 				metrics.increment(ports.CounterName.Ejections, {service: request.service, reason: request.result});
 				logger.info('target set aside', {
@@ -252,7 +254,7 @@
 					grantId: request.grantId,
 					result: request.result,
 					reporter: request.nodeId,
-					usualFailureRatio: Number(rates.failureRatio().toFixed(4)),
+					usualFailureRatio: Number(failureRatio.read().toFixed(4)),
 				});
 			}
 
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -1,7 +1,8 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
-import type {UsualRates} from './usual-rates.js';
+import type {UsualDurations} from './usual-durations.js';
+import type {UsualFailureRatio} from './usual-failure-ratio.js';
 
 /** Where a target stands for new work. */
 export enum GrantStanding {
@@ -25,7 +26,7 @@
 /** Evidence of a refusal by a target whose slots were mostly free. */
 const EARLY_SHED_EVIDENCE = 1.5;
 
-/** A target's mean duration follows this many calls. */
+/** A target's relative slowness follows this many calls. */
 const DURATION_WINDOW_COUNT = 6;
 
 /** A call that takes this many times the usual duration counts as overdue: longer than all but 2 in 100 calls. */
@@ -34,12 +35,19 @@
 /** A target's connection of a node is reused for about this time. */
 const CONNECTION_REUSE_MS = 4000;
 
-type OpenGrant = {readonly grantedAtMs: number; readonly expiresAtMs: number};
+/** Bounds of a target's relative slowness, so that neither one lucky nor one stuck call decides. */
+const SLOWNESS_RANGE = {minimum: 0.7, maximum: 4};
+
+type OpenGrant = {readonly routeId: string; readonly grantedAtMs: number; readonly expiresAtMs: number};
+
+/** What an attempt's end tells about its target. */
+export type AttemptEnd = Pick<ports.ReportResultRequest, 'grantId' | 'nodeId' | 'routeId' | 'result' | 'durationMs'>;
 
 export type LedgerParts = {
 	readonly options: DispatcherOptions;
 	readonly clock: ports.Clock;
-	readonly rates: UsualRates;
+	readonly failureRatio: UsualFailureRatio;
+	readonly durations: UsualDurations;
 };
 
 /** What a dispatcher knows of one incarnation of a target. */
@@ -56,13 +64,13 @@
 	/** Monotonic time of the last sign of a fault, in ms; 0 when there was none. */
 	lastFaultAtMs(): number;
 	hasSucceeded(): boolean;
-	open(grantId: string, nodeId: string, ttlMs: number): void;
+	open(grantId: string, request: Pick<ports.AcquireGrantRequest, 'nodeId' | 'routeId'>, ttlMs: number): void;
 	/** Records an attempt's result. True when the target was set aside by it. */
-	close(grantId: string, nodeId: string, result: ports.GrantResult, durationMs: number): boolean;
+	close(end: AttemptEnd): boolean;
 };
 
 export const createTargetLedger = (first: domain.RegisteredTarget, parts: LedgerParts): TargetLedger => {
-	const {options, clock, rates} = parts;
+	const {options, clock, failureRatio, durations} = parts;
 	const priorOdds = Math.log(options.grayPrior / (1 - options.grayPrior));
 	const openGrants = new Map<string, OpenGrant>();
 	const lostPaths = new Map<string, number>();
@@ -75,7 +83,8 @@
 	let absence: {readonly untilMs: number; readonly durationMs: number} | undefined;
 	let lastFaultAtMs = 0;
 	let successCount = 0;
-	let meanDurationMs: number | undefined;
+	/** Mean of the calls' durations relative to their routes' usual ones. */
+	let slowness = 1;
 	let restingUntilMs = 0;
 	let shedSlotCount = 0;
 
@@ -123,30 +132,29 @@
 		return false;
 	};
 
-	const losePath = (nodeId: string): boolean => {
+	const losePath = ({nodeId}: AttemptEnd): boolean => {
 		lostPaths.set(nodeId, clock.monotonicMs() + options.pathAbsenceMs);
 		return addEvidence(PATH_EVIDENCE);
 	};
 
-	const resultHandlers: Record<ports.GrantResult, (nodeId: string, durationMs: number) => boolean> = {
-		[ports.GrantResult.Success](nodeId, durationMs) {
+	const resultHandlers: Record<ports.GrantResult, (end: AttemptEnd) => boolean> = {
+		[ports.GrantResult.Success]({nodeId, routeId, durationMs}) {
 			const isReturned = absence !== undefined && clock.monotonicMs() >= absence.untilMs;
 			absence = isReturned ? undefined : absence;
-			evidence = Math.max(0, readEvidence() + Math.log((1 - options.grayFailureRatio) / (1 - rates.failureRatio())));
+			evidence = Math.max(0, readEvidence() + Math.log((1 - options.grayFailureRatio) / (1 - failureRatio.read())));
 			successCount++;
 			shedSlotCount = Math.max(0, shedSlotCount - 1);
-			meanDurationMs =
-				meanDurationMs === undefined
-					? durationMs
-					: meanDurationMs + (durationMs - meanDurationMs) / DURATION_WINDOW_COUNT;
+			const usualMs = durations.ofRoute(routeId);
+			slowness += usualMs ? (durationMs / usualMs - slowness) / DURATION_WINDOW_COUNT : 0;
 			lostPaths.delete(nodeId);
-			rates.recordSuccess(durationMs);
+			failureRatio.recordSuccess();
+			durations.record(routeId, durationMs);
 			return false;
 		},
 		[ports.GrantResult.Failure]() {
-			const amount = Math.log(options.grayFailureRatio / rates.failureRatio());
+			const amount = Math.log(options.grayFailureRatio / failureRatio.read());
 			if (absence === undefined) {
-				rates.recordFailure();
+				failureRatio.recordFailure();
 			}
 
 			return addEvidence(amount);
@@ -197,12 +205,12 @@
 		},
 		costFor(nodeId) {
 			const nowMs = clock.monotonicMs();
-			const usualMs = rates.durationMs();
-			const relativeDuration = usualMs && meanDurationMs ? Math.min(4, Math.max(0.7, meanDurationMs / usualMs)) : 1;
+			const relativeDuration = Math.min(SLOWNESS_RANGE.maximum, Math.max(SLOWNESS_RANGE.minimum, slowness));
 			const warmUpFactor = nowMs - knownSinceMs < target.warmUpLeftMs ? 2 : 1;
-			const overdueCount = usualMs
-				? [...openGrants.values()].filter(grant => nowMs - grant.grantedAtMs > usualMs * OVERDUE_FACTOR).length
-				: 0;
+			const overdueCount = [...openGrants.values()].filter(grant => {
+				const usualMs = durations.ofRoute(grant.routeId);
+				return usualMs !== undefined && nowMs - grant.grantedAtMs > usualMs * OVERDUE_FACTOR;
+			}).length;
 			const hasConnection = nowMs - (lastUseByNode.get(nodeId) ?? -CONNECTION_REUSE_MS) < CONNECTION_REUSE_MS;
 			const occupancy = (openGrants.size + 1) / slotCount();
 			return (
@@ -214,15 +222,15 @@
 		},
 		lastFaultAtMs: () => lastFaultAtMs,
 		hasSucceeded: () => successCount > 0,
-		open(grantId, nodeId, ttlMs) {
+		open(grantId, {nodeId, routeId}, ttlMs) {
 			const nowMs = clock.monotonicMs();
-			openGrants.set(grantId, {grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
+			openGrants.set(grantId, {routeId, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
 			lastUseByNode.set(nodeId, nowMs);
 		},
-		close(grantId, nodeId, result, durationMs) {
-			openGrants.delete(grantId);
-			lastUseByNode.set(nodeId, clock.monotonicMs());
-			return resultHandlers[result](nodeId, durationMs);
+		close(end) {
+			openGrants.delete(end.grantId);
+			lastUseByNode.set(end.nodeId, clock.monotonicMs());
+			return resultHandlers[end.result](end);
 		},
 	};
 };
--- /dev/null
+++ b/packages/core/src/grants/usual-durations.ts
@@ -0,0 +1,35 @@
+/** Durations are averaged over about this many results, so that a change of load shows within seconds. */
+const WINDOW_COUNT = 30;
+
+/** Routes whose durations are kept; the least recently used go first. */
+const ROUTE_LIMIT_COUNT = 1000;
+
+/** Mean durations of successful calls by route, since routes of one service differ by an order of magnitude. */
+export type UsualDurations = {
+	/** Mean duration of the route's calls in ms; undefined before the first. */
+	ofRoute(routeId: string): number | undefined;
+	/** Mean duration over all routes in ms; undefined before the first. */
+	overall(): number | undefined;
+	record(routeId: string, durationMs: number): void;
+};
+
+const move = (meanMs: number | undefined, sampleMs: number): number =>
+	meanMs === undefined ? sampleMs : meanMs + (sampleMs - meanMs) / WINDOW_COUNT;
+
+export const createUsualDurations = (): UsualDurations => {
+	const byRoute = new Map<string, number>();
+	let overallMs: number | undefined;
+	return {
+		ofRoute: routeId => byRoute.get(routeId),
+		overall: () => overallMs,
+		record(routeId, durationMs) {
+			overallMs = move(overallMs, durationMs);
+			const meanMs = move(byRoute.get(routeId), durationMs);
+			byRoute.delete(routeId);
+			byRoute.set(routeId, meanMs);
+			if (byRoute.size > ROUTE_LIMIT_COUNT) {
+				byRoute.delete(byRoute.keys().next().value!);
+			}
+		},
+	};
+};
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -33,6 +33,7 @@
 export type AcquireGrantRequest = {
 	readonly requestId: string;
 	readonly nodeId: string;
+	readonly routeId: string;
 	readonly service: string;
 	/** Region of the group's targets. */
 	readonly region: string;
@@ -70,7 +71,7 @@
 	readonly target: domain.RegisteredTarget;
 	/** Why the target was chosen, for the log. */
 	readonly standing: string;
-	/** Median duration of the service's calls here, in ms; absent when too few have ended. */
+	/** Mean duration of the route's calls, in ms; absent when none has ended. */
 	readonly usualDurationMs?: number;
 };
 
@@ -86,6 +87,7 @@
 export type ReportResultRequest = {
 	readonly grantId: string;
 	readonly nodeId: string;
+	readonly routeId: string;
 	readonly service: string;
 	readonly region: string;
 	readonly targetId: string;
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -3,6 +3,7 @@
 import * as ports from '../ports/index.js';
 import type {Registry} from '../registry/registry.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
+import {STOP_REASON} from '../shared/stop-reason.js';
 import {createHostRoutes, type HostRoutes} from './host-routes.js';
 import {pickService} from './pick-service.js';
 import {DEFAULT_PROXY_OPTIONS, type ProxyOptions} from './proxy-options.js';
@@ -42,6 +43,8 @@
 	/** A target's own failure, to hand on when nothing better comes. */
 	lastAnswer?: domain.TargetAnswer;
 	lastReason: domain.RefusalReason;
+	/** Grant for the attempt that takes the place of a slow one. */
+	nextGrant?: HeldGrant;
 };
 
 /** What an attempt's result means for the call. */
@@ -155,6 +158,7 @@
 		grants.acquire(
 			{
 				requestId: state.call.requestId,
+				routeId: state.route.routeId,
 				service: state.service,
 				priority: state.route.priority,
 				repeatability: state.route.repeatability,
@@ -170,14 +174,48 @@
 	const mayRepeat = (state: CallState): boolean =>
 		state.route.repeatability === domain.Repeatability.Repeatable && state.sentCount < state.route.attemptLimit;
 
-	/** Longest time for an attempt, in ms: the rest of the call's, or less while another attempt would still fit. */
-	const limitAttemptMs = (state: CallState, grant: HeldGrant): number => {
-		const leftMs = remainingMs(state);
-		const usualMs = grant.usualDurationMs;
-		const isRepeatable = mayRepeat(state) && state.sentCount + 1 < state.route.attemptLimit;
-		return isRepeatable && usualMs !== undefined
-			? Math.min(leftMs * options.slowAttemptRatio, usualMs * options.slowAttemptFactor)
-			: leftMs;
+	/** Time after which an attempt is slow, in ms; undefined when no other may take its place. */
+	const findSlowMs = (state: CallState, grant: HeldGrant): number | undefined => {
+		const isReplaceable = mayRepeat(state) && state.sentCount + 1 < state.route.attemptLimit;
+		return isReplaceable && grant.usualDurationMs !== undefined
+			? Math.max(
+					grant.usualDurationMs * options.slowAttemptFactor,
+					state.route.latencyObjectiveMs * options.slowAttemptObjectiveRatio,
+				)
+			: undefined;
+	};
+
+	/** Stops a slow attempt once there is a grant for the next one. Without a grant the attempt goes on. */
+	const replaceSlowAttempt = async (
+		state: CallState,
+		grant: HeldGrant,
+		attemptSignals: {ended: AbortSignal; stop: () => void},
+	): Promise<void> => {
+		const slowMs = findSlowMs(state, grant);
+		if (slowMs === undefined) {
+			return;
+		}
+
+		await clock.sleep(slowMs, attemptSignals.ended);
+		if (attemptSignals.ended.aborted) {
+			return;
+		}
+
+		const next = await acquire(
+			{...state, sentCount: state.sentCount + 1, excludedTargetIds: [...state.excludedTargetIds, grant.target.targetId]},
+			attemptSignals.ended,
+		);
+		if (!next.isGranted) {
+			return;
+		}
+
+		if (attemptSignals.ended.aborted) {
+			grants.report(next, ports.GrantResult.Cancelled, 0);
+			return;
+		}
+
+		state.nextGrant = next;
+		attemptSignals.stop();
 	};
 
 	const logAttempt = (state: CallState, grant: HeldGrant, result: ports.GrantResult, fields: object): void => {
@@ -204,7 +242,7 @@
 		signal: AbortSignal,
 	): Promise<domain.TargetAnswer | undefined> => {
 		const startedAtMs = clock.monotonicMs();
-		const timeoutMs = limitAttemptMs(state, grant);
+		const timeoutMs = remainingMs(state);
 		const sending = {call: state.call, target: grant.target, remainingMs: remainingMs(state)};
 		const controller = new AbortController();
 		const abort = (): void => {
@@ -212,13 +250,16 @@
 		};
 
 		signal.addEventListener('abort', abort, {once: true});
-		const timer = new AbortController();
+		const ended = new AbortController();
 		const stopLate = async (): Promise<void> => {
-			await clock.sleep(timeoutMs, timer.signal);
-			abort();
+			await clock.sleep(timeoutMs, ended.signal);
+			if (!ended.signal.aborted) {
+				abort();
+			}
 		};
 
 		void stopLate();
+		void replaceSlowAttempt(state, grant, {ended: ended.signal, stop: abort});
 		metrics.increment(ports.CounterName.Attempts, {service: state.service});
 		state.isAttempting = true;
 		const result = await parts.targetClient.send(
@@ -226,7 +267,7 @@
 			controller.signal,
 		);
 		const durationMs = clock.monotonicMs() - startedAtMs;
-		timer.abort();
+		ended.abort(STOP_REASON);
 		state.isAttempting = false;
 		if (result.isErr()) {
 			signal.removeEventListener('abort', abort);
@@ -234,7 +275,7 @@
 
 		const verdict = result.isOk() ? ANSWER_VERDICTS[result.value.meaning] : ERROR_VERDICTS[result.error.kind];
 		const grantResult = signal.aborted && result.isErr() ? ports.GrantResult.Cancelled : verdict.result;
-		grants.report(state.service, grant, grantResult, durationMs);
+		grants.report(grant, grantResult, durationMs);
 		logAttempt(state, grant, grantResult, {
 			durationMs: Math.round(durationMs),
 			timeoutMs: Math.round(timeoutMs),
@@ -282,10 +323,11 @@
 
 	const runAttempts = async (state: CallState, signal: AbortSignal): Promise<domain.ProxyEnding> => {
 		while (canTryAgain(state)) {
-			const grant = await acquire(state, signal);
+			const grant = state.nextGrant ?? (await acquire(state, signal));
+			state.nextGrant = undefined;
 			if (signal.aborted) {
 				if (grant.isGranted) {
-					grants.report(state.service, grant, ports.GrantResult.Cancelled, 0);
+					grants.report(grant, ports.GrantResult.Cancelled, 0);
 				}
 
 				break;
