feat(grants): learned absences, longer trials and the dispatcher's share of the retry slack

Cause: trials of one success let gray targets back, and retries were refused though the fleet's slack was unused.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -65,6 +65,7 @@
 const acquireSchema = zod.object({
 	requestId: zod.string(),
 	nodeId: zod.string(),
+	availabilityZone: zod.string(),
 	routeId: zod.string(),
 	service: zod.string(),
 	region: zod.string(),
--- a/packages/core/src/grants/dispatcher-options.ts
+++ b/packages/core/src/grants/dispatcher-options.ts
@@ -4,13 +4,18 @@
 	readonly retryRatio: number;
 	/** Retries that may be saved up, and that a new dispatcher starts with. */
 	readonly retryBurstCount: number;
+	/** Retries that are allowed whatever the traffic, a second. */
+	readonly retryRefillPerSecond: number;
 	/** Share of a target's calls that fails while it is gray, as the judgement assumes it. */
 	readonly grayFailureRatio: number;
 	/** Share of targets that is gray at a time, as the judgement assumes it before it has seen anything. */
 	readonly grayPrior: number;
-	/** First absence of a target that was found gray, in ms; doubled when its return fails. */
+	/** Absence of a target that was found gray before the group's own phases are known, in ms. */
 	readonly firstAbsenceMs: number;
-	readonly absenceLimitMs: number;
+	/** Bounds of the absence that is learned from the group's phases, in ms. */
+	readonly absenceRangeMs: {readonly minimum: number; readonly maximum: number};
+	/** Successes in a row that end a trial. */
+	readonly trialSuccessCount: number;
 	/** Time after which a target on trial counts as sound again without a success, in ms. */
 	readonly trialLimitMs: number;
 	/** How long a node avoids a target that it failed to reach, in ms. */
@@ -24,14 +29,17 @@
 };
 
 export const DEFAULT_DISPATCHER_OPTIONS: DispatcherOptions = {
-	// The platform allows 0.2 over the whole fleet; the rest covers takeovers, where two dispatchers count apart.
-	retryRatio: 0.14,
-	// The platform allows a slack of about 60 over all regions and takeovers.
-	retryBurstCount: 8,
+	// The platform allows 0.2 over the whole fleet; the rest covers requests that are counted in another window.
+	retryRatio: 0.17,
+	// The platform allows a slack of about 60 in 10 s over two regions, which takeovers share.
+	retryBurstCount: 10,
+	retryRefillPerSecond: 1,
 	grayFailureRatio: 0.5,
 	grayPrior: 0.05,
-	firstAbsenceMs: 4000,
-	absenceLimitMs: 16_000,
+	firstAbsenceMs: 6000,
+	absenceRangeMs: {minimum: 1500, maximum: 15_000},
+	// A target that fails three of four calls passes two in a row once in sixteen times.
+	trialSuccessCount: 2,
 	trialLimitMs: 10_000,
 	pathAbsenceMs: 4000,
 	shedPauseMs: 300,
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -6,7 +6,7 @@
 import type {DispatcherTable} from './dispatcher-table.js';
 
 /** What a call asks for, without the parts that depend on where it asks. */
-export type GrantWish = Omit<ports.AcquireGrantRequest, 'region' | 'waitLimitMs' | 'isLastResort' | 'nodeId'>;
+export type GrantWish = Omit<ports.AcquireGrantRequest, 'region' | 'waitLimitMs' | 'isLastResort' | 'nodeId' | 'availabilityZone'>;
 
 /** A grant with the node that gave it. */
 export type HeldGrant = ports.Grant & {
@@ -84,7 +84,7 @@
 	};
 
 	const askRegion = async (wish: GrantWish, step: Step, signal: AbortSignal): Promise<GrantAnswer> => {
-		const request = {...wish, ...step, nodeId: self.nodeId};
+		const request = {...wish, ...step, nodeId: self.nodeId, availabilityZone: self.availabilityZone};
 		const ranking = rankDispatchers(wish.service, step.region);
 		const hold = (reply: ports.AcquireGrantReply, dispatcher: domain.RegisteredNode): GrantAnswer =>
 			reply.isGranted ? {...reply, routeId: wish.routeId, region: step.region, dispatcher} : reply;
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -1,9 +1,10 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
-import {createRetryBudget} from '../scheduling/retry-budget.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
-import {createTargetLedger, GrantStanding, type TargetLedger} from './target-ledger.js';
+import {createFleetRetryBudget} from './fleet-retry-budget.js';
+import {createGrayPhases} from './gray-phases.js';
+import {createTargetLedger, GrantStanding, type Asker, type TargetLedger} from './target-ledger.js';
 import {createUsualDurations} from './usual-durations.js';
 import {createUsualFailureRatio} from './usual-failure-ratio.js';
 import {createWaitingCalls, type WaitingCall} from './waiting-calls.js';
@@ -17,6 +18,9 @@
 /** Duration assumed before any call has ended, in ms. */
 const UNKNOWN_DURATION_MS = 250;
 
+/** Breaks ties between targets of the same cost. */
+const COST_JITTER = 0.05;
+
 /** Grants slots of one group's targets. */
 export type GroupDispatcher = {
 	acquire(request: ports.AcquireGrantRequest, signal: AbortSignal): Promise<ports.AcquireGrantReply>;
@@ -45,11 +49,11 @@
 	const durations = createUsualDurations();
 	const ledgers = new Map<string, TargetLedger>();
 	const waiting = createWaitingCalls();
-	const budget = createRetryBudget({
-		budgetRatio: options.retryRatio,
-		burstCount: options.retryBurstCount,
-		initialCount: options.retryBurstCount,
-	});
+	const phases = createGrayPhases(options);
+	const budget = createFleetRetryBudget(
+		{ratio: options.retryRatio, burstCount: options.retryBurstCount, refillPerSecond: options.retryRefillPerSecond},
+		clock,
+	);
 	let order = 0;
 
 	/** Ledgers of the targets that are registered and ready. */
@@ -69,7 +73,7 @@
 					return existing;
 				}
 
-				const ledger = createTargetLedger(target, {options, clock, failureRatio, durations});
+				const ledger = createTargetLedger(target, {options, clock, failureRatio, durations, phases});
 				ledgers.set(target.targetId, ledger);
 				return ledger;
 			})
@@ -78,8 +82,8 @@
 
 	const hasRoom = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
 
-	const pickCheapest = (candidates: readonly TargetLedger[], nodeId: string): TargetLedger | undefined => {
-		const priced = candidates.map(ledger => ({ledger, cost: ledger.costFor(nodeId) + parts.random.fraction() * 0.05}));
+	const pickCheapest = (candidates: readonly TargetLedger[], asker: Asker): TargetLedger | undefined => {
+		const priced = candidates.map(ledger => ({ledger, cost: ledger.costFor(asker) + parts.random.fraction() * COST_JITTER}));
 		return priced.reduce<{ledger: TargetLedger; cost: number} | undefined>(
 			(best, candidate) => (best && best.cost <= candidate.cost ? best : candidate),
 			undefined,
@@ -103,10 +107,10 @@
 		const isRepeatable = request.repeatability === domain.Repeatability.Repeatable && request.attemptIndex === 0;
 		const isScarce = openCount >= slotCount * options.trialOccupancyRatio;
 		if (onTrial.length > 0 && (isRepeatable || isScarce || free.length === 0)) {
-			return pickCheapest(onTrial, request.nodeId);
+			return pickCheapest(onTrial, request);
 		}
 
-		const best = pickCheapest(free, request.nodeId);
+		const best = pickCheapest(free, request);
 		if (best || !request.isLastResort) {
 			return best;
 		}
@@ -207,7 +211,7 @@
 			return;
 		}
 
-		budget.take();
+		budget.takeRetry();
 	};
 
 	return {
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -1,6 +1,7 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
+import type {GrayPhases} from './gray-phases.js';
 import type {UsualDurations} from './usual-durations.js';
 import type {UsualFailureRatio} from './usual-failure-ratio.js';
 
@@ -38,16 +39,37 @@
 /** Bounds of a target's relative slowness, so that neither one lucky nor one stuck call decides. */
 const SLOWNESS_RANGE = {minimum: 0.7, maximum: 4};
 
+/**
+ * Costs relative to a target whose slots are all in use. A near target is preferred while it has up to one call more than
+ * another, which keeps bodies in their zone and connections in use without uneven load.
+ */
+const OVERDUE_COST = 0.5;
+const EVIDENCE_COST = 0.2;
+const CONNECTION_BONUS = 0.1;
+const ZONE_BONUS = 0.15;
+
 type OpenGrant = {readonly routeId: string; readonly grantedAtMs: number; readonly expiresAtMs: number};
 
+type Absence = {
+	/** When the target was first found gray. */
+	readonly sinceMs: number;
+	readonly untilMs: number;
+	/** Successes in a row since the absence ended. */
+	trialSuccessCount: number;
+};
+
 /** What an attempt's end tells about its target. */
 export type AttemptEnd = Pick<ports.ReportResultRequest, 'grantId' | 'nodeId' | 'routeId' | 'result' | 'durationMs'>;
 
+/** Node that asks for a target. */
+export type Asker = Pick<ports.AcquireGrantRequest, 'nodeId' | 'availabilityZone'>;
+
 export type LedgerParts = {
 	readonly options: DispatcherOptions;
 	readonly clock: ports.Clock;
 	readonly failureRatio: UsualFailureRatio;
 	readonly durations: UsualDurations;
+	readonly phases: GrayPhases;
 };
 
 /** What a dispatcher knows of one incarnation of a target. */
@@ -60,7 +82,7 @@
 	slotCount(): number;
 	standingFor(nodeId: string): GrantStanding;
 	/** Relative cost of one more call; the lowest is the best choice. */
-	costFor(nodeId: string): number;
+	costFor(asker: Asker): number;
 	/** Monotonic time of the last sign of a fault, in ms; 0 when there was none. */
 	lastFaultAtMs(): number;
 	hasSucceeded(): boolean;
@@ -70,7 +92,7 @@
 };
 
 export const createTargetLedger = (first: domain.RegisteredTarget, parts: LedgerParts): TargetLedger => {
-	const {options, clock, failureRatio, durations} = parts;
+	const {options, clock, failureRatio, durations, phases} = parts;
 	const priorOdds = Math.log(options.grayPrior / (1 - options.grayPrior));
 	const openGrants = new Map<string, OpenGrant>();
 	const lostPaths = new Map<string, number>();
@@ -80,7 +102,7 @@
 	/** Evidence against the target, in log odds above the prior. */
 	let evidence = 0;
 	let evidenceAtMs = knownSinceMs;
-	let absence: {readonly untilMs: number; readonly durationMs: number} | undefined;
+	let absence: Absence | undefined;
 	let lastFaultAtMs = 0;
 	let successCount = 0;
 	/** Mean of the calls' durations relative to their routes' usual ones. */
@@ -106,18 +128,33 @@
 
 	const slotCount = (): number => Math.max(1, target.slotCount - shedSlotCount);
 
-	/** Sets the target aside, longer when its last return failed. */
+	/** Sets the target aside. A failure during an absence comes from an earlier grant and changes nothing. */
 	const setAside = (): void => {
 		const nowMs = clock.monotonicMs();
-		const isFailedReturn = absence !== undefined && nowMs >= absence.untilMs;
-		const durationMs =
-			absence === undefined
-				? options.firstAbsenceMs
-				: isFailedReturn
-					? Math.min(absence.durationMs * 2, options.absenceLimitMs)
-					: absence.durationMs;
-		absence = {untilMs: nowMs + durationMs, durationMs};
 		evidence = 0;
+		if (absence !== undefined && nowMs < absence.untilMs) {
+			return;
+		}
+
+		if (absence !== undefined) {
+			phases.recordFailedReturn();
+		}
+
+		absence = {sinceMs: absence?.sinceMs ?? nowMs, untilMs: nowMs + phases.absenceMs(), trialSuccessCount: 0};
+	};
+
+	/** Counts a success towards the end of a trial. */
+	const advanceTrial = (): void => {
+		const nowMs = clock.monotonicMs();
+		if (absence === undefined || nowMs < absence.untilMs) {
+			return;
+		}
+
+		absence.trialSuccessCount++;
+		if (absence.trialSuccessCount >= options.trialSuccessCount) {
+			phases.recordPhase(nowMs - absence.sinceMs);
+			absence = undefined;
+		}
 	};
 
 	const addEvidence = (amount: number): boolean => {
@@ -139,8 +176,7 @@
 
 	const resultHandlers: Record<ports.GrantResult, (end: AttemptEnd) => boolean> = {
 		[ports.GrantResult.Success]({nodeId, routeId, durationMs}) {
-			const isReturned = absence !== undefined && clock.monotonicMs() >= absence.untilMs;
-			absence = isReturned ? undefined : absence;
+			advanceTrial();
 			evidence = Math.max(0, readEvidence() + Math.log((1 - options.grayFailureRatio) / (1 - failureRatio.read())));
 			successCount++;
 			shedSlotCount = Math.max(0, shedSlotCount - 1);
@@ -203,7 +239,7 @@
 
 			return nowMs < restingUntilMs ? GrantStanding.Resting : GrantStanding.Sound;
 		},
-		costFor(nodeId) {
+		costFor({nodeId, availabilityZone}) {
 			const nowMs = clock.monotonicMs();
 			const relativeDuration = Math.min(SLOWNESS_RANGE.maximum, Math.max(SLOWNESS_RANGE.minimum, slowness));
 			const warmUpFactor = nowMs - knownSinceMs < target.warmUpLeftMs ? 2 : 1;
@@ -215,9 +251,10 @@
 			const occupancy = (openGrants.size + 1) / slotCount();
 			return (
 				occupancy * relativeDuration * warmUpFactor +
-				overdueCount * 0.5 +
-				Math.max(0, readEvidence()) * 0.2 -
-				(hasConnection ? 0.1 : 0)
+				overdueCount * OVERDUE_COST +
+				Math.max(0, readEvidence()) * EVIDENCE_COST -
+				(hasConnection ? CONNECTION_BONUS : 0) -
+				(target.availabilityZone === availabilityZone ? ZONE_BONUS : 0)
 			);
 		},
 		lastFaultAtMs: () => lastFaultAtMs,
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -33,6 +33,8 @@
 export type AcquireGrantRequest = {
 	readonly requestId: string;
 	readonly nodeId: string;
+	/** Zone of the asking node. */
+	readonly availabilityZone: string;
 	readonly routeId: string;
 	readonly service: string;
 	/** Region of the group's targets. */
--- a/packages/core/src/scheduling/retry-budget.ts
+++ b/packages/core/src/scheduling/retry-budget.ts
@@ -8,18 +8,13 @@
 };
 
 /**
- * Creates a budget that starts empty by default, so that targets never see more than (1 + ratio) attempts for each call.
+ * Creates a budget that starts empty, so that targets never see more than (1 + ratio) attempts for each call.
  *
  * @param options.burstCount retries that may be saved up; it makes older attempts count no more
- * @param options.initialCount retries that may be taken before any first attempt
  */
-export const createRetryBudget = (options: {
-	budgetRatio: number;
-	burstCount: number;
-	initialCount?: number;
-}): RetryBudget => {
+export const createRetryBudget = (options: {budgetRatio: number; burstCount: number}): RetryBudget => {
 	let {budgetRatio} = options;
-	let tokenCount = options.initialCount ?? 0;
+	let tokenCount = 0;
 	return {
 		recordFirstAttempt() {
 			tokenCount = Math.min(options.burstCount, tokenCount + budgetRatio);
