fix(grants): short first absences that double; a call that ran out of time is evidence against its target

Cause: every target of a small group was set aside at times (119 of 270 failures went to such targets), since one failure left a target out for 6 s; retries were refused while anything waited. Change: first absence 0.35 of a usual phase where work may be repeated and 0.7 otherwise, doubled by failed returns; the last resort takes the least evidence; retries queue behind first attempts.

--- a/packages/core/src/grants/dispatcher-options.ts
+++ b/packages/core/src/grants/dispatcher-options.ts
@@ -10,8 +10,8 @@
 	readonly grayFailureRatio: number;
 	/** Share of targets that is gray at a time, as the judgement assumes it before it has seen anything. */
 	readonly grayPrior: number;
-	/** Absence of a target that was found gray before the group's own phases are known, in ms. */
-	readonly firstAbsenceMs: number;
+	/** How long targets stay gray, before the group's own phases are known, in ms. */
+	readonly usualPhaseMs: number;
 	/** Bounds of the absence that is learned from the group's phases, in ms. */
 	readonly absenceRangeMs: {readonly minimum: number; readonly maximum: number};
 	/** Successes in a row that end a trial. */
@@ -36,7 +36,7 @@
 	retryRefillPerSecond: 1,
 	grayFailureRatio: 0.5,
 	grayPrior: 0.05,
-	firstAbsenceMs: 6000,
+	usualPhaseMs: 6000,
 	absenceRangeMs: {minimum: 1500, maximum: 15_000},
 	// A target that fails three of four calls passes two in a row once in sixteen times.
 	trialSuccessCount: 2,
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -15,6 +15,9 @@
 /** Share of the usual duration that must be left for a call to be worth starting. */
 const WORTHWHILE_RATIO = 0.5;
 
+/** A group that had repeatable work within this time will have some for a trial. */
+const REPEATABLE_MEMORY_MS = 1000;
+
 /** Duration assumed before any call has ended, in ms. */
 const UNKNOWN_DURATION_MS = 250;
 
@@ -55,6 +58,12 @@
 		clock,
 	);
 	let order = 0;
+	let lastRepeatableAtMs = -REPEATABLE_MEMORY_MS;
+
+	const readTrialWork = (): domain.Repeatability =>
+		clock.monotonicMs() - lastRepeatableAtMs < REPEATABLE_MEMORY_MS
+			? domain.Repeatability.Repeatable
+			: domain.Repeatability.Single;
 
 	/** Ledgers of the targets that are registered and ready. */
 	const listLedgers = (): readonly TargetLedger[] => {
@@ -73,7 +82,7 @@
 					return existing;
 				}
 
-				const ledger = createTargetLedger(target, {options, clock, failureRatio, durations, phases});
+				const ledger = createTargetLedger(target, {options, clock, failureRatio, durations, phases, readTrialWork});
 				ledgers.set(target.targetId, ledger);
 				return ledger;
 			})
@@ -92,7 +101,7 @@
 
 	/**
 	 * Picks a target: a sound one with a free slot; one on trial when the call may be repeated or sound ones are scarce;
-	 * and, as a last resort, the one whose last fault is the longest ago.
+	 * and, as a last resort, the one with the least evidence against it.
 	 */
 	const pickTarget = (request: ports.AcquireGrantRequest): TargetLedger | undefined => {
 		const excluded = new Set(request.excludedTargetIds);
@@ -121,7 +130,10 @@
 			...byStanding(GrantStanding.OnTrial),
 		]
 			.filter(hasRoom)
-			.toSorted((left, right) => left.lastFaultAtMs() - right.lastFaultAtMs())[0];
+			.toSorted(
+				(left, right) =>
+					left.failedReturnCount() - right.failedReturnCount() || left.lastFaultAtMs() - right.lastFaultAtMs(),
+			)[0];
 	};
 
 	const tryGrant = (request: ports.AcquireGrantRequest): ports.Grant | undefined => {
@@ -169,8 +181,7 @@
 			return undefined;
 		}
 
-		const isCrowded = waiting.list().length > 0;
-		return isCrowded || !budget.hasRetry() ? deny(ports.GrantRefusal.NoBudget, 0) : undefined;
+		return budget.hasRetry() ? undefined : deny(ports.GrantRefusal.NoBudget, 0);
 	};
 
 	const waitForGrant = async (
@@ -216,6 +227,10 @@
 
 	return {
 		async acquire(request, signal) {
+			if (request.repeatability === domain.Repeatability.Repeatable) {
+				lastRepeatableAtMs = clock.monotonicMs();
+			}
+
 			const refused = checkAdmission(request);
 			if (refused) {
 				return refused;
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -54,6 +54,7 @@
 	/** When the target was first found gray. */
 	readonly sinceMs: number;
 	readonly untilMs: number;
+	readonly failedReturnCount: number;
 	/** Successes in a row since the absence ended. */
 	trialSuccessCount: number;
 };
@@ -70,6 +71,8 @@
 	readonly failureRatio: UsualFailureRatio;
 	readonly durations: UsualDurations;
 	readonly phases: GrayPhases;
+	/** Work that the group has for trying a return. */
+	readonly readTrialWork: () => domain.Repeatability;
 };
 
 /** What a dispatcher knows of one incarnation of a target. */
@@ -85,6 +88,8 @@
 	costFor(asker: Asker): number;
 	/** Monotonic time of the last sign of a fault, in ms; 0 when there was none. */
 	lastFaultAtMs(): number;
+	/** Returns that failed since the target was set aside. */
+	failedReturnCount(): number;
 	hasSucceeded(): boolean;
 	open(grantId: string, request: Pick<ports.AcquireGrantRequest, 'nodeId' | 'routeId'>, ttlMs: number): void;
 	/** Records an attempt's result. True when the target was set aside by it. */
@@ -136,11 +141,13 @@
 			return;
 		}
 
-		if (absence !== undefined) {
-			phases.recordFailedReturn();
-		}
-
-		absence = {sinceMs: absence?.sinceMs ?? nowMs, untilMs: nowMs + phases.absenceMs(), trialSuccessCount: 0};
+		const failedReturnCount = absence === undefined ? 0 : absence.failedReturnCount + 1;
+		absence = {
+			sinceMs: absence?.sinceMs ?? nowMs,
+			untilMs: nowMs + phases.absenceMs(parts.readTrialWork(), failedReturnCount),
+			failedReturnCount,
+			trialSuccessCount: 0,
+		};
 	};
 
 	/** Counts a success towards the end of a trial. */
@@ -258,6 +265,7 @@
 			);
 		},
 		lastFaultAtMs: () => lastFaultAtMs,
+		failedReturnCount: () => absence?.failedReturnCount ?? 0,
 		hasSucceeded: () => successCount > 0,
 		open(grantId, {nodeId, routeId}, ttlMs) {
 			const nowMs = clock.monotonicMs();
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -31,6 +31,8 @@
 	readonly route: domain.HostRoute;
 	readonly service: string;
 	readonly catalogueVersion: number;
+	/** Aborted when the caller leaves, and not when its time is up. */
+	readonly callerSignal: AbortSignal;
 	/** Monotonic time at which the caller must have an ending, in ms. */
 	readonly deadlineAtMs: number;
 	readonly excludedTargetIds: string[];
@@ -274,7 +276,7 @@
 		}
 
 		const verdict = result.isOk() ? ANSWER_VERDICTS[result.value.meaning] : ERROR_VERDICTS[result.error.kind];
-		const grantResult = signal.aborted && result.isErr() ? ports.GrantResult.Cancelled : verdict.result;
+		const grantResult = state.callerSignal.aborted && result.isErr() ? ports.GrantResult.Cancelled : verdict.result;
 		grants.report(grant, grantResult, durationMs);
 		logAttempt(state, grant, grantResult, {
 			durationMs: Math.round(durationMs),
@@ -422,6 +424,7 @@
 			route,
 			service: pickService(route.shares, parts.random.fraction()),
 			catalogueVersion: catalogue.version,
+			callerSignal: signal,
 			deadlineAtMs: call.receivedAtMs + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
 			excludedTargetIds: [],
 			sentCount: 0,
