--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,9 @@
 const config = {
-	files: ['packages/*/dist/__tests__/**/*.test.js', 'packages/*/dist/**/__tests__/**/*.test.js'],
+	files: [
+		'packages/*/dist/__tests__/**/*.test.js',
+		'packages/*/dist/**/__tests__/**/*.test.js',
+		'platform/dist/__tests__/**/*.test.js',
+	],
 	nodeArguments: ['--enable-source-maps'],
 	// A busy machine slows all test files alike, so the limit is generous.
 	timeout: '120s',
--- a/packages/adapters/src/front/proxy-app.ts
+++ b/packages/adapters/src/front/proxy-app.ts
@@ -75,10 +75,14 @@
 	incoming: http.IncomingMessage,
 	limits: {heldBytes: number; totalBytes: number},
 ): Promise<neverthrow.Result<ReadBody, BodyProblem>> => {
-	const declaredBytes = incoming.headers['content-length'] === undefined ? undefined : Number(incoming.headers['content-length']);
+	const declaredBytes =
+		incoming.headers['content-length'] === undefined ? undefined : Number(incoming.headers['content-length']);
 	const hasBody = incoming.headers['transfer-encoding'] !== undefined || (declaredBytes ?? 0) > 0;
 	if (!hasBody) {
-		return neverthrow.ok({body: declaredBytes === undefined ? undefined : new Uint8Array(0), bodyLengthBytes: undefined});
+		return neverthrow.ok({
+			body: declaredBytes === undefined ? undefined : new Uint8Array(0),
+			bodyLengthBytes: undefined,
+		});
 	}
 
 	if ((declaredBytes ?? 0) > limits.totalBytes) {
@@ -131,7 +135,7 @@
 		const passed = kept.filter(([name]) => isBodyless || !isHeld || name !== 'content-length');
 		outgoing.writeHead(answer.status, {
 			...headers.groupHeaders(passed),
-			...(isHeld && !isBodyless && {'content-length': String((answer.body as Uint8Array).byteLength)}),
+			...(isHeld && !isBodyless && {'content-length': String(answer.body.byteLength)}),
 			...buildConnection(),
 		});
 		if (answer.body instanceof Uint8Array) {
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -29,7 +29,7 @@
 export * from './target/undici-target-client.js';
 export * from './front/proxy-app.js';
 export * from './front/readiness-app.js';
-export * from './http/wire-dialect.js';
+export type * from './http/wire-dialect.js';
 export * from './peer/fleet-message-schemas.js';
 export * from './peer/fleet-peer-app.js';
 export * from './peer/fleet-peer-client.js';
--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -115,7 +115,7 @@
 			result: zod.enum(core.GrantResult),
 			durationMs: zod.number(),
 		}),
-		reply: zod.object({}) as zod.ZodType<Record<string, never>>,
+		reply: zod.object({}),
 	},
 	[core.FleetMessageKind.PullRegistry]: {
 		request: zod.object({
--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -227,10 +227,12 @@
 				);
 			});
 			const cancel = (): void => {
-				const isSent = receiver.isSent;
+				const {isSent} = receiver;
 				receiver.cancel(core.STOP_REASON);
 				if (!isSent) {
-					resolve(neverthrow.err({kind: core.AttemptErrorKind.CancelledUnsent, detail: 'cancelled before it was sent'}));
+					resolve(
+						neverthrow.err({kind: core.AttemptErrorKind.CancelledUnsent, detail: 'cancelled before it was sent'}),
+					);
 				}
 			};
 
@@ -244,7 +246,7 @@
 			signal.addEventListener('abort', cancel, {once: true});
 			openPool(target.address, attempt.connectionLimit).dispatch(
 				{
-					method: call.method as undici.Dispatcher.HttpMethod,
+					method: call.method,
 					path: call.pathAndQuery,
 					headers: buildHeaders(attempt, options.dialect),
 					body: call.body instanceof Uint8Array ? call.body : call.body && stream.Readable.from(call.body),
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -6,7 +6,10 @@
 import type {DispatcherTable} from './dispatcher-table.js';
 
 /** What a call asks for, without the parts that depend on where it asks. */
-export type GrantWish = Omit<ports.AcquireGrantRequest, 'region' | 'waitLimitMs' | 'isLastResort' | 'nodeId' | 'availabilityZone'>;
+export type GrantWish = Omit<
+	ports.AcquireGrantRequest,
+	'region' | 'waitLimitMs' | 'isLastResort' | 'nodeId' | 'availabilityZone'
+>;
 
 /** A grant with the node that gave it. */
 export type HeldGrant = ports.Grant & {
@@ -140,9 +143,7 @@
 				denials.push({step, denial: answer});
 			}
 
-			const nearest = denials.toSorted(
-				(left, right) => left.denial.predictedWaitMs - right.denial.predictedWaitMs,
-			)[0];
+			const nearest = denials.toSorted((left, right) => left.denial.predictedWaitMs - right.denial.predictedWaitMs)[0];
 			if (!nearest) {
 				return {isGranted: false, refusal: ports.GrantRefusal.NoTarget, predictedWaitMs: 0};
 			}
--- a/packages/core/src/grants/gray-phases.ts
+++ b/packages/core/src/grants/gray-phases.ts
@@ -26,9 +26,7 @@
 	recordPhase(durationMs: number): void;
 };
 
-export const createGrayPhases = (
-	options: Pick<DispatcherOptions, 'usualPhaseMs' | 'absenceRangeMs'>,
-): GrayPhases => {
+export const createGrayPhases = (options: Pick<DispatcherOptions, 'usualPhaseMs' | 'absenceRangeMs'>): GrayPhases => {
 	const {minimum, maximum} = options.absenceRangeMs;
 	let estimateMs = options.usualPhaseMs;
 	const setEstimate = (valueMs: number): void => {
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -92,7 +92,10 @@
 	const hasRoom = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
 
 	const pickCheapest = (candidates: readonly TargetLedger[], asker: Asker): TargetLedger | undefined => {
-		const priced = candidates.map(ledger => ({ledger, cost: ledger.costFor(asker) + parts.random.fraction() * COST_JITTER}));
+		const priced = candidates.map(ledger => ({
+			ledger,
+			cost: ledger.costFor(asker) + parts.random.fraction() * COST_JITTER,
+		}));
 		return priced.reduce<{ledger: TargetLedger; cost: number} | undefined>(
 			(best, candidate) => (best && best.cost <= candidate.cost ? best : candidate),
 			undefined,
@@ -115,12 +118,13 @@
 		const slotCount = sound.reduce((sum, ledger) => sum + ledger.slotCount(), 0);
 		const isRepeatable = request.repeatability === domain.Repeatability.Repeatable && request.attemptIndex === 0;
 		const isScarce = openCount >= slotCount * options.trialOccupancyRatio;
-		if (onTrial.length > 0 && (isRepeatable || isScarce || free.length === 0)) {
+		const isTrialDue = isRepeatable || isScarce || free.length === 0;
+		if (onTrial.length > 0 && isTrialDue) {
 			return pickCheapest(onTrial, request);
 		}
 
 		const best = pickCheapest(free, request);
-		if (best || !request.isLastResort) {
+		if (best !== undefined || !request.isLastResort) {
 			return best;
 		}
 
@@ -145,7 +149,13 @@
 		const grantId = `${request.requestId}.${request.attemptIndex}.${order++}`;
 		const standing = ledger.standingFor(request.nodeId);
 		ledger.open(grantId, request, request.remainingMs + options.grantSlackMs);
-		return {isGranted: true, grantId, target: ledger.target(), standing, usualDurationMs: durations.ofRoute(request.routeId)};
+		return {
+			isGranted: true,
+			grantId,
+			target: ledger.target(),
+			standing,
+			usualDurationMs: durations.ofRoute(request.routeId),
+		};
 	};
 
 	const serveWaiting = (): void => {
@@ -190,12 +200,12 @@
 	): Promise<ports.Grant | undefined> => {
 		const deadlineMs = clock.monotonicMs() + request.waitLimitMs;
 		const controller = new AbortController();
-		let grant: ports.Grant | undefined;
+		const outcome: {grant?: ports.Grant} = {};
 		const call: WaitingCall = {
 			request,
 			order: order++,
 			offer(offered) {
-				grant = offered;
+				outcome.grant = offered;
 				waiting.remove(call);
 				controller.abort(STOP_REASON);
 			},
@@ -206,14 +216,14 @@
 
 		signal.addEventListener('abort', stop, {once: true});
 		waiting.add(call);
-		while (!grant && !signal.aborted && clock.monotonicMs() < deadlineMs) {
+		while (!outcome.grant && !signal.aborted && clock.monotonicMs() < deadlineMs) {
 			await clock.sleep(Math.min(WAIT_TURN_MS, deadlineMs - clock.monotonicMs()), controller.signal);
 			serveWaiting();
 		}
 
 		waiting.remove(call);
 		signal.removeEventListener('abort', stop);
-		return grant;
+		return outcome.grant;
 	};
 
 	const recordGrant = (request: ports.AcquireGrantRequest): void => {
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -4,9 +4,12 @@
 import type {Registry} from '../registry/registry.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
+import {ANSWER_VERDICTS, ERROR_VERDICTS, GRANT_REFUSAL_REASONS} from './attempt-verdicts.js';
+import type {CallState} from './call-state.js';
 import {createHostRoutes, type HostRoutes} from './host-routes.js';
 import {pickService} from './pick-service.js';
 import {DEFAULT_PROXY_OPTIONS, type ProxyOptions} from './proxy-options.js';
+import {createEndingRecorder} from './record-ending.js';
 
 export type CallProxyParts = {
 	readonly registry: Registry;
@@ -25,106 +28,6 @@
 	handle(call: domain.ProxiedCall, signal: AbortSignal): Promise<domain.ProxyEnding>;
 };
 
-/** What one call has been through. */
-type CallState = {
-	readonly call: domain.ProxiedCall;
-	readonly route: domain.HostRoute;
-	readonly service: string;
-	readonly catalogueVersion: number;
-	/** Aborted when the caller leaves, and not when its time is up. */
-	readonly callerSignal: AbortSignal;
-	/** Monotonic time at which the caller must have an ending, in ms. */
-	readonly deadlineAtMs: number;
-	readonly excludedTargetIds: string[];
-	sentCount: number;
-	unreachableCount: number;
-	/** Whether a target may have run the call. */
-	mayHaveRun: boolean;
-	/** Whether an attempt is under way, whose target may be running the call. */
-	isAttempting: boolean;
-	/** A target's own failure, to hand on when nothing better comes. */
-	lastAnswer?: domain.TargetAnswer;
-	lastReason: domain.RefusalReason;
-	/** Grant for the attempt that takes the place of a slow one. */
-	nextGrant?: HeldGrant;
-};
-
-/** What an attempt's result means for the call. */
-type Verdict = {
-	readonly result: ports.GrantResult;
-	readonly reason: domain.RefusalReason;
-	/** Whether the call was on the wire. */
-	readonly isSent: boolean;
-	readonly mayHaveRun: boolean;
-};
-
-const ERROR_VERDICTS: Record<ports.AttemptErrorKind, Verdict> = {
-	[ports.AttemptErrorKind.Unreachable]: {
-		result: ports.GrantResult.Unreachable,
-		reason: domain.RefusalReason.TargetUnreachable,
-		isSent: false,
-		mayHaveRun: false,
-	},
-	[ports.AttemptErrorKind.CancelledUnsent]: {
-		result: ports.GrantResult.Unreachable,
-		reason: domain.RefusalReason.TargetUnreachable,
-		isSent: false,
-		mayHaveRun: false,
-	},
-	[ports.AttemptErrorKind.Broken]: {
-		result: ports.GrantResult.Broken,
-		reason: domain.RefusalReason.TargetLost,
-		isSent: true,
-		mayHaveRun: true,
-	},
-	[ports.AttemptErrorKind.CancelledSent]: {
-		result: ports.GrantResult.Silent,
-		reason: domain.RefusalReason.TargetTimedOut,
-		isSent: true,
-		mayHaveRun: true,
-	},
-};
-
-const ANSWER_VERDICTS: Record<ports.AnswerMeaning, Verdict> = {
-	[ports.AnswerMeaning.Completed]: {
-		result: ports.GrantResult.Success,
-		reason: domain.RefusalReason.Internal,
-		isSent: true,
-		mayHaveRun: true,
-	},
-	[ports.AnswerMeaning.Failed]: {
-		result: ports.GrantResult.Failure,
-		reason: domain.RefusalReason.TargetLost,
-		isSent: true,
-		mayHaveRun: true,
-	},
-	[ports.AnswerMeaning.NotRun]: {
-		result: ports.GrantResult.Shed,
-		reason: domain.RefusalReason.TargetRefused,
-		isSent: true,
-		mayHaveRun: false,
-	},
-	[ports.AnswerMeaning.Replaced]: {
-		result: ports.GrantResult.Replaced,
-		reason: domain.RefusalReason.TargetRefused,
-		isSent: true,
-		mayHaveRun: false,
-	},
-	[ports.AnswerMeaning.Foreign]: {
-		result: ports.GrantResult.Broken,
-		reason: domain.RefusalReason.TargetLost,
-		isSent: true,
-		mayHaveRun: true,
-	},
-};
-
-const GRANT_REFUSAL_REASONS: Record<ports.GrantRefusal, domain.RefusalReason> = {
-	[ports.GrantRefusal.NoTarget]: domain.RefusalReason.NoTarget,
-	[ports.GrantRefusal.Busy]: domain.RefusalReason.QueueFull,
-	[ports.GrantRefusal.NoBudget]: domain.RefusalReason.RateLimited,
-	[ports.GrantRefusal.TooLate]: domain.RefusalReason.DeadlineTooShort,
-};
-
 /** Time after which a caller may come back while this node knows no catalogue, in ms. */
 const NO_CATALOGUE_RETRY_MS = 500;
 
@@ -204,7 +107,11 @@
 		}
 
 		const next = await acquire(
-			{...state, sentCount: state.sentCount + 1, excludedTargetIds: [...state.excludedTargetIds, grant.target.targetId]},
+			{
+				...state,
+				sentCount: state.sentCount + 1,
+				excludedTargetIds: [...state.excludedTargetIds, grant.target.targetId],
+			},
 			attemptSignals.ended,
 		);
 		if (!next.isGranted) {
@@ -220,7 +127,12 @@
 		attemptSignals.stop();
 	};
 
-	const logAttempt = (state: CallState, grant: HeldGrant, result: ports.GrantResult, fields: object): void => {
+	const logAttempt = (
+		state: CallState,
+		grant: HeldGrant,
+		result: ports.GrantResult,
+		fields: Record<string, unknown>,
+	): void => {
 		const isNotable = result !== ports.GrantResult.Success && result !== ports.GrantResult.Cancelled;
 		(isNotable ? logger.info : logger.debug)('attempt ended', {
 			event: 'attempt-ended',
@@ -319,7 +231,8 @@
 	const canTryAgain = (state: CallState): boolean => {
 		const isWithinLimits =
 			state.sentCount < state.route.attemptLimit && state.unreachableCount < options.unreachableLimit;
-		const isStreamUsed = state.sentCount > 0 && state.call.body !== undefined && !(state.call.body instanceof Uint8Array);
+		const isStreamUsed =
+			state.sentCount > 0 && state.call.body !== undefined && !(state.call.body instanceof Uint8Array);
 		return isWithinLimits && !isStreamUsed && remainingMs(state) > 0 && (!state.mayHaveRun || mayRepeat(state));
 	};
 
@@ -374,35 +287,7 @@
 			: giveUp(state, domain.RefusalReason.DeadlineExceeded, 0);
 	};
 
-	const describeEnding = (ending: domain.ProxyEnding): object => ({
-		outcome: ending.outcome,
-		...(ending.outcome === domain.ProxyOutcome.Answered && {status: ending.answer.status}),
-		...('reason' in ending && {reason: ending.reason}),
-		...('retryAfterMs' in ending && {retryAfterMs: Math.round(ending.retryAfterMs ?? 0)}),
-	});
-
-	const recordEnding = (call: domain.ProxiedCall, ending: domain.ProxyEnding, state?: CallState): void => {
-		const elapsedMs = clock.monotonicMs() - call.receivedAtMs;
-		metrics.increment(ports.CounterName.Calls, {outcome: ending.outcome});
-		if ('reason' in ending) {
-			metrics.increment(ports.CounterName.Refusals, {reason: ending.reason});
-		}
-
-		metrics.observe(ports.HistogramName.CallSeconds, {workClass: state?.route.isBulk ? 'bulk' : 'short'}, elapsedMs / 1000);
-		const isPlain = ending.outcome === domain.ProxyOutcome.Answered && ending.answer.status < 500;
-		(isPlain ? logger.debug : logger.info)('call ended', {
-			event: 'call-ended',
-			requestId: call.requestId,
-			routeId: state?.route.routeId,
-			service: state?.service,
-			catalogueVersion: state?.catalogueVersion,
-			registryAgeMs: Math.round(registry.ageMs()),
-			attempts: state?.sentCount,
-			unreachable: state?.unreachableCount,
-			elapsedMs: Math.round(elapsedMs),
-			...describeEnding(ending),
-		});
-	};
+	const recordEnding = createEndingRecorder({registry, clock, logger, metrics});
 
 	const run = async (call: domain.ProxiedCall, signal: AbortSignal): Promise<domain.ProxyEnding> => {
 		const catalogue = registry.catalogue();
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -99,7 +99,8 @@
 	const start = async (): Promise<void> => {
 		const isSeed = options.seedAddresses.includes(self.address);
 		const others = options.seedAddresses.filter(address => address !== self.address);
-		const isFresh = !isSeed && (await Promise.all(others.map(async address => pullFrom(address, SEED_WAIT_MS)))).some(Boolean);
+		const isFresh =
+			!isSeed && (await Promise.all(others.map(async address => pullFrom(address, SEED_WAIT_MS)))).some(Boolean);
 		if (!isFresh) {
 			await options.storeReader.readOnce(signal);
 		}
--- a/packages/core/src/registry/replica.ts
+++ b/packages/core/src/registry/replica.ts
@@ -68,7 +68,8 @@
 
 	const applyRecord = (record: ports.RegistryRecord<Topic>): boolean => {
 		const existing = entries.get(record.key);
-		if ((existing && existing.record.offset >= record.offset) || isUnchanged(existing, record)) {
+		const isOutdated = existing !== undefined && existing.record.offset >= record.offset;
+		if (isOutdated || isUnchanged(existing, record)) {
 			return false;
 		}
 
--- a/packages/daemon/src/fleet/load-fleet-settings.ts
+++ b/packages/daemon/src/fleet/load-fleet-settings.ts
@@ -8,9 +8,7 @@
 ): Promise<neverthrow.Result<platform.PlatformSettings, readonly string[]>> => {
 	try {
 		const text = await fs.readFile(fileName, 'utf8');
-		return platform
-			.parsePlatformSettings(text)
-			.mapErr(problems => problems.map(problem => `${fileName}: ${problem}`));
+		return platform.parsePlatformSettings(text).mapErr(problems => problems.map(problem => `${fileName}: ${problem}`));
 	} catch (error) {
 		return neverthrow.err([`settings file ${fileName} cannot be read: ${String(error)}`]);
 	}
--- /dev/null
+++ b/packages/fakes/src/__tests__/call-proxy.test.ts
@@ -0,0 +1,260 @@
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import test from 'ava';
+import * as neverthrow from 'neverthrow';
+import {buildFleetCatalogue, buildNode, buildHostRoute, buildTarget} from '../build-fleet.js';
+import {createFakeMetrics, createSilentLogger} from '../fake-observability.js';
+import {createSeededRandom} from '../seeded-random.js';
+import {createVirtualClock, type VirtualClock} from '../virtual-clock.js';
+
+/** What a scripted target does with a call. */
+type Step = {
+	readonly delayMs?: number;
+	readonly result: neverthrow.Result<core.AttemptAnswer, core.AttemptError>;
+};
+
+const answer = (meaning: core.AnswerMeaning, status: number): Step => ({
+	delayMs: 100,
+	result: neverthrow.ok({meaning, answer: {status, headers: [], body: new Uint8Array(0)}}),
+});
+const failure = (kind: core.AttemptErrorKind): Step => ({result: neverthrow.err({kind, detail: 'scripted'})});
+const SILENT: Step = {delayMs: 60_000, result: neverthrow.err({kind: core.AttemptErrorKind.CancelledSent, detail: ''})};
+
+const createScriptedClient = (clock: VirtualClock, steps: readonly Step[]) => {
+	const sent: core.FleetAttempt[] = [];
+	const client: core.FleetTargetClient = {
+		async send(attempt, signal) {
+			const step = steps[sent.length] ?? answer(core.AnswerMeaning.Completed, 200);
+			sent.push(attempt);
+			await clock.sleep(step.delayMs ?? 0, signal);
+			return signal.aborted
+				? neverthrow.err({kind: core.AttemptErrorKind.CancelledSent, detail: 'cancelled'})
+				: step.result;
+		},
+	};
+	return {client, sent};
+};
+
+const createHarness = (steps: readonly Step[], route: Partial<domain.HostRoute> = {}) => {
+	const clock = createVirtualClock();
+	const logger = createSilentLogger();
+	const metrics = createFakeMetrics();
+	const random = createSeededRandom(1);
+	const peerStanding = core.createPeerStanding({clock, logger});
+	const self = buildNode('self');
+	const registry = core.createRegistry({self, clock, logger, peerStanding});
+	const targets = ['a', 'b', 'c', 'd'].map(targetId => buildTarget({targetId}));
+	registry.apply(
+		{
+			[core.RegistryTopic.Targets]: {
+				records: targets.map((value, offset) => ({key: value.targetId, offset, value})),
+				nextOffset: targets.length,
+				isWhole: true,
+			},
+		},
+		0,
+	);
+	const publish = (version: number): void => {
+		const value = buildFleetCatalogue(version, [buildHostRoute(route)]);
+		const records = [{key: 'config', offset: version, value}];
+		registry.apply({[core.RegistryTopic.Catalogue]: {records, nextOffset: version + 1, isWhole: false}}, 0);
+	};
+
+	const dispatchers = core.createDispatcherTable({registry, clock, random, logger, metrics});
+	const peerClient: core.FleetPeerClient = {
+		request: async () => neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'no peers'}),
+	};
+	const grants = core.createGrantClient({
+		self,
+		registry,
+		dispatchers,
+		peerClient,
+		peerStanding,
+		clock,
+		logger,
+		metrics,
+		stopSignal: new AbortController().signal,
+	});
+	const {client, sent} = createScriptedClient(clock, steps);
+	const proxy = core.createCallProxy({registry, grants, targetClient: client, clock, random, logger, metrics});
+	const caller = new AbortController();
+	const start = async (given: Partial<domain.ProxiedCall> = {}): Promise<domain.ProxyEnding> =>
+		proxy.handle(
+			{
+				requestId: 'request',
+				host: 'gateway.example',
+				method: 'POST',
+				pathAndQuery: '/clearances/17?ward=3',
+				headers: [],
+				body: undefined,
+				bodyLengthBytes: undefined,
+				deadlineMs: 4000,
+				receivedAtMs: clock.monotonicMs(),
+				...given,
+			},
+			caller.signal,
+		);
+	const call = async (given: Partial<domain.ProxiedCall> = {}): Promise<domain.ProxyEnding> =>
+		clock.runUntilSettled(start(given), 10_000);
+	return {clock, caller, publish, start, call, sent};
+};
+
+const REPEATABLE = {repeatability: domain.Repeatability.Repeatable};
+
+type Case = {
+	readonly name: string;
+	readonly steps: readonly Step[];
+	readonly route?: Partial<domain.HostRoute>;
+	readonly expected: Partial<domain.ProxyEnding> & {readonly reason?: domain.RefusalReason};
+	readonly status?: number;
+	readonly sentCount: number;
+};
+
+const {Answered, Refused, Failed} = domain.ProxyOutcome;
+
+const CASES: readonly Case[] = [
+	{
+		name: 'an answer is handed on',
+		steps: [],
+		expected: {outcome: Answered},
+		status: 200,
+		sentCount: 1,
+	},
+	{
+		name: 'single work that broke is never sent again',
+		steps: [failure(core.AttemptErrorKind.Broken)],
+		expected: {outcome: Failed, reason: domain.RefusalReason.TargetLost},
+		sentCount: 1,
+	},
+	{
+		name: "single work that failed gets the target's own failure",
+		steps: [answer(core.AnswerMeaning.Failed, 500)],
+		expected: {outcome: Answered},
+		status: 500,
+		sentCount: 1,
+	},
+	{
+		name: 'single work that a target did not run goes to another',
+		steps: [answer(core.AnswerMeaning.NotRun, 503)],
+		expected: {outcome: Answered},
+		status: 200,
+		sentCount: 2,
+	},
+	{
+		name: 'single work that no target ran is refused and not failed',
+		steps: [answer(core.AnswerMeaning.NotRun, 503), answer(core.AnswerMeaning.Replaced, 421)],
+		expected: {outcome: Refused, reason: domain.RefusalReason.TargetRefused},
+		sentCount: 2,
+	},
+	{
+		name: 'unreachable targets do not use up attempts',
+		steps: [failure(core.AttemptErrorKind.Unreachable), failure(core.AttemptErrorKind.Unreachable)],
+		expected: {outcome: Answered},
+		status: 200,
+		sentCount: 3,
+	},
+	{
+		name: 'a shed attempt followed by one that may have run is a failure and not a refusal',
+		steps: [answer(core.AnswerMeaning.NotRun, 503), failure(core.AttemptErrorKind.Broken)],
+		expected: {outcome: Failed, reason: domain.RefusalReason.TargetLost},
+		sentCount: 2,
+	},
+	{
+		name: 'repeatable work that failed is repeated at another target',
+		steps: [answer(core.AnswerMeaning.Failed, 500)],
+		route: REPEATABLE,
+		expected: {outcome: Answered},
+		status: 200,
+		sentCount: 2,
+	},
+	{
+		name: 'an answer to another call is no answer',
+		steps: [answer(core.AnswerMeaning.Foreign, 200)],
+		expected: {outcome: Failed, reason: domain.RefusalReason.TargetLost},
+		sentCount: 1,
+	},
+	{
+		name: 'repeatable work stops at the limit of attempts',
+		steps: Array.from({length: 4}, () => failure(core.AttemptErrorKind.Broken)),
+		route: REPEATABLE,
+		expected: {outcome: Failed, reason: domain.RefusalReason.TargetLost},
+		sentCount: 2,
+	},
+	{
+		name: "a silent target's call fails when the route's time is up",
+		steps: [SILENT],
+		expected: {outcome: Failed, reason: domain.RefusalReason.TargetTimedOut},
+		sentCount: 1,
+	},
+];
+
+CASES.forEach(({name, steps, route, expected, status, sentCount}) => {
+	test(name, async t => {
+		const {publish, call, sent} = createHarness(steps, route);
+		publish(1);
+		const ending = await call();
+		t.like(ending, expected);
+		if (status !== undefined && ending.outcome === Answered) {
+			t.is(ending.answer.status, status);
+		}
+
+		t.is(sent.length, sentCount);
+		t.is(new Set(sent.map(({target}) => target.targetId)).size, sentCount, 'no target twice');
+	});
+});
+
+test('a call ends when the route says, and the target hears how long it has', async t => {
+	const {clock, publish, call, sent} = createHarness([SILENT], {timeoutMs: 1500});
+	publish(1);
+	await call({deadlineMs: 4000});
+	t.is(clock.monotonicMs(), 1500);
+	t.is(sent[0]?.remainingMs, 1500);
+});
+
+test('without a catalogue a call is refused with a time to come back, and not told that its route is unknown', async t => {
+	const {call} = createHarness([]);
+	const ending = await call();
+	t.like(ending, {outcome: Refused, reason: domain.RefusalReason.NoCatalogue});
+	t.true(ending.outcome === Refused && ending.retryAfterMs! > 0);
+});
+
+test('an unknown host or prefix has no route, and the longest prefix wins', t => {
+	const routes = core.createHostRoutes([
+		buildHostRoute({routeId: 'short', pathPrefix: '/a/'}),
+		buildHostRoute({routeId: 'long', pathPrefix: '/a/b/'}),
+	]);
+	t.is(routes.find('gateway.example:8080', '/a/b/c')?.routeId, 'long');
+	t.is(routes.find('GATEWAY.example', '/a/bc')?.routeId, 'short');
+	t.is(routes.find('gateway.example', '/a'), undefined);
+	t.is(routes.find('other.example', '/a/b/'), undefined);
+});
+
+test('a slow attempt at repeatable work gives way to another', async t => {
+	const {publish, call, sent} = createHarness([answer(core.AnswerMeaning.Completed, 200), SILENT], REPEATABLE);
+	publish(1);
+	await call();
+	const ending = await call({requestId: 'second'});
+	t.is(ending.outcome, Answered);
+	t.is(sent.length, 3);
+});
+
+test('a caller that leaves stops the attempt and gets nothing', async t => {
+	const {clock, caller, publish, start, sent} = createHarness([SILENT], REPEATABLE);
+	publish(1);
+	const ended = start();
+	await clock.advance(10);
+	caller.abort();
+	t.is((await ended).outcome, domain.ProxyOutcome.Abandoned);
+	t.is(sent.length, 1);
+});
+
+test('shares follow their weights', t => {
+	const shares = [
+		{service: 'ratiba', weight: 90},
+		{service: 'picha', weight: 10},
+	];
+	const random = createSeededRandom(7);
+	const picked = Array.from({length: 5000}, () => core.pickService(shares, random.fraction()));
+	const ratio = picked.filter(service => service === 'picha').length / picked.length;
+	t.true(Math.abs(ratio - 0.1) < 0.02, `ratio ${ratio}`);
+});
--- /dev/null
+++ b/packages/fakes/src/__tests__/group-dispatcher.test.ts
@@ -0,0 +1,214 @@
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import test from 'ava';
+import {buildGrantRequest, buildTarget} from '../build-fleet.js';
+import {createFakeMetrics, createSilentLogger} from '../fake-observability.js';
+import {createSeededRandom} from '../seeded-random.js';
+import {createVirtualClock} from '../virtual-clock.js';
+
+const USUAL_MS = 250;
+
+const createHarness = (targets: readonly domain.RegisteredTarget[], given: Partial<core.DispatcherOptions> = {}) => {
+	const clock = createVirtualClock();
+	const registered = {targets};
+	const dispatcher = core.createGroupDispatcher({
+		groupId: 'malipo@pwani',
+		options: {...core.DEFAULT_DISPATCHER_OPTIONS, ...given},
+		clock,
+		random: createSeededRandom(1),
+		logger: createSilentLogger(),
+		metrics: createFakeMetrics(),
+		listTargets: () => registered.targets,
+	});
+	const {signal} = new AbortController();
+	let requestCount = 0;
+	const acquire = async (request: Partial<core.AcquireGrantRequest> = {}): Promise<core.AcquireGrantReply> =>
+		dispatcher.acquire(buildGrantRequest(`request-${requestCount++}`, request), signal);
+	const report = (grant: core.Grant, result: core.GrantResult, nodeId = 'entry-1', durationMs = USUAL_MS): void => {
+		const {grantId, target} = grant;
+		dispatcher.report({
+			grantId,
+			nodeId,
+			routeId: 'route',
+			service: 'malipo',
+			region: 'pwani',
+			targetId: target.targetId,
+			result,
+			durationMs,
+		});
+	};
+
+	const acquireGrant = async (request: Partial<core.AcquireGrantRequest> = {}): Promise<core.Grant> => {
+		const reply = await acquire(request);
+		if (!reply.isGranted) {
+			throw new Error(`the dispatcher refused: ${reply.refusal}`);
+		}
+
+		return reply;
+	};
+
+	return {clock, registered, dispatcher, acquire, acquireGrant, report};
+};
+
+const buildPool = (count: number): domain.RegisteredTarget[] =>
+	Array.from({length: count}, (_, index) => buildTarget({targetId: `target-${index}`}));
+
+test('no target gets more calls than it has slots', async t => {
+	const {acquire} = createHarness(buildPool(2));
+	const replies = await Promise.all(Array.from({length: 9}, async () => acquire()));
+	const granted = replies.filter(reply => reply.isGranted);
+	t.is(granted.length, 8);
+	const refused = replies.find(reply => !reply.isGranted);
+	t.is(refused?.refusal, core.GrantRefusal.Busy);
+	t.true(refused!.predictedWaitMs > 0);
+});
+
+test('a waiting call gets the slot that a report frees, the more urgent one first', async t => {
+	const {clock, acquire, acquireGrant, report} = createHarness([buildTarget({targetId: 'only', slotCount: 1})]);
+	const held = await acquireGrant();
+	const lessUrgent = acquire({priority: 2, waitLimitMs: 1000});
+	const urgent = acquire({priority: 0, waitLimitMs: 1000});
+	await clock.advance(50);
+	report(held, core.GrantResult.Success);
+	const reply = await clock.runUntilSettled(urgent, 200);
+	t.true(reply.isGranted);
+	const late = await clock.runUntilSettled(lessUrgent, 2000);
+	t.false(late.isGranted);
+});
+
+test('one failure at a service that rarely fails sets the target aside, and a late report does not lengthen it', async t => {
+	const {clock, acquireGrant, report, dispatcher} = createHarness(buildPool(3));
+	const first = await acquireGrant();
+	report(first, core.GrantResult.Failure);
+	t.is(dispatcher.countStandings().get(core.GrantStanding.SetAside), 1);
+	const others = await Promise.all(Array.from({length: 6}, async () => acquireGrant()));
+	t.true(others.every(({target}) => target.targetId !== first.target.targetId));
+	await clock.advance(4500);
+	t.is(dispatcher.countStandings().get(core.GrantStanding.OnTrial), 1);
+});
+
+test('a return is tried with work that may be repeated, and two successes end the trial', async t => {
+	const {clock, acquireGrant, report, dispatcher} = createHarness(buildPool(3));
+	const failed = await acquireGrant();
+	report(failed, core.GrantResult.Failure);
+	await clock.advance(4500);
+	const single = await acquireGrant();
+	t.not(single.target.targetId, failed.target.targetId);
+	for (const expected of [1, undefined]) {
+		const trial = await acquireGrant({repeatability: domain.Repeatability.Repeatable});
+		t.is(trial.target.targetId, failed.target.targetId);
+		report(trial, core.GrantResult.Success);
+		t.is(dispatcher.countStandings().get(core.GrantStanding.OnTrial), expected);
+	}
+});
+
+test('a failed return doubles the absence', async t => {
+	const {clock, acquireGrant, report, dispatcher} = createHarness(buildPool(3));
+	const failed = await acquireGrant();
+	report(failed, core.GrantResult.Failure);
+	await clock.advance(4500);
+	const trial = await acquireGrant({repeatability: domain.Repeatability.Repeatable});
+	report(trial, core.GrantResult.Failure);
+	await clock.advance(4000);
+	t.is(dispatcher.countStandings().get(core.GrantStanding.SetAside), 1);
+	await clock.advance(1000);
+	t.is(dispatcher.countStandings().get(core.GrantStanding.OnTrial), 1);
+});
+
+test('a path that one node lost keeps the target for the others; two nodes that fail set it aside', async t => {
+	const {acquireGrant, report, dispatcher} = createHarness([buildTarget({targetId: 'only'})]);
+	const first = await acquireGrant();
+	report(first, core.GrantResult.Unreachable, 'entry-1');
+	t.is(dispatcher.countStandings().get(core.GrantStanding.Sound), 1);
+	const second = await acquireGrant({nodeId: 'entry-2'});
+	t.is(second.target.targetId, 'only');
+	report(second, core.GrantResult.Unreachable, 'entry-2');
+	t.is(dispatcher.countStandings().get(core.GrantStanding.SetAside), 1);
+});
+
+test('a node gets no target that it cannot reach, even as a last resort', async t => {
+	const {acquire, acquireGrant, report} = createHarness([buildTarget({targetId: 'only'})]);
+	report(await acquireGrant(), core.GrantResult.Unreachable);
+	t.false((await acquire({isLastResort: true})).isGranted);
+});
+
+test('targets that are set aside serve as a last resort only, the least suspected first', async t => {
+	const {clock, acquire, acquireGrant, report} = createHarness(buildPool(2));
+	const first = await acquireGrant();
+	report(first, core.GrantResult.Failure);
+	await clock.advance(100);
+	report(await acquireGrant(), core.GrantResult.Failure);
+	t.false((await acquire()).isGranted);
+	const last = await acquireGrant({isLastResort: true});
+	t.is(last.target.targetId, first.target.targetId);
+});
+
+test('draining targets, targets of the call before and removed targets get nothing', async t => {
+	const harness = createHarness([
+		buildTarget({targetId: 'draining', readiness: domain.TargetReadiness.Draining}),
+		buildTarget({targetId: 'tried'}),
+		buildTarget({targetId: 'removed'}),
+	]);
+	harness.registered.targets = harness.registered.targets.slice(0, 2);
+	const reply = await harness.acquire({excludedTargetIds: ['tried'], isLastResort: true});
+	t.false(reply.isGranted);
+});
+
+test('a new incarnation under an old id starts without a record', async t => {
+	const harness = createHarness([buildTarget({targetId: 'same'})]);
+	harness.report(await harness.acquireGrant(), core.GrantResult.Failure);
+	t.false((await harness.acquire()).isGranted);
+	harness.registered.targets = [buildTarget({targetId: 'same', startedAtMs: 2})];
+	t.true((await harness.acquire()).isGranted);
+});
+
+test('retries stay within the ratio of first attempts, the burst and the refill', async t => {
+	const {clock, acquire, report} = createHarness(buildPool(8), {
+		retryRatio: 0.1,
+		retryBurstCount: 3,
+		retryRefillPerSecond: 1,
+	});
+	let retryCount = 0;
+	for (let index = 0; index < 100; index++) {
+		const first = await acquire();
+		const retry = await acquire({attemptIndex: 1});
+		[first, retry].forEach(reply => {
+			if (reply.isGranted) {
+				report(reply, core.GrantResult.Success);
+			}
+		});
+		retryCount += retry.isGranted ? 1 : 0;
+		await clock.advance(100);
+	}
+
+	// 100 first attempts at 0.1, the burst of 3, and 10 s at one a second.
+	t.true(retryCount <= 23, `${retryCount} retries`);
+	t.true(retryCount >= 20, `${retryCount} retries`);
+});
+
+test('a call that cannot end in time is refused at once', async t => {
+	const {acquire, acquireGrant, report} = createHarness(buildPool(1));
+	report(await acquireGrant(), core.GrantResult.Success);
+	const reply = await acquire({remainingMs: USUAL_MS / 4, waitLimitMs: 100});
+	t.like(reply, {isGranted: false, refusal: core.GrantRefusal.TooLate});
+});
+
+test('a grant whose node never reports is freed after the call has ended', async t => {
+	const {clock, acquire} = createHarness([buildTarget({targetId: 'only', slotCount: 1})]);
+	await acquire({remainingMs: 1000});
+	t.false((await acquire()).isGranted);
+	await clock.advance(1600);
+	t.true((await acquire()).isGranted);
+});
+
+test('a target that refuses work rests for a moment and then gets fewer calls at once', async t => {
+	const {clock, acquireGrant, acquire, report} = createHarness([buildTarget({targetId: 'only', slotCount: 2})]);
+	const held = await acquireGrant();
+	const shed = await acquireGrant();
+	report(shed, core.GrantResult.Shed);
+	t.false((await acquire()).isGranted);
+	report(held, core.GrantResult.Cancelled);
+	await clock.advance(400);
+	t.true((await acquire()).isGranted);
+	t.false((await acquire()).isGranted);
+});
--- /dev/null
+++ b/packages/fakes/src/__tests__/registry-replica.test.ts
@@ -0,0 +1,107 @@
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import test from 'ava';
+import {buildFleetCatalogue, buildNode, buildHostRoute, buildTarget, buildWhole} from '../build-fleet.js';
+import {createSilentLogger} from '../fake-observability.js';
+import {createVirtualClock} from '../virtual-clock.js';
+
+const {Targets, Catalogue, Nodes} = core.RegistryTopic;
+
+const changes = <Topic extends core.RegistryTopic>(
+	records: ReadonlyArray<core.RegistryRecord<Topic>>,
+	nextOffset: number,
+): core.TopicChanges<Topic> => ({records, nextOffset, isWhole: false});
+
+const target = buildTarget({targetId: 'a'});
+const draining = {...target, readiness: domain.TargetReadiness.Draining};
+
+test('an older record never replaces a newer one', t => {
+	const replica = core.createReplica(Targets, createVirtualClock());
+	replica.apply(changes([{key: 'a', offset: 7, value: draining}], 8));
+	t.false(replica.apply(changes([{key: 'a', offset: 3, value: target}], 4)));
+	t.is(replica.values().get('a')?.readiness, domain.TargetReadiness.Draining);
+	t.is(replica.nextOffset(), 8);
+});
+
+test('a heartbeat that changes nothing is not passed on', t => {
+	const replica = core.createReplica(Targets, createVirtualClock());
+	replica.apply(changes([{key: 'a', offset: 0, value: target}], 1));
+	t.false(replica.apply(changes([{key: 'a', offset: 1, value: {...target, warmUpLeftMs: 5}}], 2)));
+	t.deepEqual(replica.changesSince(1).records, []);
+});
+
+test('a peer that missed removals gets everything', t => {
+	const replica = core.createReplica(Targets, createVirtualClock());
+	replica.apply(buildWhole([{key: 'a', offset: 4, value: target}], 9));
+	t.true(replica.changesSince(5).isWhole);
+	t.false(replica.changesSince(9).isWhole);
+});
+
+test('keys that are missing from a whole reading are gone, but not those written since', t => {
+	const replica = core.createReplica(Targets, createVirtualClock());
+	replica.apply(changes([{key: 'a', offset: 1, value: target}], 2));
+	replica.apply(changes([{key: 'b', offset: 12, value: target}], 13));
+	replica.apply(buildWhole([], 10));
+	t.deepEqual([...replica.values().keys()], ['b']);
+});
+
+test('a registration that lapsed in an outage of the store is used for 2 s more, and kept when it comes back', async t => {
+	const clock = createVirtualClock();
+	const replica = core.createReplica(Targets, clock);
+	replica.apply(changes([{key: 'a', offset: 0, value: target}], 1));
+	replica.apply(changes([{key: 'a', offset: 1, value: undefined, isProvisional: true}], 2));
+	await clock.advance(1900);
+	t.true(replica.values().has('a'));
+	await clock.advance(200);
+	t.false(replica.values().has('a'));
+	replica.apply(changes([{key: 'a', offset: 2, value: target}], 3));
+	t.true(replica.values().has('a'));
+});
+
+test('a removal outside an outage takes effect at once', t => {
+	const replica = core.createReplica(Targets, createVirtualClock());
+	replica.apply(changes([{key: 'a', offset: 0, value: target}], 1));
+	replica.apply(changes([{key: 'a', offset: 1, value: undefined}], 2));
+	t.false(replica.values().has('a'));
+});
+
+const createRegistry = () => {
+	const clock = createVirtualClock();
+	const logger = createSilentLogger();
+	const peerStanding = core.createPeerStanding({clock, logger});
+	const self = buildNode('self');
+	return {clock, peerStanding, registry: core.createRegistry({self, clock, logger, peerStanding})};
+};
+
+test('a catalogue never gives way to an older version or to a damaged record', t => {
+	const {registry} = createRegistry();
+	const newer = buildFleetCatalogue(7, [buildHostRoute()]);
+	registry.apply({[Catalogue]: changes([{key: 'config', offset: 3, value: newer}], 4)}, 0);
+	registry.apply({[Catalogue]: changes([{key: 'config', offset: 5, value: buildFleetCatalogue(6, [])}], 6)}, 0);
+	t.is(registry.catalogue()?.version, 7);
+	registry.apply({[Catalogue]: changes([{key: 'config', offset: 6, value: undefined}], 7)}, 0);
+	t.is(registry.catalogue()?.version, 7);
+});
+
+test('a peer that waits for a change is answered when there is one', async t => {
+	const {clock, registry} = createRegistry();
+	const fromOffsets = {[Catalogue]: 0, [Targets]: 0, [Nodes]: 0};
+	const pulled = registry.pull({fromOffsets, waitMs: 1000}, new AbortController().signal);
+	await clock.advance(100);
+	registry.apply({[Targets]: changes([{key: 'a', offset: 0, value: target}], 1)}, 0);
+	const reply = await clock.runUntilSettled(pulled, 10);
+	t.is(reply.topics.targets.records.length, 1);
+	t.is(reply.ageMs, 0);
+});
+
+test('an unreachable peer drops out of the rankings and comes back', async t => {
+	const {clock, peerStanding, registry} = createRegistry();
+	const peer = buildNode('peer');
+	registry.apply({[Nodes]: changes([{key: 'peer', offset: 0, value: peer}], 1)}, 0);
+	const rank = () => registry.rankNodes('key', 'pwani', 2).map(({nodeId}) => nodeId);
+	t.is(rank().length, 2);
+	peerStanding.recordFailure(peer.address);
+	t.deepEqual(rank(), ['self']);
+	await clock.advance(600);
+	t.is(rank().length, 2);
+});
--- /dev/null
+++ b/packages/fakes/src/build-fleet.ts
@@ -0,0 +1,75 @@
+import type * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+
+/** A registered target with defaults for what a test does not care about. */
+export const buildTarget = (given: Partial<domain.RegisteredTarget> & {targetId: string}): domain.RegisteredTarget => ({
+	startedAtMs: 1,
+	service: 'malipo',
+	address: '127.0.0.1:1',
+	region: 'pwani',
+	availabilityZone: 'kinondoni',
+	slotCount: 4,
+	readiness: domain.TargetReadiness.Ready,
+	warmUpLeftMs: 0,
+	...given,
+});
+
+/** A registered node with defaults for what a test does not care about. */
+export const buildNode = (nodeId: string, given: Partial<domain.RegisteredNode> = {}): domain.RegisteredNode => ({
+	nodeId,
+	incarnationId: `${nodeId}#1`,
+	address: `${nodeId}:1`,
+	region: 'pwani',
+	availabilityZone: 'kinondoni',
+	...given,
+});
+
+/** A route with defaults for what a test does not care about. */
+export const buildHostRoute = (given: Partial<domain.HostRoute> = {}): domain.HostRoute => ({
+	routeId: 'route',
+	host: 'gateway.example',
+	pathPrefix: '/clearances/',
+	shares: [{service: 'malipo', weight: 1}],
+	repeatability: domain.Repeatability.Single,
+	isBulk: false,
+	timeoutMs: 2000,
+	latencyObjectiveMs: 1200,
+	attemptLimit: 2,
+	priority: 1,
+	...given,
+});
+
+export const buildFleetCatalogue = (version: number, routes: readonly domain.HostRoute[]): domain.FleetCatalogue => ({
+	version,
+	routes,
+	services: [{service: 'malipo', healthPath: '/health', connectionLimit: 390}],
+	limits: {headerLimitBytes: 16_384, bodyLimitBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
+});
+
+/** A request for a grant with defaults for what a test does not care about. */
+export const buildGrantRequest = (
+	requestId: string,
+	given: Partial<core.AcquireGrantRequest> = {},
+): core.AcquireGrantRequest => ({
+	requestId,
+	nodeId: 'entry-1',
+	availabilityZone: 'kinondoni',
+	routeId: 'route',
+	service: 'malipo',
+	region: 'pwani',
+	priority: 1,
+	repeatability: domain.Repeatability.Single,
+	attemptIndex: 0,
+	remainingMs: 2000,
+	objectiveLeftMs: 1200,
+	waitLimitMs: 0,
+	isLastResort: false,
+	excludedTargetIds: [],
+	...given,
+});
+
+/** Changes of a topic that hold everything. */
+export const buildWhole = <Topic extends core.RegistryTopic>(
+	records: ReadonlyArray<core.RegistryRecord<Topic>>,
+	nextOffset: number,
+): core.TopicChanges<Topic> => ({records, nextOffset, isWhole: true});
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,4 +1,5 @@
 export * from './build-entry.js';
+export * from './build-fleet.js';
 export * from './fake-authenticator.js';
 export * from './fake-fleet.js';
 export * from './fake-host.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -82,6 +82,15 @@
 		files: ['packages/core/src/routing/rendezvous-ranking.ts', 'packages/fakes/src/seeded-random.ts'],
 		rules: {'no-bitwise': 'off'},
 	},
+	{
+		files: ['packages/{adapters,cli,fakes,measures,stand-ins}/src/**/*.ts', 'packages/daemon/src/*.ts'],
+		rules: {
+			'@typescript-eslint/no-restricted-imports': [
+				'error',
+				{patterns: [{group: ['@bilberrydoor/platform'], message: 'only the wiring program knows the platform.'}]},
+			],
+		},
+	},
 	{
 		files: ['packages/domain/src/**/*.ts'],
 		rules: {
