test(fleet): the path through real processes; reload settings on SIGHUP or when the file changes

Cause: SIGHUP ended the process, and no test ran the program. Change: settings are read again, the dispatchers' bounds apply at once; a harness with the store's stand-in, targets in their fault kinds and bilberryd-fleet processes.

--- a/packages/core/src/grants/dispatcher-table.ts
+++ b/packages/core/src/grants/dispatcher-table.ts
@@ -15,10 +15,12 @@
 /** The dispatchers that run on this node. Any node can become the dispatcher of any group. */
 export type DispatcherTable = {
 	get(service: string, region: string): GroupDispatcher;
+	/** Changes options of all dispatchers. */
+	configure(changes: Partial<DispatcherOptions>): void;
 };
 
 export const createDispatcherTable = (parts: DispatcherTableParts): DispatcherTable => {
-	const options = {...DEFAULT_DISPATCHER_OPTIONS, ...parts.options};
+	const options: DispatcherOptions = {...DEFAULT_DISPATCHER_OPTIONS, ...parts.options};
 	const dispatchers = new Map<string, GroupDispatcher>();
 	return {
 		get(service, region) {
@@ -34,5 +36,9 @@
 			dispatchers.set(groupId, dispatcher);
 			return dispatcher;
 		},
+		configure(changes) {
+			// The dispatchers share this object, so that a change reaches those that run.
+			Object.assign(options, changes);
+		},
 	};
 };
--- a/packages/core/src/grants/fleet-retry-budget.ts
+++ b/packages/core/src/grants/fleet-retry-budget.ts
@@ -1,13 +1,10 @@
 import type * as ports from '../ports/index.js';
+import type {DispatcherOptions} from './dispatcher-options.js';
 
-export type FleetRetryBudgetOptions = {
-	/** Retries allowed as a fraction of first attempts. */
-	readonly ratio: number;
-	/** Retries that may be saved up, and that a new budget starts with. */
-	readonly burstCount: number;
-	/** Retries that are allowed whatever the traffic, a second. */
-	readonly refillPerSecond: number;
-};
+export type FleetRetryBudgetOptions = Pick<
+	DispatcherOptions,
+	'retryRatio' | 'retryBurstCount' | 'retryRefillPerSecond'
+>;
 
 /** This dispatcher's part of the retries that the fleet may make in any window. */
 export type FleetRetryBudget = {
@@ -21,21 +18,21 @@
 const MS_PER_SECOND = 1000;
 
 export const createFleetRetryBudget = (options: FleetRetryBudgetOptions, clock: ports.Clock): FleetRetryBudget => {
-	let leftCount = options.burstCount;
+	let leftCount = options.retryBurstCount;
 	let updatedAtMs = clock.monotonicMs();
 	const add = (count: number): void => {
-		leftCount = Math.min(options.burstCount, leftCount + count);
+		leftCount = Math.min(options.retryBurstCount, leftCount + count);
 	};
 
 	const refill = (): void => {
 		const nowMs = clock.monotonicMs();
-		add(((nowMs - updatedAtMs) / MS_PER_SECOND) * options.refillPerSecond);
+		add(((nowMs - updatedAtMs) / MS_PER_SECOND) * options.retryRefillPerSecond);
 		updatedAtMs = nowMs;
 	};
 
 	return {
 		recordFirstAttempt() {
-			add(options.ratio);
+			add(options.retryRatio);
 		},
 		hasRetry() {
 			refill();
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -53,10 +53,7 @@
 	const ledgers = new Map<string, TargetLedger>();
 	const waiting = createWaitingCalls();
 	const phases = createGrayPhases(options);
-	const budget = createFleetRetryBudget(
-		{ratio: options.retryRatio, burstCount: options.retryBurstCount, refillPerSecond: options.retryRefillPerSecond},
-		clock,
-	);
+	const budget = createFleetRetryBudget(options, clock);
 	let order = 0;
 	let lastRepeatableAtMs = -REPEATABLE_MEMORY_MS;
 
--- a/packages/core/src/proxy/record-ending.ts
+++ b/packages/core/src/proxy/record-ending.ts
@@ -16,7 +16,7 @@
 const MS_PER_SECOND = 1000;
 const FAILURE_STATUS_MINIMUM = 500;
 
-const describeEnding = (ending: domain.ProxyEnding): object => ({
+const describeEnding = (ending: domain.ProxyEnding): Record<string, unknown> => ({
 	outcome: ending.outcome,
 	...(ending.outcome === domain.ProxyOutcome.Answered && {status: ending.answer.status}),
 	...('reason' in ending && {reason: ending.reason}),
--- /dev/null
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -0,0 +1,266 @@
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs/promises';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import process from 'node:process';
+import * as timersPromises from 'node:timers/promises';
+import * as adapters from '@bilberrydoor/adapters';
+import * as platform from '@bilberrydoor/platform';
+import * as platformStandIn from '@bilberrydoor/platform/stand-in';
+import type {ExecutionContext} from 'ava';
+import * as undici from 'undici';
+
+const {PLATFORM_DIALECT: dialect} = platform;
+
+/** How a stand-in target treats a request. */
+export enum TargetBehaviour {
+	Serve = 'serve',
+	/** Runs the request and answers 500. */
+	Fail = 'fail',
+	/** Runs the request and breaks the connection. */
+	Reset = 'reset',
+	/** Refuses the request without running it. */
+	Shed = 'shed',
+	/** Runs the request and answers after `slowMs`. */
+	Slow = 'slow',
+	/** Breaks off in the middle of the answer. */
+	Truncate = 'truncate',
+	/** Answers with the id of another request. */
+	Foreign = 'foreign',
+}
+
+const SLOW_MS = 800;
+const READY_TIMEOUT_MS = 15_000;
+const POLL_MS = 50;
+
+const answerOk = (outgoing: http.ServerResponse, requestId: string): void => {
+	const headers = {[dialect.requestIdHeader]: requestId, [dialect.signatureHeader]: 'signed'};
+	outgoing.writeHead(200, headers).end(`done ${requestId}`);
+};
+
+type Behave = (outgoing: http.ServerResponse, requestId: string) => Promise<void> | void;
+
+const BEHAVIOURS: Record<TargetBehaviour, Behave> = {
+	[TargetBehaviour.Serve]: answerOk,
+	[TargetBehaviour.Fail](outgoing, requestId) {
+		const headers = {[dialect.requestIdHeader]: requestId, [dialect.signatureHeader]: 'signed'};
+		outgoing.writeHead(500, headers).end('failed');
+	},
+	[TargetBehaviour.Reset](outgoing) {
+		outgoing.socket?.resetAndDestroy();
+	},
+	[TargetBehaviour.Shed](outgoing) {
+		outgoing.writeHead(503, {[dialect.notRunHeader]: '1'}).end();
+	},
+	async [TargetBehaviour.Slow](outgoing, requestId) {
+		await timersPromises.setTimeout(SLOW_MS);
+		answerOk(outgoing, requestId);
+	},
+	[TargetBehaviour.Truncate](outgoing, requestId) {
+		const headers = {
+			[dialect.requestIdHeader]: requestId,
+			[dialect.signatureHeader]: 'signed',
+			'content-length': '100',
+		};
+		outgoing.writeHead(200, headers).write('half', () => {
+			outgoing.destroy();
+		});
+	},
+	[TargetBehaviour.Foreign](outgoing) {
+		answerOk(outgoing, 'another-request');
+	},
+};
+
+export type StandInTarget = {
+	readonly targetId: string;
+	readonly address: string;
+	behaviour: TargetBehaviour;
+	/** Ids of the requests that it ran. */
+	readonly runIds: string[];
+};
+
+const startTarget = async (t: ExecutionContext, targetId: string): Promise<StandInTarget> => {
+	const runIds: string[] = [];
+	const target = {targetId, address: '', behaviour: TargetBehaviour.Serve, runIds};
+	const server = http.createServer(async (incoming, outgoing) => {
+		const requestId = String(incoming.headers[dialect.requestIdHeader]);
+		incoming.resume();
+		if (incoming.headers[dialect.expectedTargetHeader] !== targetId) {
+			outgoing.writeHead(421).end();
+			return;
+		}
+
+		if (target.behaviour !== TargetBehaviour.Shed) {
+			runIds.push(requestId);
+		}
+
+		await BEHAVIOURS[target.behaviour](outgoing, requestId);
+	});
+	server.listen(0, '127.0.0.1');
+	await new Promise(resolve => {
+		server.once('listening', resolve);
+	});
+	target.address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return target;
+};
+
+const findFreePort = async (): Promise<number> => {
+	const server = net.createServer().listen(0, '127.0.0.1');
+	await new Promise(resolve => {
+		server.once('listening', resolve);
+	});
+	const {port} = server.address() as net.AddressInfo;
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return port;
+};
+
+export type RunningNode = {
+	readonly frontUrl: string;
+	readonly readinessUrl: string;
+	readonly process: childProcess.ChildProcess;
+	/** JSON lines that the node has written. */
+	readonly lines: string[];
+	isReady(): Promise<boolean>;
+};
+
+const ask = async (url: string): Promise<number> => {
+	try {
+		const response = await undici.request(url);
+		await response.body.dump();
+		return response.statusCode;
+	} catch {
+		// The listener is not there yet, or no longer.
+		return 0;
+	}
+};
+
+const startNode = async (
+	t: ExecutionContext,
+	nodeId: string,
+	addresses: {storeAddress: string; seeds: readonly string[]; control: string},
+): Promise<RunningNode> => {
+	const front = `127.0.0.1:${await findFreePort()}`;
+	const ready = `127.0.0.1:${await findFreePort()}`;
+	const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'bilberryd-fleet-'));
+	const file = path.join(folder, 'boot.yaml');
+	const settings = {
+		node: nodeId,
+		ip: '127.0.0.1',
+		zone: 'kinondoni',
+		region: 'pwani',
+		zones: {kinondoni: 'pwani'},
+		listen: {front, ready, control: addresses.control},
+		internal_ports: [1],
+		seeds: addresses.seeds,
+		bounds: ['grace_s=6'],
+		platform: {address: addresses.storeAddress},
+	};
+	// JSON is valid YAML.
+	await fs.writeFile(file, JSON.stringify(settings));
+	const program = path.resolve(import.meta.dirname, '../bilberryd-fleet.js');
+	const child = childProcess.spawn(process.execPath, [program], {
+		env: {...process.env, [platform.SETTINGS_FILE_VARIABLE]: file},
+		stdio: ['ignore', 'pipe', 'inherit'],
+	});
+	const lines: string[] = [];
+	child.stdout.on('data', (chunk: Uint8Array) => {
+		lines.push(...new TextDecoder().decode(chunk).split('\n').filter(Boolean));
+	});
+	t.teardown(async () => {
+		child.kill('SIGKILL');
+		await fs.rm(folder, {recursive: true});
+	});
+	const readinessUrl = `http://${ready}${platform.READINESS_PATH}`;
+	return {
+		frontUrl: `http://${front}`,
+		readinessUrl,
+		process: child,
+		lines,
+		isReady: async () => (await ask(readinessUrl)) === 200,
+	};
+};
+
+export const waitUntil = async (check: () => Promise<boolean> | boolean): Promise<void> => {
+	const endAtMs = performance.now() + READY_TIMEOUT_MS;
+	while (!(await check())) {
+		if (performance.now() > endAtMs) {
+			throw new Error(`nothing changed within ${READY_TIMEOUT_MS} ms`);
+		}
+
+		await timersPromises.setTimeout(POLL_MS);
+	}
+};
+
+/** Starts the store's stand-in, targets and nodes, and waits until every node is ready. */
+export const startFleet = async (t: ExecutionContext, counts: {nodes: number; targets: number}) => {
+	const store = platformStandIn.createStoreStandIn();
+	const storeListener = await adapters.startHttpListener(store.app, {});
+	t.teardown(async () => {
+		storeListener.destroy();
+		await storeListener.close();
+	});
+	const ids = Array.from({length: counts.targets}, (_, index) => `target-${index}`);
+	const targets = await Promise.all(ids.map(async targetId => startTarget(t, targetId)));
+	const register = (target: StandInTarget, state = 'ready'): void => {
+		const record = platformStandIn.buildServerRecord(target.address, {state});
+		store.write(platformStandIn.SERVERS_TOPIC, target.targetId, record);
+	};
+
+	const configure = (version: number, services: readonly string[]): void => {
+		const record = platformStandIn.buildConfigRecord(version, services);
+		store.write(platformStandIn.OPERATOR_TOPIC, 'config', record);
+	};
+
+	configure(1, ['malipo']);
+	targets.forEach(target => {
+		register(target);
+	});
+	const controls: string[] = [];
+	while (controls.length < counts.nodes) {
+		controls.push(`127.0.0.1:${await findFreePort()}`);
+	}
+
+	const nodes = await Promise.all(
+		controls.map(async (control, index) =>
+			startNode(t, `node-${index}`, {storeAddress: storeListener.address, seeds: controls.slice(0, 1), control}),
+		),
+	);
+	await waitUntil(async () => (await Promise.all(nodes.map(async node => node.isReady()))).every(Boolean));
+	return {store, targets, nodes, register, configure};
+};
+
+export type Reply = {readonly status: number; readonly body: string; readonly headers: Record<string, unknown>};
+
+/** Sends one request as a caller does. Rejects when the connection ends without a whole answer. */
+export const send = async (
+	node: RunningNode,
+	requestId: string,
+	given: {
+		path?: string;
+		host?: string;
+		method?: 'GET' | 'POST';
+		deadlineMs?: number;
+		dispatcher?: undici.Dispatcher;
+	} = {},
+): Promise<Reply> => {
+	const method = given.method ?? 'POST';
+	const response = await undici.request(`${node.frontUrl}${given.path ?? '/unsafe/x'}`, {
+		method,
+		dispatcher: given.dispatcher,
+		headers: {
+			host: given.host ?? 'malipo.example',
+			[dialect.requestIdHeader]: requestId,
+			[dialect.remainingMsHeader]: String(given.deadlineMs ?? 4000),
+		},
+		body: method === 'POST' ? 'clearance' : undefined,
+	});
+	return {status: response.statusCode, body: await response.body.text(), headers: response.headers};
+};
--- /dev/null
+++ b/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
@@ -0,0 +1,110 @@
+import * as platformStandIn from '@bilberrydoor/platform/stand-in';
+import test from 'ava';
+import * as undici from 'undici';
+import {send, startFleet, TargetBehaviour, waitUntil, type StandInTarget} from './fleet-harness.js';
+
+const countRuns = (targets: readonly StandInTarget[], requestId: string): number =>
+	targets.flatMap(({runIds}) => runIds).filter(id => id === requestId).length;
+
+test('calls travel through every node to a target, and unknown routes get 404', async t => {
+	const {nodes, targets} = await startFleet(t, {nodes: 3, targets: 2});
+	const replies = await Promise.all(nodes.map(async (node, index) => send(node, `request-${index}`)));
+	t.deepEqual(
+		replies.map(({status, body}) => [status, body]),
+		nodes.map((_, index) => [200, `done request-${index}`]),
+	);
+	t.is(countRuns(targets, 'request-0'), 1);
+	t.is((await send(nodes[0]!, 'unknown', {path: '/nowhere/'})).status, 404);
+});
+
+const FAULTS = [
+	{name: 'fails', behaviour: TargetBehaviour.Fail, status: 500, runs: 1},
+	{name: 'breaks the connection', behaviour: TargetBehaviour.Reset, status: 502, runs: 1},
+	{name: 'breaks off its answer', behaviour: TargetBehaviour.Truncate, status: 502, runs: 1},
+	{name: 'answers another request', behaviour: TargetBehaviour.Foreign, status: 502, runs: 1},
+	{name: 'sheds', behaviour: TargetBehaviour.Shed, status: 503, runs: 0},
+];
+
+FAULTS.forEach(({name, behaviour, status, runs}) => {
+	test(`single work at targets of which each ${name} runs ${runs} times and gets ${status}`, async t => {
+		const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 2});
+		targets.forEach(target => {
+			target.behaviour = behaviour;
+		});
+		const reply = await send(nodes[0]!, 'single');
+		t.is(reply.status, status);
+		t.is(countRuns(targets, 'single'), runs);
+		t.is(reply.headers['retry-after'] !== undefined, status === 503);
+	});
+});
+
+test('repeatable work is repeated at another target', async t => {
+	const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 2});
+	targets[0]!.behaviour = TargetBehaviour.Truncate;
+	const ids = ['a', 'b', 'c', 'd'];
+	for (const id of ids) {
+		t.is((await send(nodes[0]!, id, {path: '/safe/x', method: 'GET'})).status, 200);
+	}
+});
+
+test('a draining target and a new catalogue are in force on all nodes within the bounds', async t => {
+	const {nodes, targets, register, configure} = await startFleet(t, {nodes: 2, targets: 2});
+	register(targets[0]!, 'draining');
+	configure(2, ['malipo', 'picha']);
+	await waitUntil(async () => (await send(nodes[1]!, 'probe', {host: 'picha.example'})).status !== 404);
+	await waitUntil(async () => {
+		const before = targets[0]!.runIds.length;
+		const replies = await Promise.all(nodes.map(async (node, index) => send(node, `after-${index}`)));
+		return replies.every(({status}) => status === 200) && targets[0]!.runIds.length === before;
+	});
+	t.pass();
+});
+
+test('nodes go on serving while the store is down', async t => {
+	const {nodes, store} = await startFleet(t, {nodes: 2, targets: 2});
+	store.fault = platformStandIn.StoreFault.Silent;
+	const replies = await Promise.all(
+		Array.from({length: 10}, async (_, index) => send(nodes[index % 2]!, `down-${index}`)),
+	);
+	t.true(replies.every(({status}) => status === 200));
+});
+
+test('calls are served while their dispatcher has been killed', async t => {
+	const {nodes} = await startFleet(t, {nodes: 3, targets: 2});
+	await send(nodes[0]!, 'warm-up');
+	nodes[2]!.process.kill('SIGKILL');
+	const replies = await Promise.all(
+		Array.from({length: 8}, async (_, index) => send(nodes[index % 2]!, `killed-${index}`)),
+	);
+	t.true(replies.every(({status}) => status === 200));
+});
+
+test('a planned stop ends readiness, finishes calls in flight and closes kept connections after an answer', async t => {
+	const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 1});
+	const node = nodes[0]!;
+	targets[0]!.behaviour = TargetBehaviour.Slow;
+	const dispatcher = new undici.Agent({connections: 1});
+	const inFlight = send(node, 'in-flight', {dispatcher});
+	await waitUntil(() => targets[0]!.runIds.includes('in-flight'));
+	const exited = new Promise(resolve => {
+		node.process.once('exit', resolve);
+	});
+	node.process.kill('SIGTERM');
+	await waitUntil(async () => !(await node.isReady()));
+	const reply = await inFlight;
+	t.is(reply.status, 200);
+	targets[0]!.behaviour = TargetBehaviour.Serve;
+	const late = await send(node, 'late');
+	t.is(late.status, 200);
+	t.is(late.headers.connection, 'close');
+	t.is(await exited, 0);
+	t.true(node.lines.some(line => line.includes('"cutCallCount":0') && line.includes('node-stopped')));
+	await dispatcher.close();
+});
+
+test('SIGHUP does not end the process', async t => {
+	const {nodes} = await startFleet(t, {nodes: 1, targets: 1});
+	nodes[0]!.process.kill('SIGHUP');
+	t.is((await send(nodes[0]!, 'after')).status, 200);
+	t.is(nodes[0]!.process.exitCode, null);
+});
--- a/packages/daemon/src/fleet/bilberryd-fleet.ts
+++ b/packages/daemon/src/fleet/bilberryd-fleet.ts
@@ -38,7 +38,12 @@
 		}
 
 		const metricsPort = options.metricsPort === undefined ? undefined : Number(options.metricsPort);
-		await runFleetDaemon({settings: settings.value, logLevel: options.logLevel, metricsPort});
+		await runFleetDaemon({
+			settings: settings.value,
+			settingsFile: options.settings,
+			logLevel: options.logLevel,
+			metricsPort,
+		});
 		process.exit(0);
 	});
 
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -2,10 +2,13 @@
 import * as core from '@bilberrydoor/core';
 import type * as platform from '@bilberrydoor/platform';
 import {buildFleetPorts} from './build-fleet-ports.js';
+import {followSettings} from './follow-settings.js';
 import {followIdleTimeout, startFleetListeners, type FleetListeners, type StopProgress} from './fleet-listeners.js';
 
 export type FleetDaemonOptions = {
 	readonly settings: platform.PlatformSettings;
+	/** File that the settings came from. */
+	readonly settingsFile: string;
 	readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
 	readonly metricsPort: number | undefined;
 };
@@ -67,6 +70,10 @@
 	const tasks = Promise.all([
 		node.run(controller.signal),
 		followIdleTimeout(listeners.front, node.registry, controller.signal),
+		followSettings(
+			{fileName: options.settingsFile, settings, clock, logger, applyDispatcher: node.dispatchers.configure},
+			controller.signal,
+		),
 	]);
 	logger.info('node started', {event: 'node-started', incarnationId: node.self.incarnationId, ...settings});
 
