fix(registry): a lost source is known at once along the chain of followers; short silences are no evidence

Requests with short limits counted as silent targets. Change: a node whose source fails or is stale says so at once, refused readers follow the others, silence counts from three usual durations on. Work that may not be repeated goes where the last success is recent; bulk calls wait for their own region.

--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -6,7 +6,7 @@
 import type {DispatcherTable} from './dispatcher-table.js';
 
 /** What a call asks for, without the parts that depend on where it asks. */
-export type GrantWish = Omit<
+export type GrantWish = {/** Whether the call has a large body. */ readonly isBulk: boolean} & Omit<
 	ports.AcquireGrantRequest,
 	'region' | 'waitLimitMs' | 'isLastResort' | 'nodeId' | 'availabilityZone'
 >;
@@ -52,6 +52,12 @@
 /** How long a call waits in one region before it asks the next: twice the round trip between regions. */
 const SPILL_WAIT_MS = 80;
 
+/**
+ * Share of the time to its latency objective that a bulk call waits in one region before it asks the next. The link
+ * between regions is slow and paid by volume, so large bodies cross it only when waiting would make them late.
+ */
+const BULK_SPILL_RATIO = 0.35;
+
 /** Share of its remaining time that a call waits for a slot; the rest is for the work. */
 const WAIT_RATIO = 0.4;
 
@@ -86,7 +92,11 @@
 		return timed.value.value;
 	};
 
-	const askRegion = async (wish: GrantWish, step: Step, signal: AbortSignal): Promise<GrantAnswer> => {
+	const askRegion = async (
+		{isBulk: _isBulk, ...wish}: GrantWish,
+		step: Step,
+		signal: AbortSignal,
+	): Promise<GrantAnswer> => {
 		const request = {...wish, ...step, nodeId: self.nodeId, availabilityZone: self.availabilityZone};
 		const ranking = rankDispatchers(wish.service, step.region);
 		const hold = (reply: ports.AcquireGrantReply, dispatcher: domain.RegisteredNode): GrantAnswer =>
@@ -110,7 +120,12 @@
 		const regions = registry
 			.regionsOf(wish.service)
 			.toSorted((left, right) => Number(right === self.region) - Number(left === self.region));
-		return regions.map(region => ({region, waitLimitMs: SPILL_WAIT_MS, isLastResort: false}));
+		const bulkWaitMs = Math.max(SPILL_WAIT_MS, wish.objectiveLeftMs * BULK_SPILL_RATIO);
+		return regions.map((region, index) => ({
+			region,
+			waitLimitMs: wish.isBulk && index === 0 ? bulkWaitMs : SPILL_WAIT_MS,
+			isLastResort: false,
+		}));
 	};
 
 	const tellDispatcher = async (node: domain.RegisteredNode, request: ports.ReportResultRequest): Promise<void> => {
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -1,4 +1,4 @@
-import type * as domain from '@bilberrydoor/domain';
+import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import type {GrayPhases} from './gray-phases.js';
@@ -33,6 +33,12 @@
 /** A call that takes this many times the usual duration counts as overdue: longer than all but 2 in 100 calls. */
 const OVERDUE_FACTOR = 4;
 
+/** A silence of this many times the usual duration is evidence against a target. */
+const TELLING_SILENCE_FACTOR = 3;
+
+/** Duration assumed for a route without a success, in ms. */
+const UNKNOWN_DURATION_MS = 300;
+
 /** A target's connection of a node is reused for about this time. */
 const CONNECTION_REUSE_MS = 4000;
 
@@ -48,6 +54,21 @@
 const CONNECTION_BONUS = 0.1;
 const ZONE_BONUS = 0.15;
 
+/**
+ * A target that has just served is hardly gray, and one that has not served for a while may be. Work that may not be
+ * repeated goes where the last success is recent, and so spares the first failure of targets that turned gray unseen.
+ */
+const STALENESS_COSTS: Record<domain.Repeatability, number> = {
+	[domain.Repeatability.Repeatable]: 0,
+	[domain.Repeatability.Single]: 0.6,
+};
+
+/** Age of a success at which it says nothing about the target any more. */
+const STALE_SUCCESS_MS = 10_000;
+
+/** A target that has never served is tried before the others, so that new capacity is in use within seconds. */
+const UNTRIED_BONUS = 1;
+
 type OpenGrant = {readonly routeId: string; readonly grantedAtMs: number; readonly expiresAtMs: number};
 
 type Absence = {
@@ -63,7 +84,7 @@
 export type AttemptEnd = Pick<ports.ReportResultRequest, 'grantId' | 'nodeId' | 'routeId' | 'result' | 'durationMs'>;
 
 /** Node that asks for a target. */
-export type Asker = Pick<ports.AcquireGrantRequest, 'nodeId' | 'availabilityZone'>;
+export type Asker = Pick<ports.AcquireGrantRequest, 'nodeId' | 'availabilityZone' | 'repeatability'>;
 
 export type LedgerParts = {
 	readonly options: DispatcherOptions;
@@ -90,7 +111,6 @@
 	lastFaultAtMs(): number;
 	/** Returns that failed since the target was set aside. */
 	failedReturnCount(): number;
-	hasSucceeded(): boolean;
 	open(grantId: string, request: Pick<ports.AcquireGrantRequest, 'nodeId' | 'routeId'>, ttlMs: number): void;
 	/** Records an attempt's result. True when the target was set aside by it. */
 	close(end: AttemptEnd): boolean;
@@ -109,7 +129,7 @@
 	let evidenceAtMs = knownSinceMs;
 	let absence: Absence | undefined;
 	let lastFaultAtMs = 0;
-	let successCount = 0;
+	let lastSuccessAtMs: number | undefined;
 	/** Mean of the calls' durations relative to their routes' usual ones. */
 	let slowness = 1;
 	let restingUntilMs = 0;
@@ -181,11 +201,17 @@
 		return addEvidence(PATH_EVIDENCE);
 	};
 
+	/** A short time limit passes at sound targets too, so only a long silence is evidence. */
+	const noteSilence = (end: AttemptEnd): boolean => {
+		const usualMs = durations.ofRoute(end.routeId) ?? UNKNOWN_DURATION_MS;
+		return end.durationMs >= usualMs * TELLING_SILENCE_FACTOR && losePath(end);
+	};
+
 	const resultHandlers: Record<ports.GrantResult, (end: AttemptEnd) => boolean> = {
 		[ports.GrantResult.Success]({nodeId, routeId, durationMs}) {
 			advanceTrial();
 			evidence = Math.max(0, readEvidence() + Math.log((1 - options.grayFailureRatio) / (1 - failureRatio.read())));
-			successCount++;
+			lastSuccessAtMs = clock.monotonicMs();
 			shedSlotCount = Math.max(0, shedSlotCount - 1);
 			const usualMs = durations.ofRoute(routeId);
 			slowness += usualMs ? (durationMs / usualMs - slowness) / DURATION_WINDOW_COUNT : 0;
@@ -214,7 +240,7 @@
 		},
 		[ports.GrantResult.Unreachable]: losePath,
 		[ports.GrantResult.Broken]: losePath,
-		[ports.GrantResult.Silent]: losePath,
+		[ports.GrantResult.Silent]: noteSilence,
 		[ports.GrantResult.Cancelled]: () => false,
 	};
 
@@ -246,7 +272,7 @@
 
 			return nowMs < restingUntilMs ? GrantStanding.Resting : GrantStanding.Sound;
 		},
-		costFor({nodeId, availabilityZone}) {
+		costFor({nodeId, availabilityZone, repeatability}) {
 			const nowMs = clock.monotonicMs();
 			const relativeDuration = Math.min(SLOWNESS_RANGE.maximum, Math.max(SLOWNESS_RANGE.minimum, slowness));
 			const warmUpFactor = nowMs - knownSinceMs < target.warmUpLeftMs ? 2 : 1;
@@ -255,10 +281,14 @@
 				return usualMs !== undefined && nowMs - grant.grantedAtMs > usualMs * OVERDUE_FACTOR;
 			}).length;
 			const hasConnection = nowMs - (lastUseByNode.get(nodeId) ?? -CONNECTION_REUSE_MS) < CONNECTION_REUSE_MS;
+			const staleness = lastSuccessAtMs === undefined ? 0 : Math.min(1, (nowMs - lastSuccessAtMs) / STALE_SUCCESS_MS);
+			const isUntried = lastSuccessAtMs === undefined && openGrants.size === 0 && warmUpFactor === 1;
 			const occupancy = (openGrants.size + 1) / slotCount();
 			return (
 				occupancy * relativeDuration * warmUpFactor +
-				overdueCount * OVERDUE_COST +
+				staleness * STALENESS_COSTS[repeatability] +
+				overdueCount * OVERDUE_COST -
+				(isUntried ? UNTRIED_BONUS : 0) +
 				Math.max(0, readEvidence()) * EVIDENCE_COST -
 				(hasConnection ? CONNECTION_BONUS : 0) -
 				(target.availabilityZone === availabilityZone ? ZONE_BONUS : 0)
@@ -266,7 +296,6 @@
 		},
 		lastFaultAtMs: () => lastFaultAtMs,
 		failedReturnCount: () => absence?.failedReturnCount ?? 0,
-		hasSucceeded: () => successCount > 0,
 		open(grantId, {nodeId, routeId}, ttlMs) {
 			const nowMs = clock.monotonicMs();
 			openGrants.set(grantId, {routeId, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -67,6 +67,7 @@
 				service: state.service,
 				priority: state.route.priority,
 				repeatability: state.route.repeatability,
+				isBulk: state.route.isBulk,
 				attemptIndex: state.sentCount,
 				remainingMs: remainingMs(state),
 				objectiveLeftMs: state.call.receivedAtMs + state.route.latencyObjectiveMs - clock.monotonicMs(),
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -4,7 +4,7 @@
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
 import type {PeerStanding} from './peer-standing.js';
-import type {Registry} from './registry.js';
+import {STALE_AGE_MS, type Registry} from './registry.js';
 import type {StoreReader} from './store-reader.js';
 
 export type RegistrySyncOptions = {
@@ -32,15 +32,21 @@
 /** Time beyond the wait after which a pull has failed: two round trips between regions and a slow node. */
 const PULL_SLACK_MS = 600;
 
-/** Age from which what a peer knows is stale; two missed reads of the targets' topic. */
-const STALE_AGE_MS = 2200;
-
 /** How long a new node waits for a seed before it reads the store itself. */
 const SEED_WAIT_MS = 800;
 
 /** How often a reader checks whether it still ranks first. */
 const READER_TURN_MS = 1000;
 
+/** Pauses of a follower whose sources are all stale, before it asks them again. */
+const STALE_BACK_OFF = {firstMs: 150, limitMs: 1000};
+
+/** How long a follower stays with a source that was fresh, before it asks the first of the ranking again. */
+const SOURCE_STAY_MS = 4000;
+
+/** Pauses of a reader that lost the store, before it reads for others again. */
+const LOST_STORE_BACK_OFF = {firstMs: 800, limitMs: 3000};
+
 /** Pause of a follower between reads of its own when every reader is stale; long, because all followers do the same. */
 const OWN_READ_BACK_OFF = {firstMs: 1500, limitMs: 4000};
 
@@ -51,6 +57,11 @@
 export const runRegistrySync = async (options: RegistrySyncOptions, signal: AbortSignal): Promise<void> => {
 	const {self, registry, peerStanding, clock} = options;
 	const ownReadBackOff = createBackOff({random: options.random, ...OWN_READ_BACK_OFF});
+	const staleBackOff = createBackOff({random: options.random, ...STALE_BACK_OFF});
+	const lostBackOff = createBackOff({random: options.random, ...LOST_STORE_BACK_OFF});
+	let lostUntilMs = 0;
+	let stay = {address: '', untilMs: 0};
+	let nextOwnReadAtMs = 0;
 
 	const rankReaders = (): readonly domain.RegisteredNode[] => registry.rankNodes(READER_KEY, self.region, READER_COUNT);
 
@@ -70,16 +81,19 @@
 
 		if (timed.isTimedOut || timed.value.isErr()) {
 			peerStanding.recordFailure(address);
+			registry.setSourceLost(true);
 			return false;
 		}
 
 		peerStanding.recordSuccess(address);
 		registry.apply(timed.value.value.topics, timed.value.value.ageMs);
-		return timed.value.value.ageMs < STALE_AGE_MS;
+		const isFresh = timed.value.value.ageMs < STALE_AGE_MS;
+		registry.setSourceLost(!isFresh);
+		return isFresh;
 	};
 
-	/** Reads the store while this node ranks first, or while those before it are stale. */
-	const readAsReader = async (isStillReader: () => boolean): Promise<void> => {
+	/** Reads the store for as long as the node is a reader and the store answers. True when the store was lost. */
+	const readAsReader = async (isStillReader: () => boolean): Promise<boolean> => {
 		const controller = new AbortController();
 		const stop = (): void => {
 			controller.abort(STOP_REASON);
@@ -89,11 +103,13 @@
 		const reading = options.storeReader.run(controller.signal);
 		do {
 			await clock.sleep(READER_TURN_MS, signal);
-		} while (!signal.aborted && isStillReader());
+		} while (!signal.aborted && registry.ageMs() < STALE_AGE_MS && isStillReader());
 
+		const isLost = registry.ageMs() >= STALE_AGE_MS;
 		stop();
 		signal.removeEventListener('abort', stop);
 		await reading;
+		return isLost;
 	};
 
 	const start = async (): Promise<void> => {
@@ -106,40 +122,72 @@
 		}
 	};
 
-	/** One round of a node that does not rank first: pulls from the readers before it, or reads on its own. */
-	const followOnce = async (readers: readonly domain.RegisteredNode[]): Promise<void> => {
-		const ownRank = readers.findIndex(({nodeId}) => nodeId === self.nodeId);
-		const sources = ownRank === -1 ? readers : readers.slice(0, ownRank);
+	/** A reader that lost the store follows the others for a while, since the store may refuse this node only. */
+	const notePause = (isLost: boolean): void => {
+		if (!isLost) {
+			lostBackOff.reset();
+			return;
+		}
+
+		lostUntilMs = clock.monotonicMs() + lostBackOff.nextMs();
+	};
+
+	/** Sources in the order in which they are asked: the one that was fresh a moment ago, then by rank. */
+	const orderSources = (readers: readonly domain.RegisteredNode[]): readonly domain.RegisteredNode[] => {
+		const isStaying = clock.monotonicMs() < stay.untilMs;
+		return isStaying
+			? readers.toSorted(
+					(left, right) => Number(right.address === stay.address) - Number(left.address === stay.address),
+				)
+			: readers;
+	};
+
+	const pullFromAny = async (sources: readonly domain.RegisteredNode[]): Promise<boolean> => {
 		for (const {address} of sources) {
 			if (await pullFrom(address, PULL_WAIT_MS)) {
-				ownReadBackOff.reset();
-				return;
+				const isNew = stay.address !== address || clock.monotonicMs() >= stay.untilMs;
+				stay = isNew ? {address, untilMs: clock.monotonicMs() + SOURCE_STAY_MS} : stay;
+				return true;
 			}
 		}
 
-		if (signal.aborted) {
+		return false;
+	};
+
+	/** One round of a node that does not read for others: pulls from the readers, or reads on its own. */
+	const followOnce = async (readers: readonly domain.RegisteredNode[]): Promise<void> => {
+		const ownRank = readers.findIndex(({nodeId}) => nodeId === self.nodeId);
+		const isFresh = await pullFromAny(orderSources(readers.filter(({nodeId}) => nodeId !== self.nodeId)));
+		if (isFresh || signal.aborted) {
+			staleBackOff.reset();
+			ownReadBackOff.reset();
 			return;
 		}
 
-		if (ownRank !== -1) {
+		if (ownRank !== -1 && clock.monotonicMs() >= lostUntilMs) {
 			options.logger.info('reading the store in place of stale readers', {event: 'reader-took-over', ownRank});
 			let turnsLeft = STAND_IN_TURN_COUNT;
-			await readAsReader(() => registry.ageMs() < STALE_AGE_MS && turnsLeft-- > 0);
+			notePause(await readAsReader(() => turnsLeft-- > 0));
 			return;
 		}
 
-		if (registry.ageMs() >= STALE_AGE_MS) {
+		if (registry.ageMs() >= STALE_AGE_MS && clock.monotonicMs() >= nextOwnReadAtMs) {
+			nextOwnReadAtMs = clock.monotonicMs() + ownReadBackOff.nextMs();
 			await options.storeReader.readOnce(signal);
 		}
 
-		await clock.sleep(ownReadBackOff.nextMs(), signal);
+		await clock.sleep(staleBackOff.nextMs(), signal);
 	};
 
 	await start();
 	while (!signal.aborted) {
 		const readers = rankReaders();
-		await (readers[0]?.nodeId === self.nodeId
-			? readAsReader(() => rankReaders()[0]?.nodeId === self.nodeId)
-			: followOnce(readers));
+		const isFirst = (): boolean => rankReaders()[0]?.nodeId === self.nodeId;
+		if (isFirst() && clock.monotonicMs() >= lostUntilMs) {
+			notePause(await readAsReader(isFirst));
+			continue;
+		}
+
+		await followOnce(readers);
 	}
 };
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -9,6 +9,9 @@
 /** Age that a node reports which has never read the store. */
 export const NEVER_READ_AGE_MS = 1_000_000_000;
 
+/** Age from which what a node knows is stale; two missed reads of the targets' topic. */
+export const STALE_AGE_MS = 2200;
+
 /** Names the targets of a service in a region. */
 export const buildGroupId = (service: string, region: string): string => `${service}@${region}`;
 
@@ -30,6 +33,11 @@
 	rankNodes(key: string, region: string, limitCount: number): readonly domain.RegisteredNode[];
 	/** Takes over what the store or a peer sent. */
 	apply(topics: Partial<ports.PullRegistryReply['topics']>, ageMs: number): void;
+	/**
+	 * Notes whether the store or the peer that this node learns from has failed or is stale itself. Nodes that learn from
+	 * this one hear of it at once and turn to another source before their records grow old.
+	 */
+	setSourceLost(isLost: boolean): void;
 	/** Time since the store last answered a node that this one learns from, in ms. */
 	ageMs(): number;
 	/** What a peer lacks; waits for a change when there is none. */
@@ -82,6 +90,7 @@
 	const gate = createChangeGate(clock);
 	const readTargetIndex = createTargetIndex(replicas.targets, clock);
 	let freshAtMs = -NEVER_READ_AGE_MS;
+	let isLost = false;
 	let catalogue: domain.FleetCatalogue | undefined;
 
 	const nodesOf = (region: string): readonly domain.RegisteredNode[] => {
@@ -91,7 +100,13 @@
 		return region === self.region ? [...others, self] : others;
 	};
 
-	const ageMs = (): number => Math.min(NEVER_READ_AGE_MS, clock.monotonicMs() - freshAtMs);
+	const ageMs = (): number => {
+		const sinceReadMs = Math.min(NEVER_READ_AGE_MS, clock.monotonicMs() - freshAtMs);
+		return isLost ? Math.max(sinceReadMs, STALE_AGE_MS) : sinceReadMs;
+	};
+
+	/** Whether this node has lost its source. One that never had any is about to get its first. */
+	const isSourceLost = (): boolean => ageMs() >= STALE_AGE_MS && ageMs() < NEVER_READ_AGE_MS;
 
 	const takeCatalogue = (): void => {
 		const newest = [...replicas.catalogue.values().values()].reduce<domain.FleetCatalogue | undefined>(
@@ -146,9 +161,16 @@
 				gate.announce();
 			}
 		},
+		setSourceLost(isNowLost) {
+			const isNews = isNowLost && !isLost;
+			isLost = isNowLost;
+			if (isNews) {
+				gate.announce();
+			}
+		},
 		ageMs,
 		async pull(request, signal) {
-			if (!hasChanges(request)) {
+			if (!hasChanges(request) && !isSourceLost()) {
 				await gate.wait(request.waitMs, signal);
 			}
 
--- a/packages/core/src/registry/store-reader.ts
+++ b/packages/core/src/registry/store-reader.ts
@@ -49,6 +49,7 @@
 
 	const recordResult = (topic: ports.RegistryTopic, error: ports.RegistryError | undefined): void => {
 		const isLost = error !== undefined;
+		registry.setSourceLost(isLost);
 		if (isLost === isStoreLost) {
 			return;
 		}
--- /dev/null
+++ b/packages/fakes/src/__tests__/registry-sync.test.ts
@@ -0,0 +1,161 @@
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import test, {type ExecutionContext} from 'ava';
+import * as neverthrow from 'neverthrow';
+import {buildFleetCatalogue, buildHostRoute, buildNode, buildTarget} from '../build-fleet.js';
+import {createFakeMetrics, createSilentLogger} from '../fake-observability.js';
+import {createFakeRegistryStore} from '../fake-registry-store.js';
+import {createSeededRandom} from '../seeded-random.js';
+import {createVirtualClock} from '../virtual-clock.js';
+
+/** Bound for configuration and for targets that leave, from the store's acknowledgement. */
+const IN_FORCE_MS = 2500;
+
+const NETWORK_MS = 1;
+
+const createFleet = (t: ExecutionContext, nodeCount: number) => {
+	const clock = createVirtualClock();
+	const store = createFakeRegistryStore(clock);
+	const logger = createSilentLogger();
+	const metrics = createFakeMetrics();
+	const cutNodeIds = new Set<string>();
+	const nodes = new Map<string, core.FleetNode>();
+	const ids = Array.from({length: nodeCount}, (_, index) => `node-${index}`);
+	const createPeerClient = (senderId: string): core.FleetPeerClient => ({
+		async request(address, kind, request, signal) {
+			await clock.sleep(NETWORK_MS, signal);
+			const receiver = [...nodes.values()].find(({self}) => self.address === address);
+			if (!receiver || cutNodeIds.has(senderId) || cutNodeIds.has(receiver.self.nodeId)) {
+				return neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'cut'});
+			}
+
+			return neverthrow.ok(await receiver.messageHandlers[kind](request as never, signal)) as never;
+		},
+	});
+	const startNode = (nodeId: string, seed: number): void => {
+		const node = core.createFleetNode({
+			ports: {
+				clock,
+				random: createSeededRandom(seed),
+				logger,
+				metrics,
+				store: store.openFor(nodeId),
+				peerClient: createPeerClient(nodeId),
+				targetClient: {
+					send: async () => neverthrow.err({kind: core.AttemptErrorKind.Unreachable, detail: 'no target'}),
+				},
+			},
+			settings: {self: buildNode(nodeId), seedAddresses: [buildNode('node-0').address]},
+		});
+		nodes.set(nodeId, node);
+		const controller = new AbortController();
+		t.teardown(() => {
+			controller.abort();
+		});
+		void node.run(controller.signal);
+	};
+
+	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(1, [buildHostRoute()]));
+	store.write(core.RegistryTopic.Targets, 'a', buildTarget({targetId: 'a'}));
+	ids.forEach(startNode);
+	const listVersions = (): Array<number | undefined> =>
+		[...nodes.values()].map(({registry}) => registry.catalogue()?.version);
+	return {clock, store, nodes, cutNodeIds, startNode, listVersions};
+};
+
+/** Id of the node that reads the store for the others. */
+const findReaderId = (nodes: ReadonlyMap<string, core.FleetNode>): string =>
+	[...nodes.values()][0]!.registry.rankNodes('registry-reader', 'pwani', 1)[0]!.nodeId;
+
+test('all nodes learn the catalogue, the targets and each other', async t => {
+	const {clock, nodes, listVersions} = createFleet(t, 6);
+	await clock.advance(3000);
+	t.deepEqual(
+		listVersions(),
+		Array.from({length: 6}, () => 1),
+	);
+	t.true([...nodes.values()].every(({registry}) => registry.nodesOf('pwani').length === 6));
+	t.true([...nodes.values()].every(({registry}) => registry.target('a') !== undefined));
+});
+
+test('few nodes read the store', async t => {
+	const {clock, store} = createFleet(t, 20);
+	await clock.advance(5000);
+	const before = store.callCount;
+	await clock.advance(20_000);
+	// One reader: a read of the targets each 0.8 s, and a long poll now and then.
+	t.true(store.callCount - before < 40, `${store.callCount - before} calls`);
+});
+
+test('a change is in force on all nodes in time while the store refuses the reader', async t => {
+	const {clock, store, nodes, listVersions} = createFleet(t, 8);
+	await clock.advance(5000);
+	store.refusedNodeIds.add(findReaderId(nodes));
+	await clock.advance(100);
+	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(2, [buildHostRoute()]));
+	const draining = buildTarget({targetId: 'a', readiness: domain.TargetReadiness.Draining});
+	store.write(core.RegistryTopic.Targets, 'a', draining);
+	await clock.advance(IN_FORCE_MS);
+	t.deepEqual(
+		listVersions(),
+		Array.from({length: 8}, () => 2),
+	);
+	t.true(
+		[...nodes.values()].every(({registry}) => registry.target('a')?.readiness === domain.TargetReadiness.Draining),
+	);
+});
+
+test('a change is in force in time while the store refuses two of the three readers', async t => {
+	const {clock, store, nodes, listVersions} = createFleet(t, 8);
+	await clock.advance(5000);
+	const readers = [...nodes.values()][0]!.registry.rankNodes('registry-reader', 'pwani', 2);
+	readers.forEach(({nodeId}) => {
+		store.refusedNodeIds.add(nodeId);
+	});
+	await clock.advance(100);
+	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(2, [buildHostRoute()]));
+	await clock.advance(IN_FORCE_MS);
+	t.deepEqual(
+		listVersions(),
+		Array.from({length: 8}, () => 2),
+	);
+});
+
+test('a change is in force in time although the reader was cut off', async t => {
+	const {clock, store, nodes, cutNodeIds, listVersions} = createFleet(t, 8);
+	await clock.advance(5000);
+	const readerId = findReaderId(nodes);
+	cutNodeIds.add(readerId);
+	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(2, [buildHostRoute()]));
+	await clock.advance(IN_FORCE_MS);
+	t.deepEqual(
+		listVersions(),
+		Array.from({length: 8}, () => 2),
+	);
+});
+
+test('a node that the store refuses from its start learns from its peers', async t => {
+	const {clock, store, nodes, startNode} = createFleet(t, 3);
+	await clock.advance(5000);
+	store.refusedNodeIds.add('node-9');
+	startNode('node-9', 9);
+	await clock.advance(IN_FORCE_MS);
+	t.is(nodes.get('node-9')?.registry.catalogue()?.version, 1);
+});
+
+test('nodes do not crowd a store that is down, and catch up when it is back', async t => {
+	const {clock, store, listVersions} = createFleet(t, 20);
+	await clock.advance(5000);
+	store.isDown = true;
+	const before = store.callCount;
+	await clock.advance(10_000);
+	// Readers try again about once a second and topic, the other nodes each few seconds.
+	t.true(store.callCount - before < 400, `${store.callCount - before} calls`);
+	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(2, [buildHostRoute()]));
+	store.isDown = false;
+	await clock.advance(IN_FORCE_MS);
+	t.deepEqual(
+		listVersions(),
+		Array.from({length: 20}, () => 2),
+	);
+});
--- /dev/null
+++ b/packages/fakes/src/fake-registry-store.ts
@@ -0,0 +1,83 @@
+import * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
+import * as neverthrow from 'neverthrow';
+
+type AnyRecord = core.RegistryRecord<core.RegistryTopic>;
+
+/** The platform's store in memory, seen from several nodes. */
+export type FakeRegistryStore = {
+	/** Nodes that the store refuses. */
+	readonly refusedNodeIds: Set<string>;
+	readonly callCount: number;
+	/** True while it refuses everyone. */
+	isDown: boolean;
+	write<Topic extends core.RegistryTopic>(
+		topic: Topic,
+		key: string,
+		value: core.RegistryValues[Topic] | undefined,
+	): void;
+	/** The store as the node sees it. */
+	openFor(nodeId: string): core.RegistryStore;
+};
+
+const POLL_MS = 10;
+const ANSWER_MS = 4;
+
+export const createFakeRegistryStore = (clock: core.Clock): FakeRegistryStore => {
+	const topics = new Map<core.RegistryTopic, AnyRecord[]>();
+	const listRecords = (topic: core.RegistryTopic): AnyRecord[] => {
+		const records = topics.get(topic) ?? [];
+		topics.set(topic, records);
+		return records;
+	};
+
+	const store = {
+		refusedNodeIds: new Set<string>(),
+		callCount: 0,
+		isDown: false,
+		write(topic: core.RegistryTopic, key: string, value: AnyRecord['value']) {
+			listRecords(topic).push({key, offset: listRecords(topic).length, value});
+		},
+	};
+
+	const openFor = (nodeId: string): core.RegistryStore => {
+		const answer = async <Value>(read: () => Value): Promise<neverthrow.Result<Value, core.RegistryError>> => {
+			store.callCount++;
+			await clock.sleep(ANSWER_MS);
+			return store.isDown || store.refusedNodeIds.has(nodeId)
+				? neverthrow.err({kind: core.RegistryErrorKind.Unavailable, detail: 'refused'})
+				: neverthrow.ok(read());
+		};
+
+		return {
+			async readChanges(topic, {fromOffset, waitMs}, signal) {
+				const untilMs = clock.monotonicMs() + waitMs;
+				const hasNothing = (): boolean => listRecords(topic).length <= fromOffset;
+				while (hasNothing() && clock.monotonicMs() < untilMs && !signal.aborted) {
+					await clock.sleep(POLL_MS, signal);
+				}
+
+				return answer(() => ({
+					records: listRecords(topic).slice(fromOffset) as never[],
+					nextOffset: listRecords(topic).length,
+				}));
+			},
+			readAll: async topic =>
+				answer(() => {
+					const newest = new Map(listRecords(topic).map(record => [record.key, record]));
+					const records = [...newest.values()].filter(({value}) => value !== undefined);
+					return {records: records as never[], nextOffset: listRecords(topic).length};
+				}),
+			publishNode: async (node: domain.RegisteredNode) =>
+				answer(() => {
+					store.write(core.RegistryTopic.Nodes, node.nodeId, node);
+				}),
+			withdrawNode: async withdrawnId =>
+				answer(() => {
+					store.write(core.RegistryTopic.Nodes, withdrawnId, undefined);
+				}),
+		};
+	};
+
+	return Object.assign(store, {openFor});
+};
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -7,6 +7,7 @@
 export * from './fake-log-service.js';
 export * from './fake-network.js';
 export * from './fake-observability.js';
+export * from './fake-registry-store.js';
 export * from './fake-target.js';
 export * from './fake-vm-list.js';
 export * from './fleet-event.js';
