fix(grants): wait for a sound target before a gray one is tried, and set nothing aside for shedding

Change: calls wait in their own region, then in the other, then for 0.4 of their time, and only then take the last resort; refusals for lack of room rest a target for 150 ms; bulk calls cross regions last.

--- a/packages/core/src/grants/dispatcher-options.ts
+++ b/packages/core/src/grants/dispatcher-options.ts
@@ -42,7 +42,7 @@
 	trialSuccessCount: 2,
 	trialLimitMs: 10_000,
 	pathAbsenceMs: 4000,
-	shedPauseMs: 300,
-	trialOccupancyRatio: 0.6,
+	shedPauseMs: 150,
+	trialOccupancyRatio: 0.8,
 	grantSlackMs: 500,
 };
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -49,14 +49,14 @@
 /** Time in which a dispatcher takes a report. */
 const REPORT_TIMEOUT_MS = 1000;
 
-/** How long a call waits in one region before it asks the next: twice the round trip between regions. */
+/** Shortest wait in one region before the next is asked: twice the round trip between regions. */
 const SPILL_WAIT_MS = 80;
 
 /**
- * Share of the time to its latency objective that a bulk call waits in one region before it asks the next. The link
- * between regions is slow and paid by volume, so large bodies cross it only when waiting would make them late.
+ * Share of the time to its latency objective that a call waits in one region before it asks the next. The link between
+ * regions is slow and paid by volume, and a short wait costs the caller nothing.
  */
-const BULK_SPILL_RATIO = 0.35;
+const SPILL_RATIO = 0.2;
 
 /** Share of its remaining time that a call waits for a slot; the rest is for the work. */
 const WAIT_RATIO = 0.4;
@@ -116,14 +116,17 @@
 		return hold(reply, self);
 	};
 
+	/** Regions of the service, the own one first, with the time that the call may wait in each. */
 	const planSteps = (wish: GrantWish): readonly Step[] => {
 		const regions = registry
 			.regionsOf(wish.service)
 			.toSorted((left, right) => Number(right === self.region) - Number(left === self.region));
-		const bulkWaitMs = Math.max(SPILL_WAIT_MS, wish.objectiveLeftMs * BULK_SPILL_RATIO);
+		const shortWaitMs = Math.max(SPILL_WAIT_MS, wish.objectiveLeftMs * SPILL_RATIO);
+		// Large bodies cross the link between regions only when waiting would make them late.
+		const ownWaitMs = wish.isBulk ? Math.max(shortWaitMs, wish.remainingMs * WAIT_RATIO) : shortWaitMs;
 		return regions.map((region, index) => ({
 			region,
-			waitLimitMs: wish.isBulk && index === 0 ? bulkWaitMs : SPILL_WAIT_MS,
+			waitLimitMs: index === 0 ? ownWaitMs : shortWaitMs,
 			isLastResort: false,
 		}));
 	};
@@ -168,8 +171,13 @@
 				return nearest.denial;
 			}
 
+			// A wait for a sound target serves the caller better than a target that is thought to be gray.
+			const {region} = nearest.step;
 			const waitLimitMs = Math.max(0, wish.remainingMs * WAIT_RATIO);
-			return askRegion(wish, {region: nearest.step.region, waitLimitMs, isLastResort: true}, signal);
+			const awaited = await askRegion(wish, {region, waitLimitMs, isLastResort: false}, signal);
+			return awaited.isGranted || signal.aborted
+				? awaited
+				: askRegion(wish, {region, waitLimitMs: 0, isLastResort: true}, signal);
 		},
 		report(grant, result, durationMs) {
 			const {service} = grant.target;
--- a/packages/core/src/grants/gray-phases.ts
+++ b/packages/core/src/grants/gray-phases.ts
@@ -10,7 +10,7 @@
  */
 const FIRST_ABSENCE_RATIOS: Record<domain.Repeatability, number> = {
 	[domain.Repeatability.Repeatable]: 0.35,
-	[domain.Repeatability.Single]: 0.7,
+	[domain.Repeatability.Single]: 1,
 };
 
 /** Learns how long the targets of a group stay gray, and from that how long to leave one out. */
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -113,23 +113,22 @@
 		const onTrial = byStanding(GrantStanding.OnTrial).filter(ledger => ledger.openCount() === 0);
 		const openCount = sound.reduce((sum, ledger) => sum + ledger.openCount(), 0);
 		const slotCount = sound.reduce((sum, ledger) => sum + ledger.slotCount(), 0);
-		const isRepeatable = request.repeatability === domain.Repeatability.Repeatable && request.attemptIndex === 0;
+		const isRepeatable =
+			request.repeatability === domain.Repeatability.Repeatable && request.attemptIndex === 0 && budget.hasRetry();
 		const isScarce = openCount >= slotCount * options.trialOccupancyRatio;
 		const isTrialDue = isRepeatable || isScarce || free.length === 0;
 		if (onTrial.length > 0 && isTrialDue) {
 			return pickCheapest(onTrial, request);
 		}
 
-		const best = pickCheapest(free, request);
+		// Refusals come and go with chance when a whole service sheds, so a resting target is still worth a call.
+		const resting = byStanding(GrantStanding.Resting).filter(hasRoom);
+		const best = pickCheapest(free, request) ?? pickCheapest(resting, request);
 		if (best !== undefined || !request.isLastResort) {
 			return best;
 		}
 
-		return [
-			...byStanding(GrantStanding.Resting),
-			...byStanding(GrantStanding.SetAside),
-			...byStanding(GrantStanding.OnTrial),
-		]
+		return [...byStanding(GrantStanding.OnTrial), ...byStanding(GrantStanding.SetAside)]
 			.filter(hasRoom)
 			.toSorted(
 				(left, right) =>
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -24,9 +24,6 @@
 /** Evidence of a lost path: two nodes that fail within seconds make the target suspect, one does not. */
 const PATH_EVIDENCE = 2;
 
-/** Evidence of a refusal by a target whose slots were mostly free. */
-const EARLY_SHED_EVIDENCE = 1.5;
-
 /** A target's relative slowness follows this many calls. */
 const DURATION_WINDOW_COUNT = 6;
 
@@ -69,7 +66,10 @@
 /** A target that has never served is tried before the others, so that new capacity is in use within seconds. */
 const UNTRIED_BONUS = 1;
 
-type OpenGrant = {readonly routeId: string; readonly grantedAtMs: number; readonly expiresAtMs: number};
+type OpenGrant = Pick<ports.AcquireGrantRequest, 'routeId' | 'repeatability'> & {
+	readonly grantedAtMs: number;
+	readonly expiresAtMs: number;
+};
 
 type Absence = {
 	/** When the target was first found gray. */
@@ -111,7 +111,11 @@
 	lastFaultAtMs(): number;
 	/** Returns that failed since the target was set aside. */
 	failedReturnCount(): number;
-	open(grantId: string, request: Pick<ports.AcquireGrantRequest, 'nodeId' | 'routeId'>, ttlMs: number): void;
+	open(
+		grantId: string,
+		request: Pick<ports.AcquireGrantRequest, 'nodeId' | 'routeId' | 'repeatability'>,
+		ttlMs: number,
+	): void;
 	/** Records an attempt's result. True when the target was set aside by it. */
 	close(end: AttemptEnd): boolean;
 };
@@ -154,11 +158,11 @@
 	const slotCount = (): number => Math.max(1, target.slotCount - shedSlotCount);
 
 	/** Sets the target aside. A failure during an absence comes from an earlier grant and changes nothing. */
-	const setAside = (): void => {
+	const setAside = (): boolean => {
 		const nowMs = clock.monotonicMs();
 		evidence = 0;
 		if (absence !== undefined && nowMs < absence.untilMs) {
-			return;
+			return false;
 		}
 
 		const failedReturnCount = absence === undefined ? 0 : absence.failedReturnCount + 1;
@@ -168,16 +172,18 @@
 			failedReturnCount,
 			trialSuccessCount: 0,
 		};
+		return true;
 	};
 
 	/** Counts a success towards the end of a trial. */
-	const advanceTrial = (): void => {
+	const advanceTrial = (isRepeatable: boolean): void => {
 		const nowMs = clock.monotonicMs();
 		if (absence === undefined || nowMs < absence.untilMs) {
 			return;
 		}
 
-		absence.trialSuccessCount++;
+		// A trial with work that may not be repeated is dear, so its success counts for all.
+		absence.trialSuccessCount += isRepeatable ? 1 : options.trialSuccessCount;
 		if (absence.trialSuccessCount >= options.trialSuccessCount) {
 			phases.recordPhase(nowMs - absence.sinceMs);
 			absence = undefined;
@@ -189,8 +195,7 @@
 		evidence = readEvidence() + amount;
 		const isOnTrial = absence !== undefined && lastFaultAtMs >= absence.untilMs;
 		if (isOnTrial || priorOdds + evidence > 0) {
-			setAside();
-			return true;
+			return setAside();
 		}
 
 		return false;
@@ -207,9 +212,9 @@
 		return end.durationMs >= usualMs * TELLING_SILENCE_FACTOR && losePath(end);
 	};
 
-	const resultHandlers: Record<ports.GrantResult, (end: AttemptEnd) => boolean> = {
-		[ports.GrantResult.Success]({nodeId, routeId, durationMs}) {
-			advanceTrial();
+	const resultHandlers: Record<ports.GrantResult, (end: AttemptEnd, isRepeatable: boolean) => boolean> = {
+		[ports.GrantResult.Success]({nodeId, routeId, durationMs}, isRepeatable) {
+			advanceTrial(isRepeatable);
 			evidence = Math.max(0, readEvidence() + Math.log((1 - options.grayFailureRatio) / (1 - failureRatio.read())));
 			lastSuccessAtMs = clock.monotonicMs();
 			shedSlotCount = Math.max(0, shedSlotCount - 1);
@@ -230,14 +235,12 @@
 		},
 		[ports.GrantResult.Shed]() {
 			restingUntilMs = clock.monotonicMs() + options.shedPauseMs;
-			const isEarly = openGrants.size + 1 <= slotCount() / 2;
-			shedSlotCount = Math.min(target.slotCount - 1, shedSlotCount + 1);
-			return isEarly && addEvidence(EARLY_SHED_EVIDENCE);
-		},
-		[ports.GrantResult.Replaced]() {
-			setAside();
-			return true;
+			// A target that refuses work while most of its slots are free is not short of slots.
+			const isFull = openGrants.size + 1 > target.slotCount / 2;
+			shedSlotCount = Math.min(target.slotCount - 1, shedSlotCount + (isFull ? 1 : 0));
+			return false;
 		},
+		[ports.GrantResult.Replaced]: setAside,
 		[ports.GrantResult.Unreachable]: losePath,
 		[ports.GrantResult.Broken]: losePath,
 		[ports.GrantResult.Silent]: noteSilence,
@@ -296,15 +299,16 @@
 		},
 		lastFaultAtMs: () => lastFaultAtMs,
 		failedReturnCount: () => absence?.failedReturnCount ?? 0,
-		open(grantId, {nodeId, routeId}, ttlMs) {
+		open(grantId, {nodeId, routeId, repeatability}, ttlMs) {
 			const nowMs = clock.monotonicMs();
-			openGrants.set(grantId, {routeId, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
+			openGrants.set(grantId, {routeId, repeatability, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
 			lastUseByNode.set(nodeId, nowMs);
 		},
 		close(end) {
-			openGrants.delete(end.grantId);
 			lastUseByNode.set(end.nodeId, clock.monotonicMs());
-			return resultHandlers[end.result](end);
+			const isRepeatable = openGrants.get(end.grantId)?.repeatability !== domain.Repeatability.Single;
+			openGrants.delete(end.grantId);
+			return resultHandlers[end.result](end, isRepeatable);
 		},
 	};
 };
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -17,7 +17,7 @@
 const ROTATION_MS = 2500;
 
 /** The process ends this long before the platform's kill. */
-const KILL_MARGIN_MS = 600;
+const KILL_MARGIN_MS = 1000;
 
 /** How often a stopping node looks whether its last call has ended. */
 const DRAIN_TURN_MS = 50;
