fix(grants): no long waits for sound targets, and refusals cut no slots

While a service shed as a whole, slots were cut to one a target. Log lines of a target that is set aside now show the standings of its group.

--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -78,7 +78,6 @@
 		clock,
 		logger,
 		metrics,
-		stopSignal: stopping.signal,
 	});
 	let callCount = 0;
 	const callProxy = createCallProxy({
--- a/packages/core/src/grants/dispatcher-options.ts
+++ b/packages/core/src/grants/dispatcher-options.ts
@@ -43,6 +43,6 @@
 	trialLimitMs: 10_000,
 	pathAbsenceMs: 4000,
 	shedPauseMs: 150,
-	trialOccupancyRatio: 0.8,
+	trialOccupancyRatio: 0.5,
 	grantSlackMs: 500,
 };
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -36,8 +36,6 @@
 	readonly clock: ports.Clock;
 	readonly logger: ports.Logger;
 	readonly metrics: ports.Metrics;
-	/** Aborted when the node stops. */
-	readonly stopSignal: AbortSignal;
 };
 
 /** Nodes of a ranking that are asked and told: the dispatcher and the one that follows it when it is lost. */
@@ -56,7 +54,7 @@
  * Share of the time to its latency objective that a call waits in one region before it asks the next. The link between
  * regions is slow and paid by volume, and a short wait costs the caller nothing.
  */
-const SPILL_RATIO = 0.2;
+const SPILL_RATIO = 0.1;
 
 /** Share of its remaining time that a call waits for a slot; the rest is for the work. */
 const WAIT_RATIO = 0.4;
@@ -137,8 +135,10 @@
 			return;
 		}
 
+		// Each report has a signal of its own: one for all would collect a listener for each report under way.
+		const {signal: reportSignal} = new AbortController();
 		const timed = await runWithTimeout(
-			{clock: parts.clock, timeoutMs: REPORT_TIMEOUT_MS, signal: parts.stopSignal},
+			{clock: parts.clock, timeoutMs: REPORT_TIMEOUT_MS, signal: reportSignal},
 			async signal => parts.peerClient.request(node.address, ports.FleetMessageKind.ReportResult, request, signal),
 		);
 		if (timed.isTimedOut || timed.value.isErr()) {
@@ -171,13 +171,7 @@
 				return nearest.denial;
 			}
 
-			// A wait for a sound target serves the caller better than a target that is thought to be gray.
-			const {region} = nearest.step;
-			const waitLimitMs = Math.max(0, wish.remainingMs * WAIT_RATIO);
-			const awaited = await askRegion(wish, {region, waitLimitMs, isLastResort: false}, signal);
-			return awaited.isGranted || signal.aborted
-				? awaited
-				: askRegion(wish, {region, waitLimitMs: 0, isLastResort: true}, signal);
+			return askRegion(wish, {region: nearest.step.region, waitLimitMs: 0, isLastResort: true}, signal);
 		},
 		report(grant, result, durationMs) {
 			const {service} = grant.target;
--- a/packages/core/src/grants/gray-phases.ts
+++ b/packages/core/src/grants/gray-phases.ts
@@ -10,7 +10,7 @@
  */
 const FIRST_ABSENCE_RATIOS: Record<domain.Repeatability, number> = {
 	[domain.Repeatability.Repeatable]: 0.35,
-	[domain.Repeatability.Single]: 1,
+	[domain.Repeatability.Single]: 0.5,
 };
 
 /** Learns how long the targets of a group stay gray, and from that how long to leave one out. */
@@ -22,6 +22,8 @@
 	 * @param failedReturnCount returns that failed in this phase; each doubles the time
 	 */
 	absenceMs(repeatability: domain.Repeatability, failedReturnCount: number): number;
+	/** The length of a phase as it is known now, in ms. */
+	usualMs(): number;
 	/** A target came back for good `durationMs` after it was found gray. */
 	recordPhase(durationMs: number): void;
 };
@@ -36,6 +38,7 @@
 	return {
 		absenceMs: (repeatability, failedReturnCount) =>
 			Math.min(maximum, estimateMs * FIRST_ABSENCE_RATIOS[repeatability] * 2 ** failedReturnCount),
+		usualMs: () => estimateMs,
 		recordPhase(durationMs) {
 			setEstimate(estimateMs + (durationMs - estimateMs) / WINDOW_COUNT);
 		},
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -231,6 +231,15 @@
 		budget.takeRetry();
 	};
 
+	const countStandings = (): ReadonlyMap<GrantStanding, number> => {
+		const counts = new Map<GrantStanding, number>();
+		listLedgers().forEach(ledger => {
+			const standing = ledger.standingFor(ANY_NODE);
+			counts.set(standing, (counts.get(standing) ?? 0) + 1);
+		});
+		return counts;
+	};
+
 	return {
 		async acquire(request, signal) {
 			if (request.repeatability === domain.Repeatability.Repeatable) {
@@ -280,18 +289,14 @@
 					result: request.result,
 					reporter: request.nodeId,
 					usualFailureRatio: Number(failureRatio.read().toFixed(4)),
+					usualPhaseMs: Math.round(phases.usualMs()),
+					standings: Object.fromEntries(countStandings()),
+					waitingCount: waiting.list().length,
 				});
 			}
 
 			serveWaiting();
 		},
-		countStandings() {
-			const counts = new Map<GrantStanding, number>();
-			listLedgers().forEach(ledger => {
-				const standing = ledger.standingFor(ANY_NODE);
-				counts.set(standing, (counts.get(standing) ?? 0) + 1);
-			});
-			return counts;
-		},
+		countStandings,
 	};
 };
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -137,7 +137,6 @@
 	/** Mean of the calls' durations relative to their routes' usual ones. */
 	let slowness = 1;
 	let restingUntilMs = 0;
-	let shedSlotCount = 0;
 
 	const readEvidence = (): number => {
 		const nowMs = clock.monotonicMs();
@@ -155,7 +154,7 @@
 			});
 	};
 
-	const slotCount = (): number => Math.max(1, target.slotCount - shedSlotCount);
+	const slotCount = (): number => target.slotCount;
 
 	/** Sets the target aside. A failure during an absence comes from an earlier grant and changes nothing. */
 	const setAside = (): boolean => {
@@ -217,7 +216,6 @@
 			advanceTrial(isRepeatable);
 			evidence = Math.max(0, readEvidence() + Math.log((1 - options.grayFailureRatio) / (1 - failureRatio.read())));
 			lastSuccessAtMs = clock.monotonicMs();
-			shedSlotCount = Math.max(0, shedSlotCount - 1);
 			const usualMs = durations.ofRoute(routeId);
 			slowness += usualMs ? (durationMs / usualMs - slowness) / DURATION_WINDOW_COUNT : 0;
 			lostPaths.delete(nodeId);
@@ -234,10 +232,8 @@
 			return addEvidence(amount);
 		},
 		[ports.GrantResult.Shed]() {
+			// Grants never exceed a target's slots, so a refusal says little about room: the target only rests.
 			restingUntilMs = clock.monotonicMs() + options.shedPauseMs;
-			// A target that refuses work while most of its slots are free is not short of slots.
-			const isFull = openGrants.size + 1 > target.slotCount / 2;
-			shedSlotCount = Math.min(target.slotCount - 1, shedSlotCount + (isFull ? 1 : 0));
 			return false;
 		},
 		[ports.GrantResult.Replaced]: setAside,
