fix(fleet): a node is ready only when it knows the targets; ports of the process tests no longer collide

Cause: of seven runs of the process tests one failed with 503 after the store went silent (the node was ready with a catalogue and no targets), and one with EADDRINUSE (a port found free was taken before the node listened). Change: readiness needs both topics; the tests take ports below the system's own range. Figures: the unit test failed before and passes after.

--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -141,7 +141,8 @@
 			[ports.FleetMessageKind.PullRegistry]: async (request, signal) => registry.pull(request, signal),
 		},
 		countCalls: () => callCount,
-		isReady: () => !stopping.signal.aborted && registry.catalogue() !== undefined,
+		isReady: () =>
+			!stopping.signal.aborted && registry.catalogue() !== undefined && registry.replicas.targets.nextOffset() >= 0,
 		async run(signal) {
 			const sync = {self, seedAddresses, registry, storeReader, peerClient, peerStanding, clock, random, logger};
 			await Promise.all([runRegistrySync(sync, signal), registerNode(signal)]);
--- a/packages/daemon/src/fleet/__tests__/fleet-harness.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -110,15 +110,32 @@
 	return target;
 };
 
-const findFreePort = async (): Promise<number> => {
-	const server = net.createServer().listen(0, '127.0.0.1');
-	await new Promise(resolve => {
-		server.once('listening', resolve);
-	});
-	const {port} = server.address() as net.AddressInfo;
-	await new Promise(resolve => {
-		server.close(resolve);
+/**
+ * Ports for the nodes, below the range from which the system picks ports for other sockets. A port that was merely found
+ * free was taken by another socket before the node could listen on it.
+ */
+const PORTS = {first: 21_000, perProcess: 200, processes: 50};
+let nextPort = PORTS.first + (process.pid % PORTS.processes) * PORTS.perProcess;
+
+const canListen = async (port: number): Promise<boolean> =>
+	new Promise(resolve => {
+		const server = net.createServer();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
 	});
+
+const findFreePort = async (): Promise<number> => {
+	let port = nextPort++;
+	while (!(await canListen(port))) {
+		port = nextPort++;
+	}
+
 	return port;
 };
 
--- a/packages/fakes/src/__tests__/registry-sync.test.ts
+++ b/packages/fakes/src/__tests__/registry-sync.test.ts
@@ -78,6 +78,16 @@
 	t.true([...nodes.values()].every(({registry}) => registry.target('a') !== undefined));
 });
 
+test('a node is not ready before it knows the targets', async t => {
+	const {nodes} = createFleet(t, 1);
+	const node = nodes.get('node-0')!;
+	const records = [{key: 'config', offset: 0, value: buildFleetCatalogue(1, [buildHostRoute()])}];
+	node.registry.apply({[core.RegistryTopic.Catalogue]: {records, nextOffset: 1, isWhole: true}}, 0);
+	t.false(node.isReady());
+	node.registry.apply({[core.RegistryTopic.Targets]: {records: [], nextOffset: 1, isWhole: true}}, 0);
+	t.true(node.isReady());
+});
+
 test('few nodes read the store', async t => {
 	const {clock, store} = createFleet(t, 20);
 	await clock.advance(5000);
