--- a/packages/measures/src/run-measure.ts
+++ b/packages/measures/src/run-measure.ts
@@ -10,6 +10,7 @@
 	catalogue: async () => (await import('./catalogue/measure-catalogue.js')).measureCatalogue,
 	crest: async () => (await import('./crest.js')).measureCrest,
 	detection: async () => (await import('./detection/measure-detection.js')).measureDetection,
+	grants: async () => (await import('./grants/measure-grants.js')).measureGrants,
 	membership: async () => (await import('./membership.js')).measureMembership,
 	operations: async () => (await import('./operations/measure-operations.js')).measureOperations,
 	overhead: async () => (await import('./overhead/measure-overhead.js')).measureOverhead,
