fix(target): a reset never completes an answer without a length

Change: connections to targets give resets a code that undici does not take for an end. Figures: the process test got 200 before and 502 after.

--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -181,6 +181,26 @@
 	return {kind: signal.aborted ? core.AttemptErrorKind.CancelledSent : core.AttemptErrorKind.Broken, detail};
 };
 
+/** Code that a reset connection gets in place of ECONNRESET. */
+const RESET_CODE = 'ERR_CONNECTION_RESET';
+
+/**
+ * Opens connections whose resets undici cannot mistake for the end of an answer: it takes an answer without a length as
+ * complete when its connection ends with ECONNRESET, and a crashed target's half answer would pass as a whole one.
+ */
+const createConnector = (connectTimeoutMs: number): undici.buildConnector.connector => {
+	const connect = undici.buildConnector({timeout: connectTimeoutMs});
+	return (connectOptions, callback) => {
+		connect(connectOptions, (...result) => {
+			const [, socket] = result;
+			socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
+				error.code = error.code === 'ECONNRESET' ? RESET_CODE : error.code;
+			});
+			callback(...result);
+		});
+	};
+};
+
 /** Client for targets over HTTP with one connection pool for each target's address. */
 export const createFleetTargetClient = (
 	given: Pick<FleetTargetClientOptions, 'dialect'> & Partial<FleetTargetClientOptions>,
@@ -202,7 +222,7 @@
 			// The call has its own deadline, and a second clock would end it earlier.
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			connect: {timeout: options.connectTimeoutMs},
+			connect: createConnector(options.connectTimeoutMs),
 		});
 		pools.set(address, pool);
 		return pool;
--- a/packages/daemon/src/fleet/__tests__/fleet-harness.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -29,9 +29,12 @@
 	Truncate = 'truncate',
 	/** Answers with the id of another request. */
 	Foreign = 'foreign',
+	/** Sends a part of an answer whose end is that of its connection, and resets the connection. */
+	ResetUnframed = 'reset-unframed',
 }
 
 const SLOW_MS = 800;
+const READ_MS = 50;
 const READY_TIMEOUT_MS = 15_000;
 const POLL_MS = 50;
 
@@ -68,6 +71,13 @@
 			outgoing.destroy();
 		});
 	},
+	async [TargetBehaviour.ResetUnframed](outgoing, requestId) {
+		const head = `HTTP/1.1 200 OK\r\n${dialect.requestIdHeader}: ${requestId}\r\n${dialect.signatureHeader}: signed\r\n`;
+		outgoing.socket?.write(`${head}connection: close\r\n\r\nhalf`);
+		// A reset discards what its receiver has not read yet.
+		await timersPromises.setTimeout(READ_MS);
+		outgoing.socket?.resetAndDestroy();
+	},
 	[TargetBehaviour.Foreign](outgoing) {
 		answerOk(outgoing, 'another-request');
 	},
--- a/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
@@ -21,6 +21,7 @@
 	{name: 'fails', behaviour: TargetBehaviour.Fail, status: 500, runs: 1},
 	{name: 'breaks the connection', behaviour: TargetBehaviour.Reset, status: 502, runs: 1},
 	{name: 'breaks off its answer', behaviour: TargetBehaviour.Truncate, status: 502, runs: 1},
+	{name: 'resets an answer without a length', behaviour: TargetBehaviour.ResetUnframed, status: 502, runs: 1},
 	{name: 'answers another request', behaviour: TargetBehaviour.Foreign, status: 502, runs: 1},
 	{name: 'sheds', behaviour: TargetBehaviour.Shed, status: 503, runs: 0},
 ];
