fix(registry): a stale reader is passed over, and the next of the ranking reads

Change: sources that are stale or silent are passed over for 1 s, so that the next of six candidates reads; the separate case of a reader that stands in is gone.

--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -23,9 +23,15 @@
 /** Key under which the nodes of a region are ranked for reading the store. */
 const READER_KEY = 'registry-reader';
 
-/** Nodes of a region that may read the store for the others; more than two rarely fail together. */
+/** Nodes of a region that a follower asks before it looks for others. */
 const READER_COUNT = 3;
 
+/** Nodes of a region that may read the store for the others; the store may refuse a third of all nodes at once. */
+const CANDIDATE_COUNT = 6;
+
+/** How long a source that was stale or silent is passed over, so that the next of the ranking reads in its place. */
+const STALE_ABSENCE_MS = 1000;
+
 /** How long a peer may hold a pull open. It bounds how late a silent peer is noticed. */
 const PULL_WAIT_MS = 1000;
 
@@ -39,31 +45,43 @@
 const READER_TURN_MS = 1000;
 
 /** Pauses of a follower whose sources are all stale, before it asks them again. */
-const STALE_BACK_OFF = {firstMs: 150, limitMs: 1000};
+const STALE_BACK_OFF = {firstMs: 150, limitMs: 400};
 
 /** How long a follower stays with a source that was fresh, before it asks the first of the ranking again. */
 const SOURCE_STAY_MS = 4000;
 
 /** Pauses of a reader that lost the store, before it reads for others again. */
-const LOST_STORE_BACK_OFF = {firstMs: 800, limitMs: 3000};
+const LOST_STORE_BACK_OFF = {firstMs: 500, limitMs: 1000};
 
 /** Pause of a follower between reads of its own when every reader is stale; long, because all followers do the same. */
 const OWN_READ_BACK_OFF = {firstMs: 1500, limitMs: 4000};
 
-/** Turns that a node reads in place of stale readers before it asks them again. */
-const STAND_IN_TURN_COUNT = 4;
-
 /** Keeps the registry up to date, from the store or from peers, until the signal is aborted. */
 export const runRegistrySync = async (options: RegistrySyncOptions, signal: AbortSignal): Promise<void> => {
 	const {self, registry, peerStanding, clock} = options;
 	const ownReadBackOff = createBackOff({random: options.random, ...OWN_READ_BACK_OFF});
 	const staleBackOff = createBackOff({random: options.random, ...STALE_BACK_OFF});
 	const lostBackOff = createBackOff({random: options.random, ...LOST_STORE_BACK_OFF});
-	let lostUntilMs = 0;
 	let stay = {address: '', untilMs: 0};
 	let nextOwnReadAtMs = 0;
 
-	const rankReaders = (): readonly domain.RegisteredNode[] => registry.rankNodes(READER_KEY, self.region, READER_COUNT);
+	const passedOverUntilMs = new Map<string, number>();
+	let lostUntilMs = 0;
+
+	/** Nodes that read the store or are about to, best first, without those that just turned out to be stale. */
+	const rankReaders = (): readonly domain.RegisteredNode[] => {
+		const nowMs = clock.monotonicMs();
+		return registry
+			.rankNodes(READER_KEY, self.region, CANDIDATE_COUNT)
+			.filter(({nodeId, address}) =>
+				nodeId === self.nodeId ? nowMs >= lostUntilMs : nowMs >= (passedOverUntilMs.get(address) ?? 0),
+			)
+			.slice(0, READER_COUNT);
+	};
+
+	const passOver = (address: string): void => {
+		passedOverUntilMs.set(address, clock.monotonicMs() + STALE_ABSENCE_MS);
+	};
 
 	/** Whether the peer gave an answer that is fresh. */
 	const pullFrom = async (address: string, waitMs: number): Promise<boolean> => {
@@ -82,6 +100,7 @@
 		if (timed.isTimedOut || timed.value.isErr()) {
 			peerStanding.recordFailure(address);
 			registry.setSourceLost(true);
+			passOver(address);
 			return false;
 		}
 
@@ -89,6 +108,12 @@
 		registry.apply(timed.value.value.topics, timed.value.value.ageMs);
 		const isFresh = timed.value.value.ageMs < STALE_AGE_MS;
 		registry.setSourceLost(!isFresh);
+		if (isFresh) {
+			passedOverUntilMs.delete(address);
+		} else {
+			passOver(address);
+		}
+
 		return isFresh;
 	};
 
@@ -154,20 +179,17 @@
 		return false;
 	};
 
-	/** One round of a node that does not read for others: pulls from the readers, or reads on its own. */
+	/** One round of a node that does not read for others: pulls from the readers, or reads for itself. */
 	const followOnce = async (readers: readonly domain.RegisteredNode[]): Promise<void> => {
-		const ownRank = readers.findIndex(({nodeId}) => nodeId === self.nodeId);
-		const isFresh = await pullFromAny(orderSources(readers.filter(({nodeId}) => nodeId !== self.nodeId)));
+		const isFresh = await pullFromAny(orderSources(readers));
 		if (isFresh || signal.aborted) {
 			staleBackOff.reset();
 			ownReadBackOff.reset();
 			return;
 		}
 
-		if (ownRank !== -1 && clock.monotonicMs() >= lostUntilMs) {
-			options.logger.info('reading the store in place of stale readers', {event: 'reader-took-over', ownRank});
-			let turnsLeft = STAND_IN_TURN_COUNT;
-			notePause(await readAsReader(() => turnsLeft-- > 0));
+		if (rankReaders().length > 0) {
+			// The next of the ranking reads now, or this node does.
 			return;
 		}
 
@@ -181,13 +203,12 @@
 
 	await start();
 	while (!signal.aborted) {
-		const readers = rankReaders();
 		const isFirst = (): boolean => rankReaders()[0]?.nodeId === self.nodeId;
-		if (isFirst() && clock.monotonicMs() >= lostUntilMs) {
+		if (isFirst()) {
+			options.logger.info('reading the store for the region', {event: 'reader-started'});
 			notePause(await readAsReader(isFirst));
-			continue;
+		} else {
+			await followOnce(rankReaders());
 		}
-
-		await followOnce(readers);
 	}
 };
--- a/packages/fakes/src/__tests__/registry-sync.test.ts
+++ b/packages/fakes/src/__tests__/registry-sync.test.ts
@@ -115,20 +115,29 @@
 	);
 });
 
-test('a change is in force in time while the store refuses two of the three readers', async t => {
-	const {clock, store, nodes, listVersions} = createFleet(t, 8);
-	await clock.advance(5000);
-	const readers = [...nodes.values()][0]!.registry.rankNodes('registry-reader', 'pwani', 2);
-	readers.forEach(({nodeId}) => {
-		store.refusedNodeIds.add(nodeId);
+[2, 3, 4].forEach(refusedCount => {
+	test(`a change is in force in time while the store refuses the ${refusedCount} nodes that rank first`, async t => {
+		const {clock, store, nodes, listVersions} = createFleet(t, 10);
+		await clock.advance(5000);
+		const readers = [...nodes.values()][0]!.registry.rankNodes('registry-reader', 'pwani', refusedCount);
+		readers.forEach(({nodeId}) => {
+			store.refusedNodeIds.add(nodeId);
+		});
+		await clock.advance(100);
+		store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(2, [buildHostRoute()]));
+		await clock.advance(IN_FORCE_MS);
+		t.deepEqual(
+			listVersions(),
+			Array.from({length: 10}, () => 2),
+		);
+		await clock.advance(3000);
+		store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(3, [buildHostRoute()]));
+		await clock.advance(IN_FORCE_MS);
+		t.deepEqual(
+			listVersions(),
+			Array.from({length: 10}, () => 3),
+		);
 	});
-	await clock.advance(100);
-	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(2, [buildHostRoute()]));
-	await clock.advance(IN_FORCE_MS);
-	t.deepEqual(
-		listVersions(),
-		Array.from({length: 8}, () => 2),
-	);
 });
 
 test('a change is in force in time although the reader was cut off', async t => {
