fix(target): the end of a connection completes no chunked answer

Change: ends and breaks of connections are noted before undici handles them; an answer that completes because of one is whole only without chunks and after an orderly end. It replaces the changed error code.

--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -78,6 +78,34 @@
 	[dialect.expectedTargetHeader]: target.targetId,
 });
 
+/** How a connection ends. */
+enum ConnectionEnd {
+	/** The target ended it, which completes an answer without a length. */
+	Ended = 'ended',
+	/** It broke, which completes no answer. */
+	Broken = 'broken',
+}
+
+/** The end that is being handled: answers that complete meanwhile complete because of it. */
+type ConnectionEnds = {
+	note(end: ConnectionEnd): void;
+	current(): ConnectionEnd | undefined;
+};
+
+const createConnectionEnds = (): ConnectionEnds => {
+	let current: ConnectionEnd | undefined;
+	return {
+		note(end) {
+			current = end;
+			// The listeners of one event run before any microtask.
+			queueMicrotask(() => {
+				current = undefined;
+			});
+		},
+		current: () => current,
+	};
+};
+
 /** Receives one answer: holds it while it is small, and turns it into a stream when it grows. */
 class AnswerReceiver implements undici.Dispatcher.DispatchHandler {
 	isSent = false;
@@ -91,6 +119,7 @@
 
 	constructor(
 		private readonly limitBytes: number,
+		private readonly ends: ConnectionEnds,
 		private readonly finish: (result: neverthrow.Result<domain.TargetAnswer, Error>) => void,
 	) {}
 
@@ -127,6 +156,13 @@
 	}
 
 	onResponseEnd(): void {
+		const end = this.ends.current();
+		const isChunked = headers.findHeader(this.answerHeaders, 'transfer-encoding') !== undefined;
+		if (end === ConnectionEnd.Broken || (end === ConnectionEnd.Ended && isChunked)) {
+			this.onResponseError(undefined, new Error('the connection ended before the answer did'));
+			return;
+		}
+
 		if (this.overflow) {
 			this.overflow.push(null);
 			return;
@@ -181,20 +217,23 @@
 	return {kind: signal.aborted ? core.AttemptErrorKind.CancelledSent : core.AttemptErrorKind.Broken, detail};
 };
 
-/** Code that a reset connection gets in place of ECONNRESET. */
-const RESET_CODE = 'ERR_CONNECTION_RESET';
-
 /**
- * Opens connections whose resets undici cannot mistake for the end of an answer: it takes an answer without a length as
- * complete when its connection ends with ECONNRESET, and a crashed target's half answer would pass as a whole one.
+ * Opens connections that note their ends before undici handles them. Undici completes an answer when a connection that is
+ * not kept ends or is reset, also in the middle of a chunked body, and half an answer would pass as a whole one.
  */
-const createConnector = (connectTimeoutMs: number): undici.buildConnector.connector => {
+const createConnector = (connectTimeoutMs: number, ends: ConnectionEnds): undici.buildConnector.connector => {
 	const connect = undici.buildConnector({timeout: connectTimeoutMs});
 	return (connectOptions, callback) => {
 		connect(connectOptions, (...result) => {
 			const [, socket] = result;
-			socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
-				error.code = error.code === 'ECONNRESET' ? RESET_CODE : error.code;
+			socket?.prependListener('end', () => {
+				ends.note(ConnectionEnd.Ended);
+			});
+			socket?.prependListener('error', () => {
+				ends.note(ConnectionEnd.Broken);
+			});
+			socket?.prependListener('close', () => {
+				ends.note(ConnectionEnd.Broken);
 			});
 			callback(...result);
 		});
@@ -207,6 +246,7 @@
 ): core.FleetTargetClient & {close(): Promise<void>} => {
 	const options = {...DEFAULT_FLEET_TARGET_CLIENT_OPTIONS, ...given};
 	const pools = new Map<string, undici.Pool>();
+	const ends = createConnectionEnds();
 
 	const openPool = (address: string, connectionLimit: number): undici.Pool => {
 		const existing = pools.get(address);
@@ -222,7 +262,7 @@
 			// The call has its own deadline, and a second clock would end it earlier.
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			connect: createConnector(options.connectTimeoutMs),
+			connect: createConnector(options.connectTimeoutMs, ends),
 		});
 		pools.set(address, pool);
 		return pool;
@@ -238,7 +278,7 @@
 	const exchange = async (attempt: core.FleetAttempt, signal: AbortSignal): Promise<AttemptResult> =>
 		new Promise(resolve => {
 			const {call, target} = attempt;
-			const receiver = new AnswerReceiver(options.heldAnswerLimitBytes, result => {
+			const receiver = new AnswerReceiver(options.heldAnswerLimitBytes, ends, result => {
 				clearTimeout(connectTimer);
 				resolve(
 					result
--- a/packages/daemon/src/fleet/__tests__/fleet-harness.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -31,6 +31,8 @@
 	Foreign = 'foreign',
 	/** Sends a part of an answer whose end is that of its connection, and resets the connection. */
 	ResetUnframed = 'reset-unframed',
+	/** Announces the end of the connection and ends it before the last chunk of the answer. */
+	EndChunked = 'end-chunked',
 }
 
 const SLOW_MS = 800;
@@ -43,6 +45,15 @@
 	outgoing.writeHead(200, headers).end(`done ${requestId}`);
 };
 
+const buildRawHead = (requestId: string): string =>
+	[
+		'HTTP/1.1 200 OK',
+		`${dialect.requestIdHeader}: ${requestId}`,
+		`${dialect.signatureHeader}: signed`,
+		'connection: close',
+		'',
+	].join('\r\n');
+
 type Behave = (outgoing: http.ServerResponse, requestId: string) => Promise<void> | void;
 
 const BEHAVIOURS: Record<TargetBehaviour, Behave> = {
@@ -71,9 +82,11 @@
 			outgoing.destroy();
 		});
 	},
+	[TargetBehaviour.EndChunked](outgoing, requestId) {
+		outgoing.socket?.end(`${buildRawHead(requestId)}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`);
+	},
 	async [TargetBehaviour.ResetUnframed](outgoing, requestId) {
-		const head = `HTTP/1.1 200 OK\r\n${dialect.requestIdHeader}: ${requestId}\r\n${dialect.signatureHeader}: signed\r\n`;
-		outgoing.socket?.write(`${head}connection: close\r\n\r\nhalf`);
+		outgoing.socket?.write(`${buildRawHead(requestId)}\r\nhalf`);
 		// A reset discards what its receiver has not read yet.
 		await timersPromises.setTimeout(READ_MS);
 		outgoing.socket?.resetAndDestroy();
