fix(registry): a reader of lower rank never pulls from itself

Cause: read-through; the list of readers held the node itself, which asked itself once before it took over. Change: the node is left out. Tests of the synchronization pass as before.

--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -35,7 +35,6 @@
 const MISDIRECTED_STATUS = 421;
 const FAILURE_STATUS_MINIMUM = 500;
 
-/** Statuses without a body of their own. */
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** Tells what an answer says about the call. */
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -181,7 +181,7 @@
 
 	/** One round of a node that does not read for others: pulls from the readers, or reads for itself. */
 	const followOnce = async (readers: readonly domain.RegisteredNode[]): Promise<void> => {
-		const isFresh = await pullFromAny(orderSources(readers));
+		const isFresh = await pullFromAny(orderSources(readers.filter(({nodeId}) => nodeId !== self.nodeId)));
 		if (isFresh || signal.aborted) {
 			staleBackOff.reset();
 			ownReadBackOff.reset();
