--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -77,31 +77,23 @@
 	[dialect.expectedTargetHeader]: target.targetId,
 });
 
-/** How a connection ends. */
-enum ConnectionEnd {
-	/** The target ended it, which completes an answer without a length. */
-	Ended = 'ended',
-	/** It broke, which completes no answer. */
-	Broken = 'broken',
-}
-
-/** The end that is being handled: answers that complete meanwhile complete because of it. */
+/** Tells whether a connection's end is being handled: answers that complete meanwhile complete because of it. */
 type ConnectionEnds = {
-	note(end: ConnectionEnd): void;
-	current(): ConnectionEnd | undefined;
+	note(): void;
+	isHandling(): boolean;
 };
 
 const createConnectionEnds = (): ConnectionEnds => {
-	let current: ConnectionEnd | undefined;
+	let isHandling = false;
 	return {
-		note(end) {
-			current = end;
+		note() {
+			isHandling = true;
 			// The listeners of one event run before any microtask.
 			queueMicrotask(() => {
-				current = undefined;
+				isHandling = false;
 			});
 		},
-		current: () => current,
+		isHandling: () => isHandling,
 	};
 };
 
@@ -155,10 +147,10 @@
 	}
 
 	onResponseEnd(): void {
-		const end = this.ends.current();
-		const isChunked = headers.findHeader(this.answerHeaders, 'transfer-encoding') !== undefined;
-		if (end === ConnectionEnd.Broken || (end === ConnectionEnd.Ended && isChunked)) {
-			this.onResponseError(undefined, new Error('the connection ended before the answer did'));
+		// A crashed target's half answer looks the same, so only a length proves that such an answer is whole.
+		const hasLength = headers.findHeader(this.answerHeaders, 'content-length') !== undefined;
+		if (this.ends.isHandling() && !hasLength) {
+			this.onResponseError(undefined, new Error('the connection ended, and nothing shows that the answer is whole'));
 			return;
 		}
 
@@ -225,14 +217,8 @@
 	return (connectOptions, callback) => {
 		connect(connectOptions, (...result) => {
 			const [, socket] = result;
-			socket?.prependListener('end', () => {
-				ends.note(ConnectionEnd.Ended);
-			});
-			socket?.prependListener('error', () => {
-				ends.note(ConnectionEnd.Broken);
-			});
-			socket?.prependListener('close', () => {
-				ends.note(ConnectionEnd.Broken);
+			['end', 'error', 'close'].forEach(event => {
+				socket?.prependListener(event, ends.note);
 			});
 			callback(...result);
 		});
--- a/packages/daemon/src/fleet/__tests__/fleet-harness.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -31,6 +31,8 @@
 	Foreign = 'foreign',
 	/** Sends a part of an answer whose end is that of its connection, and resets the connection. */
 	ResetUnframed = 'reset-unframed',
+	/** Sends a part of an answer whose end is that of its connection, and ends the connection in order. */
+	EndUnframed = 'end-unframed',
 	/** Announces the end of the connection and ends it before the last chunk of the answer. */
 	EndChunked = 'end-chunked',
 }
@@ -85,6 +87,9 @@
 	[TargetBehaviour.EndChunked](outgoing, requestId) {
 		outgoing.socket?.end(`${buildRawHead(requestId)}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`);
 	},
+	[TargetBehaviour.EndUnframed](outgoing, requestId) {
+		outgoing.socket?.end(`${buildRawHead(requestId)}\r\nhalf`);
+	},
 	async [TargetBehaviour.ResetUnframed](outgoing, requestId) {
 		outgoing.socket?.write(`${buildRawHead(requestId)}\r\nhalf`);
 		// A reset discards what its receiver has not read yet.
--- a/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
@@ -22,6 +22,7 @@
 	{name: 'breaks the connection', behaviour: TargetBehaviour.Reset, status: 502, runs: 1},
 	{name: 'breaks off its answer', behaviour: TargetBehaviour.Truncate, status: 502, runs: 1},
 	{name: 'resets an answer without a length', behaviour: TargetBehaviour.ResetUnframed, status: 502, runs: 1},
+	{name: 'ends an answer without a length', behaviour: TargetBehaviour.EndUnframed, status: 502, runs: 1},
 	{name: 'ends its connection before the last chunk', behaviour: TargetBehaviour.EndChunked, status: 502, runs: 1},
 	{name: 'answers another request', behaviour: TargetBehaviour.Foreign, status: 502, runs: 1},
 	{name: 'sheds', behaviour: TargetBehaviour.Shed, status: 503, runs: 0},
