refactor(proxy): read the remaining time once an attempt, record unrouted calls in one place

Cause: read-through; an attempt computed its remaining time twice, and two branches recorded their refusal alike.

--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -158,7 +158,6 @@
 	): Promise<domain.TargetAnswer | undefined> => {
 		const startedAtMs = clock.monotonicMs();
 		const timeoutMs = remainingMs(state);
-		const sending = {call: state.call, target: grant.target, remainingMs: remainingMs(state)};
 		const controller = new AbortController();
 		const abort = (): void => {
 			controller.abort(signal.reason);
@@ -178,7 +177,12 @@
 		metrics.increment(ports.CounterName.Attempts, {service: state.service});
 		state.isAttempting = true;
 		const result = await parts.targetClient.send(
-			{...sending, connectionLimit: options.connectionsPerTarget},
+			{
+				call: state.call,
+				target: grant.target,
+				remainingMs: timeoutMs,
+				connectionLimit: options.connectionsPerTarget,
+			},
 			controller.signal,
 		);
 		const durationMs = clock.monotonicMs() - startedAtMs;
@@ -291,18 +295,19 @@
 	const recordEnding = createEndingRecorder({registry, clock, logger, metrics});
 
 	const run = async (call: domain.ProxiedCall, signal: AbortSignal): Promise<domain.ProxyEnding> => {
-		const catalogue = registry.catalogue();
-		if (!catalogue) {
-			const refused = refuse(domain.RefusalReason.NoCatalogue, planReturn(NO_CATALOGUE_RETRY_MS));
+		const refuseUnrouted = (refused: domain.RefusedEnding): domain.RefusedEnding => {
 			recordEnding(call, refused);
 			return refused;
+		};
+
+		const catalogue = registry.catalogue();
+		if (!catalogue) {
+			return refuseUnrouted(refuse(domain.RefusalReason.NoCatalogue, planReturn(NO_CATALOGUE_RETRY_MS)));
 		}
 
 		const route = indexRoutes(catalogue).find(call.host, call.pathAndQuery.split('?', 1)[0]!);
 		if (!route) {
-			const refused = refuse(domain.RefusalReason.UnknownRoute);
-			recordEnding(call, refused);
-			return refused;
+			return refuseUnrouted(refuse(domain.RefusalReason.UnknownRoute));
 		}
 
 		const state: CallState = {
