perf(registry): keep rankings of nodes until the nodes change

Cause: every grant, report and sync round ranked all nodes of a region again, and the regions of a service were found by looking at every target: 0.1 ms a ranking at 40 nodes, 0.63 ms at 410, several times a call.

Change: createNodeRanking keeps the 16 best nodes of a key, bounded and built anew at least once a second, and ranks all nodes only when most of these cannot be reached. The target index lists the regions of each service.

--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -1,8 +1,8 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
-import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
 import {createChangeGate} from '../shared/change-gate.js';
 import {groupBy} from '../shared/group-by.js';
+import {createNodeRanking} from './node-ranking.js';
 import type {PeerStanding} from './peer-standing.js';
 import {createReplica, type Replica} from './replica.js';
 
@@ -63,6 +63,7 @@
 	readonly revision: number;
 	readonly byId: ReadonlyMap<string, domain.RegisteredTarget>;
 	readonly byGroup: ReadonlyMap<string, readonly domain.RegisteredTarget[]>;
+	readonly regionsByService: ReadonlyMap<string, readonly string[]>;
 };
 
 const createTargetIndex = (replica: Replica<ports.RegistryTopic.Targets>, clock: ports.Clock): (() => TargetIndex) => {
@@ -75,7 +76,14 @@
 
 		const byId = replica.values();
 		const byGroup = groupBy(byId.values(), ({service, region}) => buildGroupId(service, region));
-		index = {builtAtMs: nowMs, revision: replica.revision(), byId, byGroup};
+		const oneOfEachGroup = [...byGroup.values()].map(([target]) => target!);
+		const regionsByService = new Map(
+			[...groupBy(oneOfEachGroup, ({service}) => service)].map(([service, targets]) => [
+				service,
+				targets.map(({region}) => region),
+			]),
+		);
+		index = {builtAtMs: nowMs, revision: replica.revision(), byId, byGroup, regionsByService};
 		return index;
 	};
 };
@@ -100,6 +108,13 @@
 		return region === self.region ? [...others, self] : others;
 	};
 
+	const ranking = createNodeRanking({
+		clock,
+		listNodes: nodesOf,
+		readRevision: replicas.nodes.revision,
+		isUsable: ({nodeId, address}) => nodeId === self.nodeId || options.peerStanding.isUsable(address),
+	});
+
 	const ageMs = (): number => {
 		const sinceReadMs = Math.min(NEVER_READ_AGE_MS, clock.monotonicMs() - freshAtMs);
 		return isLost ? Math.max(sinceReadMs, STALE_AGE_MS) : sinceReadMs;
@@ -138,21 +153,10 @@
 		replicas,
 		catalogue: () => catalogue,
 		targetsOf: (service, region) => readTargetIndex().byGroup.get(buildGroupId(service, region)) ?? [],
-		regionsOf: service => [
-			...new Set(
-				[...readTargetIndex().byId.values()].filter(target => target.service === service).map(({region}) => region),
-			),
-		],
+		regionsOf: service => readTargetIndex().regionsByService.get(service) ?? [],
 		target: targetId => readTargetIndex().byId.get(targetId),
 		nodesOf,
-		rankNodes: (key, region, limitCount) =>
-			rankByRendezvous(
-				key,
-				nodesOf(region)
-					.filter(({nodeId, address}) => nodeId === self.nodeId || options.peerStanding.isUsable(address))
-					.map(node => ({node, address: node.incarnationId})),
-				limitCount,
-			).map(({node}) => node),
+		rankNodes: ranking.rank,
 		apply(topics, sourceAgeMs) {
 			const changedTopics = TOPICS.filter(topic => applyTopic(topic, topics[topic] as never));
 			freshAtMs = Math.max(freshAtMs, clock.monotonicMs() - sourceAgeMs);
--- a/packages/fakes/src/__tests__/registry-replica.test.ts
+++ b/packages/fakes/src/__tests__/registry-replica.test.ts
@@ -105,3 +105,27 @@
 	await clock.advance(600);
 	t.is(rank().length, 2);
 });
+
+test('a ranking follows new nodes at once and looks beyond the kept ones when many are unreachable', t => {
+	const {peerStanding, registry} = createRegistry();
+	const peers = Array.from({length: 40}, (_, index) => buildNode(`peer-${index}`));
+	const publish = (count: number): void => {
+		const records = peers.slice(0, count).map((value, offset) => ({key: value.nodeId, offset, value}));
+		registry.apply({[Nodes]: changes(records, count)}, 0);
+	};
+
+	const rank = (limitCount: number) => registry.rankNodes('key', 'pwani', limitCount);
+	publish(20);
+	t.is(rank(41).length, 21);
+	publish(40);
+	const whole = rank(41);
+	t.is(whole.length, 41);
+	whole
+		.slice(0, 30)
+		.filter(({nodeId}) => nodeId !== 'self')
+		.forEach(({address}) => {
+			peerStanding.recordFailure(address);
+		});
+	const rest = whole.filter(({nodeId}, index) => index >= 30 || nodeId === 'self');
+	t.deepEqual(rank(2), rest.slice(0, 2));
+});
