fix(grants): all waiting calls share one turn

Cause: each waiting call woke every 100 ms and tried to serve all waiting calls, so a turn's work grew with the square of their number; at the crest that is most of a node's processor.

Change: the first call that wakes serves all, the others see that the turn was taken; without a free slot nothing is tried.

--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -55,6 +55,7 @@
 	const phases = createGrayPhases(options);
 	const budget = createFleetRetryBudget(options, clock);
 	let order = 0;
+	let servedWaitingAtMs = -WAIT_TURN_MS;
 	let lastRepeatableAtMs = -REPEATABLE_MEMORY_MS;
 
 	const readTrialWork = (): domain.Repeatability =>
@@ -154,8 +155,19 @@
 		};
 	};
 
+	/** Whether any target could be given a call, whatever the call. */
+	const hasAnyRoom = (): boolean =>
+		listLedgers().some(ledger => hasRoom(ledger) && ledger.standingFor(ANY_NODE) !== GrantStanding.SetAside);
+
 	const serveWaiting = (): void => {
-		waiting.list().forEach(call => {
+		servedWaitingAtMs = clock.monotonicMs();
+		const calls = waiting.list();
+		const isLastResortWaiting = calls.some(({request}) => request.isLastResort);
+		if (calls.length === 0 || !(hasAnyRoom() || isLastResortWaiting)) {
+			return;
+		}
+
+		calls.forEach(call => {
 			const grant = tryGrant(call.request);
 			if (grant) {
 				call.offer(grant);
@@ -163,6 +175,13 @@
 		});
 	};
 
+	/** All waiting calls share a turn, so that the work of a turn grows with their number and not with its square. */
+	const takeWaitTurn = (): void => {
+		if (clock.monotonicMs() - servedWaitingAtMs >= WAIT_TURN_MS) {
+			serveWaiting();
+		}
+	};
+
 	const deny = (refusal: ports.GrantRefusal, predictedWaitMs: number): ports.GrantDenial => ({
 		isGranted: false,
 		refusal,
@@ -214,7 +233,7 @@
 		waiting.add(call);
 		while (!outcome.grant && !signal.aborted && clock.monotonicMs() < deadlineMs) {
 			await clock.sleep(Math.min(WAIT_TURN_MS, deadlineMs - clock.monotonicMs()), controller.signal);
-			serveWaiting();
+			takeWaitTurn();
 		}
 
 		waiting.remove(call);
--- a/packages/fakes/src/__tests__/group-dispatcher.test.ts
+++ b/packages/fakes/src/__tests__/group-dispatcher.test.ts
@@ -224,3 +224,30 @@
 	const replies = await Promise.all(Array.from({length: 8}, async () => acquire()));
 	t.true(replies.every(({isGranted}) => isGranted));
 });
+
+test('the work of waiting calls grows with their number, not with its square', async t => {
+	const waitMs = 1000;
+	const countListings = async (callCount: number): Promise<number> => {
+		const {clock, acquireGrant, acquire, registered} = createHarness([buildTarget({targetId: 'only', slotCount: 1})]);
+		const grant = await acquireGrant();
+		t.truthy(grant);
+		const {targets} = registered;
+		let listingCount = 0;
+		Object.defineProperty(registered, 'targets', {
+			get() {
+				listingCount++;
+				return targets;
+			},
+		});
+		// A wait that is predicted to be longer than allowed would be refused at once.
+		const calls = Array.from({length: callCount}, async () => acquire({waitLimitMs: waitMs * callCount}));
+		await clock.advance(waitMs);
+		const counted = listingCount;
+		await clock.runUntilSettled(Promise.all(calls), waitMs * callCount);
+		return counted;
+	};
+
+	const few = await countListings(5);
+	const many = await countListings(50);
+	t.true(many <= few * 12, `${few} listings for 5 calls, ${many} for 50`);
+});
