--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -325,6 +325,11 @@
 			lastReason: domain.RefusalReason.DeadlineTooShort,
 		};
 		const ending = await runWithinDeadline(state, signal);
+		if (state.nextGrant) {
+			// The slow attempt ended by itself before its successor was sent.
+			grants.report(state.nextGrant, ports.GrantResult.Cancelled, 0);
+		}
+
 		recordEnding(call, ending, state);
 		return ending;
 	};
--- a/packages/fakes/src/__tests__/call-proxy.test.ts
+++ b/packages/fakes/src/__tests__/call-proxy.test.ts
@@ -10,6 +10,8 @@
 /** What a scripted target does with a call. */
 type Step = {
 	readonly delayMs?: number;
+	/** The target's answer is on its way already when the attempt is cancelled. */
+	readonly isAnswerUnderWay?: boolean;
 	readonly result: neverthrow.Result<core.AttemptAnswer, core.AttemptError>;
 };
 
@@ -27,7 +29,7 @@
 			const step = steps[sent.length] ?? answer(core.AnswerMeaning.Completed, 200);
 			sent.push(attempt);
 			await clock.sleep(step.delayMs ?? 0, signal);
-			return signal.aborted
+			return signal.aborted && !step.isAnswerUnderWay
 				? neverthrow.err({kind: core.AttemptErrorKind.CancelledSent, detail: 'cancelled'})
 				: step.result;
 		},
@@ -95,7 +97,25 @@
 		);
 	const call = async (given: Partial<domain.ProxiedCall> = {}): Promise<domain.ProxyEnding> =>
 		clock.runUntilSettled(start(given), 10_000);
-	return {clock, caller, publish, start, call, sent};
+	/** Reports that came in for grants, by grant. */
+	const reported = new Set<string>();
+	const granted = new Set<string>();
+	const {acquire, report} = grants;
+	grants.acquire = async (wish, signal) => {
+		const reply = await acquire(wish, signal);
+		if (reply.isGranted) {
+			granted.add(reply.grantId);
+		}
+
+		return reply;
+	};
+
+	grants.report = (grant, result, durationMs) => {
+		reported.add(grant.grantId);
+		report(grant, result, durationMs);
+	};
+
+	return {clock, caller, publish, start, call, sent, granted, reported};
 };
 
 const REPEATABLE = {repeatability: domain.Repeatability.Repeatable};
@@ -237,6 +257,18 @@
 	t.is(sent.length, 3);
 });
 
+test('a grant for the successor of a slow attempt is given back when the attempt ends by itself', async t => {
+	const late = {...answer(core.AnswerMeaning.Completed, 200), delayMs: 5000, isAnswerUnderWay: true};
+	const steps = [answer(core.AnswerMeaning.Completed, 200), late];
+	const {publish, call, sent, granted, reported} = createHarness(steps, {...REPEATABLE, attemptLimit: 3});
+	publish(1);
+	await call();
+	await call();
+	t.is(sent.length, 2);
+	t.is(granted.size, 3);
+	t.deepEqual([...reported].toSorted(), [...granted].toSorted());
+});
+
 test('a caller that leaves stops the attempt and gets nothing', async t => {
 	const {clock, caller, publish, start, sent} = createHarness([SILENT], REPEATABLE);
 	publish(1);
