fix(target): end an attempt's timer and listener with it, bound the connection pools

Cause: a cancelled attempt left its connect timer running and every attempt left a listener on its signal; the pools of targets that are gone stayed for good.

Change: one function ends an attempt and removes both; a streamed answer keeps listening for a caller that leaves. At most 1,000 pools are kept, the least recently used is closed first. The receiver, the meaning of answers and the connection ends have files of their own.

--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -1,12 +1,13 @@
-import {Buffer} from 'node:buffer';
 import * as stream from 'node:stream';
 import * as core from '@bilberrydoor/core';
-import type * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
 import * as undici from 'undici';
 import {isConnectError} from '../http/connect-error.js';
 import * as headers from '../http/headers.js';
 import type {WireDialect} from '../http/wire-dialect.js';
+import {AnswerReceiver} from './answer-receiver.js';
+import {createConnectionEnds, type ConnectionEnds} from './connection-ends.js';
+import {readMeaning} from './read-meaning.js';
 
 export type FleetTargetClientOptions = {
 	readonly dialect: WireDialect;
@@ -16,6 +17,8 @@
 	readonly keepAliveMs: number;
 	/** Answers up to this size are held until they are whole, in bytes. */
 	readonly heldAnswerLimitBytes: number;
+	/** Targets whose connections are kept; those used least recently are closed first, among them targets that are gone. */
+	readonly poolLimitCount: number;
 };
 
 export const DEFAULT_FLEET_TARGET_CLIENT_OPTIONS: Omit<FleetTargetClientOptions, 'dialect'> = {
@@ -25,47 +28,12 @@
 	keepAliveMs: 4000,
 	// Larger than all but photos, so that a broken answer can be replaced by a retry or an honest failure.
 	heldAnswerLimitBytes: 262_144,
+	// A node of the planned size sends to far fewer targets within the keep-alive time.
+	poolLimitCount: 1000,
 };
 
 type AttemptResult = neverthrow.Result<core.AttemptAnswer, core.AttemptError>;
 
-/** Statuses that promise to callers that a request has not run; a target's own need its mark. */
-const PROMISE_STATUSES = new Set([408, 429, 503]);
-
-const MISDIRECTED_STATUS = 421;
-const FAILURE_STATUS_MINIMUM = 500;
-
-const isSuccess = (status: number): boolean => status >= 200 && status < 300;
-
-/** Tells what an answer says about the call. */
-export const readMeaning = (
-	answer: Pick<domain.TargetAnswer, 'status' | 'headers'>,
-	requestId: string,
-	dialect: WireDialect,
-): core.AnswerMeaning => {
-	const answeredId = headers.findHeader(answer.headers, dialect.requestIdHeader);
-	if (answeredId !== undefined && answeredId !== requestId) {
-		return core.AnswerMeaning.Foreign;
-	}
-
-	if (answer.status === MISDIRECTED_STATUS) {
-		return core.AnswerMeaning.Replaced;
-	}
-
-	if (headers.findHeader(answer.headers, dialect.notRunHeader) !== undefined) {
-		return core.AnswerMeaning.NotRun;
-	}
-
-	const isProven = headers.findHeader(answer.headers, dialect.signatureHeader) !== undefined;
-	const isUnproven = isSuccess(answer.status) && (!isProven || answeredId === undefined);
-	// Handing on a promise that the target did not mean would tell the caller that the call has not run.
-	if (isUnproven || PROMISE_STATUSES.has(answer.status)) {
-		return core.AnswerMeaning.Foreign;
-	}
-
-	return answer.status >= FAILURE_STATUS_MINIMUM ? core.AnswerMeaning.Failed : core.AnswerMeaning.Completed;
-};
-
 const buildHeaders = (
 	{call, target, remainingMs}: core.FleetAttempt,
 	dialect: WireDialect,
@@ -77,127 +45,6 @@
 	[dialect.expectedTargetHeader]: target.targetId,
 });
 
-/** Tells whether a connection's end is being handled: answers that complete meanwhile complete because of it. */
-type ConnectionEnds = {
-	note(): void;
-	isHandling(): boolean;
-};
-
-const createConnectionEnds = (): ConnectionEnds => {
-	let isHandling = false;
-	return {
-		note() {
-			isHandling = true;
-			// The listeners of one event run before any microtask.
-			queueMicrotask(() => {
-				isHandling = false;
-			});
-		},
-		isHandling: () => isHandling,
-	};
-};
-
-/** Receives one answer: holds it while it is small, and turns it into a stream when it grows. */
-class AnswerReceiver implements undici.Dispatcher.DispatchHandler {
-	isSent = false;
-	private controller: undici.Dispatcher.DispatchController | undefined;
-	private cancelReason: Error | undefined;
-	private status = 0;
-	private answerHeaders: domain.HeaderList = [];
-	private chunks: Uint8Array[] = [];
-	private sizeBytes = 0;
-	private overflow: stream.Readable | undefined;
-
-	constructor(
-		private readonly limitBytes: number,
-		private readonly ends: ConnectionEnds,
-		private readonly finish: (result: neverthrow.Result<domain.TargetAnswer, Error>) => void,
-	) {}
-
-	onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-		this.controller = controller;
-		if (this.cancelReason) {
-			controller.abort(this.cancelReason);
-			return;
-		}
-
-		this.isSent = true;
-	}
-
-	onResponseStart(
-		_controller: undici.Dispatcher.DispatchController,
-		status: number,
-		answerHeaders: Record<string, string | string[] | undefined>,
-	): void {
-		this.status = status;
-		this.answerHeaders = headers.listGroupedHeaders(answerHeaders);
-	}
-
-	onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Uint8Array): void {
-		if (this.overflow) {
-			this.pushOverflow(controller, chunk);
-			return;
-		}
-
-		this.chunks.push(chunk);
-		this.sizeBytes += chunk.byteLength;
-		if (this.sizeBytes > this.limitBytes) {
-			this.startOverflow(controller);
-		}
-	}
-
-	onResponseEnd(): void {
-		// A crashed target's half answer looks the same, so only a length proves that such an answer is whole.
-		const hasLength = headers.findHeader(this.answerHeaders, 'content-length') !== undefined;
-		if (this.ends.isHandling() && !hasLength) {
-			this.onResponseError(undefined, new Error('the connection ended, and nothing shows that the answer is whole'));
-			return;
-		}
-
-		if (this.overflow) {
-			this.overflow.push(null);
-			return;
-		}
-
-		this.finish(neverthrow.ok({...this.describeHead(), body: Buffer.concat(this.chunks)}));
-	}
-
-	onResponseError(_controller: unknown, error: Error): void {
-		this.overflow?.destroy(error);
-		this.finish(neverthrow.err(error));
-	}
-
-	/** Stops the exchange; before the request is sent, it never will be. */
-	cancel(reason: Error): void {
-		this.cancelReason = reason;
-		this.controller?.abort(reason);
-	}
-
-	private describeHead(): Pick<domain.TargetAnswer, 'status' | 'headers'> {
-		return {status: this.status, headers: this.answerHeaders};
-	}
-
-	private startOverflow(controller: undici.Dispatcher.DispatchController): void {
-		const overflow = new stream.Readable({
-			read() {
-				controller.resume();
-			},
-		});
-		this.overflow = overflow;
-		this.chunks.forEach(chunk => {
-			this.pushOverflow(controller, chunk);
-		});
-		this.chunks = [];
-		this.finish(neverthrow.ok({...this.describeHead(), body: overflow}));
-	}
-
-	private pushOverflow(controller: undici.Dispatcher.DispatchController, chunk: Uint8Array): void {
-		if (!this.overflow?.push(chunk)) {
-			controller.pause();
-		}
-	}
-}
-
 const classifyError = (error: Error, isSent: boolean, signal: AbortSignal): core.AttemptError => {
 	const detail = String(error);
 	if (isConnectError(error) || !isSent) {
@@ -233,12 +80,26 @@
 	const pools = new Map<string, undici.Pool>();
 	const ends = createConnectionEnds();
 
+	/** Drops the connections to an address after a fault, since others may be silent too. */
+	const retirePool = (address: string): void => {
+		const pool = pools.get(address);
+		pools.delete(address);
+		void pool?.close();
+	};
+
 	const openPool = (address: string, connectionLimit: number): undici.Pool => {
 		const existing = pools.get(address);
 		if (existing) {
+			// Keeps the map in order of use.
+			pools.delete(address);
+			pools.set(address, existing);
 			return existing;
 		}
 
+		if (pools.size >= options.poolLimitCount) {
+			retirePool(pools.keys().next().value!);
+		}
+
 		const pool = new undici.Pool(`http://${address}`, {
 			connections: connectionLimit,
 			pipelining: 1,
@@ -253,31 +114,31 @@
 		return pool;
 	};
 
-	/** Drops the connections to an address after a fault, since others may be silent too. */
-	const retirePool = (address: string): void => {
-		const pool = pools.get(address);
-		pools.delete(address);
-		void pool?.close();
-	};
-
 	const exchange = async (attempt: core.FleetAttempt, signal: AbortSignal): Promise<AttemptResult> =>
 		new Promise(resolve => {
 			const {call, target} = attempt;
-			const receiver = new AnswerReceiver(options.heldAnswerLimitBytes, ends, result => {
+			const end = (result: AttemptResult): void => {
 				clearTimeout(connectTimer);
-				resolve(
-					result
-						.map(answer => ({meaning: readMeaning(answer, call.requestId, options.dialect), answer}))
-						.mapErr(error => classifyError(error, receiver.isSent, signal)),
-				);
+				signal.removeEventListener('abort', cancel);
+				resolve(result);
+			};
+
+			const receiver = new AnswerReceiver(options.heldAnswerLimitBytes, ends, result => {
+				const isStreaming = result.isOk() && !(result.value.body instanceof Uint8Array);
+				const outcome = result
+					.map(answer => ({meaning: readMeaning(answer, call.requestId, options.dialect), answer}))
+					.mapErr(error => classifyError(error, receiver.isSent, signal));
+				end(outcome);
+				if (isStreaming) {
+					// The rest of the answer is cut off when the caller leaves.
+					signal.addEventListener('abort', cancel, {once: true});
+				}
 			});
 			const cancel = (): void => {
 				const {isSent} = receiver;
 				receiver.cancel(core.STOP_REASON);
 				if (!isSent) {
-					resolve(
-						neverthrow.err({kind: core.AttemptErrorKind.CancelledUnsent, detail: 'cancelled before it was sent'}),
-					);
+					end(neverthrow.err({kind: core.AttemptErrorKind.CancelledUnsent, detail: 'cancelled before it was sent'}));
 				}
 			};
 
@@ -285,7 +146,7 @@
 				if (!receiver.isSent) {
 					receiver.cancel(core.STOP_REASON);
 					const detail = `no connection within ${options.connectTimeoutMs} ms`;
-					resolve(neverthrow.err({kind: core.AttemptErrorKind.Unreachable, detail}));
+					end(neverthrow.err({kind: core.AttemptErrorKind.Unreachable, detail}));
 				}
 			}, options.connectTimeoutMs);
 			signal.addEventListener('abort', cancel, {once: true});
