fix(daemon): wait for the last answers to leave before the process ends

Cause: a call ends when its answer begins to leave. The process could exit half a second later, before a slow caller had it.

Change: after the last call the stop waits up to a second, within the grace time, until the callers' connections are closed.

--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -19,6 +19,9 @@
 /** The process ends this long before the platform's kill. */
 const KILL_MARGIN_MS = 1000;
 
+/** Time for the last answers to leave after the last call has ended: a second of a slow caller's link. */
+const LAST_ANSWERS_MS = 1000;
+
 /** How often a stopping node looks whether its last call has ended. */
 const DRAIN_TURN_MS = 50;
 
@@ -43,11 +46,14 @@
 ): Promise<number> => {
 	const endAtMs = options.clock.monotonicMs() + options.graceMs - KILL_MARGIN_MS;
 	await options.clock.sleep(ROTATION_MS);
-	void listeners.front.close();
+	const closed = listeners.front.close();
 	while (options.countCalls() > 0 && options.clock.monotonicMs() < endAtMs) {
 		await options.clock.sleep(DRAIN_TURN_MS);
 	}
 
+	// A call ends when its answer begins to leave, so the connections tell when the last byte is out.
+	const leftMs = Math.max(0, endAtMs - options.clock.monotonicMs());
+	await Promise.race([closed, options.clock.sleep(Math.min(LAST_ANSWERS_MS, leftMs))]);
 	return options.countCalls();
 };
 
