fix(observability): bound the log lines that wait for a slow reader

Cause: the program wrote its lines to the stream of its standard output, which queues without a bound while nobody reads.

Change: a line writer drops lines while more than 1 MB waits and logs how many; a stop writes the last lines and closes the clients within the grace time. The process test now guards the promise as a whole.

--- a/packages/daemon/src/fleet/__tests__/fleet-harness.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -244,8 +244,39 @@
 	}
 };
 
+/** Fleets that run at once. All tests of a file start together, and 26 processes at once did not start within 15 s. */
+const FLEET_LIMIT_COUNT = 4;
+let runningFleetCount = 0;
+const waitingFleets: Array<() => void> = [];
+
+/** Waits until few enough fleets run. */
+const takeFleetPlace = async (t: ExecutionContext): Promise<void> => {
+	if (runningFleetCount >= FLEET_LIMIT_COUNT) {
+		await new Promise<void>(resolve => {
+			waitingFleets.push(resolve);
+		});
+	}
+
+	runningFleetCount++;
+	t.teardown(() => {
+		runningFleetCount--;
+		waitingFleets.shift()?.();
+	});
+};
+
+/** Waits until all nodes serve. An error shows what those that do not have logged. */
+const waitUntilReady = async (nodes: readonly RunningNode[]): Promise<void> => {
+	try {
+		await waitUntil(async () => (await Promise.all(nodes.map(async node => node.isReady()))).every(Boolean));
+	} catch (error) {
+		const lines = nodes.map(({process: {exitCode}, lines: logged}) => `exit code ${exitCode}: ${logged.join(' | ')}`);
+		throw new Error(`nodes are not ready: ${lines.join('; ')}`, {cause: error});
+	}
+};
+
 /** Starts the store's stand-in, targets and nodes, and waits until every node is ready. */
 export const startFleet = async (t: ExecutionContext, counts: {nodes: number; targets: number}) => {
+	await takeFleetPlace(t);
 	const store = platformStandIn.createStoreStandIn();
 	const storeListener = await adapters.startHttpListener(store.app, {});
 	t.teardown(async () => {
@@ -278,7 +309,7 @@
 			startNode(t, `node-${index}`, {storeAddress: storeListener.address, seeds: controls.slice(0, 1), control}),
 		),
 	);
-	await waitUntil(async () => (await Promise.all(nodes.map(async node => node.isReady()))).every(Boolean));
+	await waitUntilReady(nodes);
 	return {store, targets, nodes, register, configure};
 };
 
--- a/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
@@ -111,3 +111,16 @@
 	t.is((await send(nodes[0]!, 'after')).status, 200);
 	t.is(nodes[0]!.process.exitCode, null);
 });
+
+test('a node whose standard output nobody reads goes on serving', async t => {
+	const {nodes} = await startFleet(t, {nodes: 1, targets: 1});
+	const [node] = nodes;
+	node!.process.stdout!.pause();
+	const dispatcher = new undici.Agent({connections: 16, headersTimeout: 10_000});
+	// Each unknown route is a log line of 300 bytes; a socket and its reader hold less than 400 KB.
+	const ids = Array.from({length: 3000}, (_, index) => `unknown-${index}`);
+	const replies = await Promise.all(ids.map(async id => send(node!, id, {path: '/nowhere/', dispatcher})));
+	t.true(replies.every(({status}) => status === 404));
+	t.is((await send(node!, 'after', {dispatcher})).status, 200);
+	await dispatcher.destroy();
+});
--- a/packages/daemon/src/fleet/build-fleet-ports.ts
+++ b/packages/daemon/src/fleet/build-fleet-ports.ts
@@ -6,13 +6,18 @@
 export type FleetPorts = {
 	readonly ports: core.FleetNodePorts;
 	readonly metricsRegistry: ReturnType<typeof adapters.createPrometheusMetrics>['registry'];
+	/** Closes all clients and writes the last log lines. */
 	close(): Promise<void>;
 };
 
+/** Longest time for writing the last log lines, in ms; a reader that has stopped must not keep the process. */
+const LAST_LINES_MS = 200;
+
 /** Builds the adapters that the settings ask for. */
 export const buildFleetPorts = (settings: platform.PlatformSettings, logLevel: adapters.LogLevel): FleetPorts => {
 	const {metrics, registry} = adapters.createPrometheusMetrics({hasProcessMetrics: false});
-	const logger = adapters.createWinstonLogger({level: logLevel, fields: {node: settings.nodeId}, stream: 'stdout'});
+	const writer = adapters.createLineWriter();
+	const logger = adapters.createWinstonLogger({level: logLevel, fields: {node: settings.nodeId}, writer});
 	const store = platform.createHttpRegistryStore({
 		address: settings.storeAddress,
 		context: {regionsByZone: settings.regionsByZone},
@@ -34,6 +39,7 @@
 		},
 		async close() {
 			await Promise.all([store.close(), peerClient.close(), targetClient.close()]);
+			await writer.flush(LAST_LINES_MS);
 		},
 	};
 };
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -91,4 +91,5 @@
 	controller.abort(core.STOP_REASON);
 	logger.info('node stopped', {event: 'node-stopped', cutCallCount});
 	await Promise.race([tasks, clock.sleep(KILL_MARGIN_MS / 2)]);
+	await Promise.race([fleetPorts.close(), clock.sleep(KILL_MARGIN_MS / 4)]);
 };
