--- a/packages/cli/src/command-table.ts
+++ b/packages/cli/src/command-table.ts
@@ -11,6 +11,7 @@
 import {operationsShow} from './commands/operations-show.js';
 import {services} from './commands/services.js';
 import {targets} from './commands/targets.js';
+import {trace} from './commands/trace.js';
 
 /** The commands by the words that call them. */
 export enum CommandName {
@@ -26,6 +27,7 @@
 	Services = 'services',
 	OperationsShow = 'operations show',
 	Explain = 'explain',
+	Trace = 'trace',
 }
 
 export const COMMANDS: Record<CommandName, Command> = {
@@ -41,6 +43,7 @@
 	[CommandName.Services]: services,
 	[CommandName.OperationsShow]: operationsShow,
 	[CommandName.Explain]: explain,
+	[CommandName.Trace]: trace,
 };
 
 /** Descriptions of the words that only group commands. */
--- /dev/null
+++ b/packages/cli/src/commands/trace.ts
@@ -0,0 +1,53 @@
+import * as fs from 'node:fs';
+import * as readline from 'node:readline';
+import type {Command} from '../command.js';
+import {ExitCode} from '../exit-code.js';
+import {parseLogLine, type LogLine} from '../log-line.js';
+import {belongsTo, findScope, formatLogLine} from '../trace-request.js';
+
+/** Reads the lines of files that pass a filter, without holding whole files. */
+const readLines = async (
+	fileNames: readonly string[],
+	isWanted: (text: string) => boolean,
+): Promise<readonly LogLine[]> => {
+	const lines: LogLine[] = [];
+	for (const fileName of fileNames) {
+		for await (const text of readline.createInterface({input: fs.createReadStream(fileName)})) {
+			const line = isWanted(text) ? parseLogLine(text) : undefined;
+			if (line) {
+				lines.push(line);
+			}
+		}
+	}
+
+	return lines;
+};
+
+/** Puts the log lines of several nodes that explain one request into the order of time. */
+export const trace: Command = {
+	usage: '<request-id> <files...>',
+	description: 'show from log files how a request was handled',
+	async run({args, print, report}) {
+		const [requestId = '', ...fileNames] = args;
+		try {
+			const own = await readLines(fileNames, text => text.includes(requestId));
+			const scope = findScope(requestId, own);
+			if (!scope) {
+				report(
+					`no line of ${fileNames.join(', ')} names request ${requestId}; plain successes are logged at debug only`,
+				);
+				return ExitCode.NotFound;
+			}
+
+			const related = await readLines(fileNames, text => text.includes('"event"'));
+			const timeline = related
+				.filter(line => belongsTo(scope, line))
+				.toSorted((left, right) => Date.parse(left.timestamp) - Date.parse(right.timestamp));
+			print({json: timeline, lines: timeline.map(formatLogLine)});
+			return ExitCode.Ok;
+		} catch (error) {
+			report(`log files cannot be read: ${String(error)}`);
+			return ExitCode.InvalidInput;
+		}
+	},
+};
--- /dev/null
+++ b/packages/cli/src/trace-request.ts
@@ -0,0 +1,65 @@
+import type {LogLine} from './log-line.js';
+
+/** Time around a request in which other lines may explain it: the longest absence of a target, in ms. */
+const CONTEXT_MS = 15_000;
+
+/** Events that say what a node believed when it handled a request. */
+const BELIEF_EVENTS = new Set([
+	'catalogue-in-force',
+	'node-started',
+	'node-stopping',
+	'peer-lost',
+	'peer-regained',
+	'reader-started',
+	'settings-reloaded',
+	'store-lost',
+	'store-regained',
+]);
+
+/** What of a request's own lines decides which other lines belong to it. */
+type RequestScope = {
+	readonly requestId: string;
+	readonly nodes: ReadonlySet<unknown>;
+	readonly targetIds: ReadonlySet<unknown>;
+	readonly fromMs: number;
+	readonly untilMs: number;
+};
+
+/** Finds the scope of a request from its own lines; undefined when there are none. */
+export const findScope = (requestId: string, lines: readonly LogLine[]): RequestScope | undefined => {
+	const own = lines.filter(({fields}) => fields.requestId === requestId);
+	if (own.length === 0) {
+		return undefined;
+	}
+
+	const timesMs = own.map(({timestamp}) => Date.parse(timestamp));
+	const durationsMs = own.map(({fields}) => Number(fields.elapsedMs ?? fields.durationMs ?? 0));
+	return {
+		requestId,
+		nodes: new Set(own.flatMap(({node, fields}) => [node, fields.dispatcher])),
+		targetIds: new Set(own.map(({fields}) => fields.targetId).filter(Boolean)),
+		fromMs: Math.min(...timesMs) - Math.max(...durationsMs) - CONTEXT_MS,
+		untilMs: Math.max(...timesMs),
+	};
+};
+
+/** Whether a line is the request's own or tells of a node or a target that it met. */
+export const belongsTo = (scope: RequestScope, {timestamp, node, event, fields}: LogLine): boolean => {
+	if (fields.requestId === scope.requestId) {
+		return true;
+	}
+
+	const timeMs = Date.parse(timestamp);
+	if (fields.requestId !== undefined || timeMs < scope.fromMs || timeMs > scope.untilMs) {
+		return false;
+	}
+
+	return scope.targetIds.has(fields.targetId) || (BELIEF_EVENTS.has(event) && scope.nodes.has(node));
+};
+
+const formatField = ([name, value]: readonly [string, unknown]): string =>
+	`${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`;
+
+/** One line of a timeline. */
+export const formatLogLine = ({timestamp, node, event, fields}: LogLine): string =>
+	[timestamp, node, event, ...Object.entries(fields).map(formatField)].join('  ');
