--- a/packages/adapters/src/front/proxy-app.ts
+++ b/packages/adapters/src/front/proxy-app.ts
@@ -195,7 +195,7 @@
 		});
 		const body = await readBody(incoming, {heldBytes, totalBytes: options.readBodyLimitBytes()});
 		if (body.isErr()) {
-			options.logger.info('request body refused', {event: 'body-refused', requestId, problem: body.error});
+			options.logger.info('request body refused', {event: core.LogEvent.BodyRefused, requestId, problem: body.error});
 			if (body.error === BodyProblem.TooLarge) {
 				writeEmpty(outgoing, 413, requestId, {connection: 'close'});
 			}
@@ -230,7 +230,7 @@
 		try {
 			await handleRequest(incoming, outgoing);
 		} catch (error) {
-			options.logger.error('call handling failed', {event: 'call-handling-failed', error: String(error)});
+			options.logger.error('call handling failed', {event: core.LogEvent.CallHandlingFailed, error: String(error)});
 			outgoing.destroy();
 		}
 
--- a/packages/adapters/src/observability/line-writer.ts
+++ b/packages/adapters/src/observability/line-writer.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import type * as stream from 'node:stream';
 import * as timersPromises from 'node:timers/promises';
+import * as core from '@bilberrydoor/core';
 
 export type LineWriterOptions = {
 	/** Stream that the lines go to. Its writes must not block. */
@@ -24,7 +25,7 @@
 	`${JSON.stringify({
 		level: 'warn',
 		message: 'log lines dropped',
-		event: 'log-lines-dropped',
+		event: core.LogEvent.LogLinesDropped,
 		droppedCount,
 		timestamp: new Date().toISOString(),
 	})}\n`;
--- a/packages/adapters/src/peer/fleet-peer-app.ts
+++ b/packages/adapters/src/peer/fleet-peer-app.ts
@@ -41,7 +41,11 @@
 			createContext: () => ({signal: context.req.raw.signal}),
 			onError({error, path}) {
 				options.metrics.increment(core.CounterName.PeerMessages, {kind: path ?? 'unknown', result: error.code});
-				options.logger.warn('peer message refused', {event: 'peer-message-refused', path, detail: error.message});
+				options.logger.warn('peer message refused', {
+					event: core.LogEvent.PeerMessageRefused,
+					path,
+					detail: error.message,
+				});
 			},
 		}),
 	);
--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -110,12 +110,12 @@
 		while (!signal.aborted) {
 			const published = await store.publishNode(self, signal);
 			if (published.isErr()) {
-				logger.warn('node not registered', {event: 'node-not-registered', detail: published.error.detail});
+				logger.warn('node not registered', {event: ports.LogEvent.NodeNotRegistered, detail: published.error.detail});
 				await clock.sleep(backOff.nextMs(), signal);
 				continue;
 			}
 
-			logger.info('node registered', {event: 'node-registered', nodeId: self.nodeId});
+			logger.info('node registered', {event: ports.LogEvent.NodeRegistered, nodeId: self.nodeId});
 			do {
 				await clock.sleep(REGISTRATION_CHECK_MS, signal);
 			} while (!signal.aborted && !stopping.signal.aborted && isRegistered());
--- a/packages/core/src/ports/index.ts
+++ b/packages/core/src/ports/index.ts
@@ -15,6 +15,7 @@
 export type * from './clock.js';
 export * from './fleet-peer.js';
 export * from './fleet-target-client.js';
+export * from './log-event.js';
 export * from './log-service.js';
 export type * from './logger.js';
 export * from './metrics.js';
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -136,7 +136,7 @@
 	): void => {
 		const isNotable = result !== ports.GrantResult.Success && result !== ports.GrantResult.Cancelled;
 		(isNotable ? logger.info : logger.debug)('attempt ended', {
-			event: 'attempt-ended',
+			event: ports.LogEvent.AttemptEnded,
 			requestId: state.call.requestId,
 			routeId: state.route.routeId,
 			service: state.service,
--- a/packages/core/src/proxy/record-ending.ts
+++ b/packages/core/src/proxy/record-ending.ts
@@ -40,7 +40,7 @@
 		// Plain successes are counted and logged at debug level only, which bounds the volume under load.
 		const log = isPlainSuccess(ending) ? logger.debug : logger.info;
 		log('call ended', {
-			event: 'call-ended',
+			event: ports.LogEvent.CallEnded,
 			requestId: call.requestId,
 			routeId: state?.route.routeId,
 			service: state?.service,
--- a/packages/core/src/registry/peer-standing.ts
+++ b/packages/core/src/registry/peer-standing.ts
@@ -1,4 +1,4 @@
-import type * as ports from '../ports/index.js';
+import * as ports from '../ports/index.js';
 
 /** First time for which an unreachable peer is passed over; doubled with each failure in a row. */
 const FIRST_ABSENCE_MS = 500;
@@ -19,7 +19,7 @@
 		isUsable: address => (absences.get(address)?.untilMs ?? 0) <= options.clock.monotonicMs(),
 		recordSuccess(address) {
 			if (absences.delete(address)) {
-				options.logger.info('peer regained', {event: 'peer-regained', peer: address});
+				options.logger.info('peer regained', {event: ports.LogEvent.PeerRegained, peer: address});
 			}
 		},
 		recordFailure(address) {
@@ -27,7 +27,7 @@
 			const durationMs = last ? Math.min(last.durationMs * 2, ABSENCE_LIMIT_MS) : FIRST_ABSENCE_MS;
 			absences.set(address, {untilMs: options.clock.monotonicMs() + durationMs, durationMs});
 			if (!last) {
-				options.logger.warn('peer lost', {event: 'peer-lost', peer: address, passedOverMs: durationMs});
+				options.logger.warn('peer lost', {event: ports.LogEvent.PeerLost, peer: address, passedOverMs: durationMs});
 			}
 		},
 	};
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -205,7 +205,7 @@
 	while (!signal.aborted) {
 		const isFirst = (): boolean => rankReaders()[0]?.nodeId === self.nodeId;
 		if (isFirst()) {
-			options.logger.info('reading the store for the region', {event: 'reader-started'});
+			options.logger.info('reading the store for the region', {event: ports.LogEvent.ReaderStarted});
 			notePause(await readAsReader(isFirst));
 		} else {
 			await followOnce(rankReaders());
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -130,7 +130,7 @@
 		);
 		if (newest && newest !== catalogue) {
 			logger.info('catalogue in force', {
-				event: 'catalogue-in-force',
+				event: ports.LogEvent.CatalogueInForce,
 				version: newest.version,
 				previousVersion: catalogue?.version,
 				routeCount: newest.routes.length,
--- a/packages/core/src/registry/store-reader.ts
+++ b/packages/core/src/registry/store-reader.ts
@@ -56,12 +56,12 @@
 
 		isStoreLost = isLost;
 		if (isLost) {
-			logger.warn('store lost', {event: 'store-lost', topic, detail: error.detail});
+			logger.warn('store lost', {event: ports.LogEvent.StoreLost, topic, detail: error.detail});
 			return;
 		}
 
 		settledAtMs = clock.monotonicMs() + SETTLING_MS;
-		logger.info('store regained', {event: 'store-regained', topic});
+		logger.info('store regained', {event: ports.LogEvent.StoreRegained, topic});
 	};
 
 	const readTopic = async <Topic extends ports.RegistryTopic>(
--- a/packages/daemon/src/fleet/follow-settings.ts
+++ b/packages/daemon/src/fleet/follow-settings.ts
@@ -21,7 +21,11 @@
 		const {mtimeMs} = await fs.stat(fileName);
 		return mtimeMs;
 	} catch (error) {
-		logger.warn('settings file cannot be read', {event: 'settings-unreadable', fileName, detail: String(error)});
+		logger.warn('settings file cannot be read', {
+			event: core.LogEvent.SettingsUnreadable,
+			fileName,
+			detail: String(error),
+		});
 		return 0;
 	}
 };
@@ -46,12 +50,15 @@
 		modifiedMs = newModifiedMs;
 		const loaded = await loadFleetSettings(fileName);
 		if (loaded.isErr()) {
-			logger.error('changed settings are not valid and stay unused', {event: 'reload-failed', problems: loaded.error});
+			logger.error('changed settings are not valid and stay unused', {
+				event: core.LogEvent.ReloadFailed,
+				problems: loaded.error,
+			});
 			continue;
 		}
 
 		options.applyDispatcher(loaded.value.dispatcher);
-		logger.info('settings reloaded', {event: 'settings-reloaded', dispatcher: loaded.value.dispatcher});
+		logger.info('settings reloaded', {event: core.LogEvent.SettingsReloaded, dispatcher: loaded.value.dispatcher});
 	}
 
 	process.off('SIGHUP', wake);
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -81,15 +81,15 @@
 			controller.signal,
 		),
 	]);
-	logger.info('node started', {event: 'node-started', incarnationId: node.self.incarnationId, ...settings});
+	logger.info('node started', {event: core.LogEvent.NodeStarted, incarnationId: node.self.incarnationId, ...settings});
 
 	const signalName = await waitForStopSignal();
 	stop.isLeaving = true;
-	logger.info('node stopping', {event: 'node-stopping', signal: signalName, callCount: node.countCalls()});
+	logger.info('node stopping', {event: core.LogEvent.NodeStopping, signal: signalName, callCount: node.countCalls()});
 	void node.leave();
 	const cutCallCount = await drain(listeners, {clock, graceMs: settings.graceMs, countCalls: node.countCalls});
 	controller.abort(core.STOP_REASON);
-	logger.info('node stopped', {event: 'node-stopped', cutCallCount});
+	logger.info('node stopped', {event: core.LogEvent.NodeStopped, cutCallCount});
 	await Promise.race([tasks, clock.sleep(KILL_MARGIN_MS / 2)]);
 	await Promise.race([fleetPorts.close(), clock.sleep(KILL_MARGIN_MS / 4)]);
 };
