perf(grants): fewer bytes between regions; counters of grants, histograms of queue wait and verdict age

Change: results of calls in another region go to the dispatcher that granted them and not to its successor. Large bodies leave their region only when it has no target that the node can reach; a dispatcher says so when all paths of a node are lost.

--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -42,6 +42,11 @@
 		help: "Calls to the platform's store by kind and result",
 		labelNames: ['kind', 'result'],
 	},
+	[core.CounterName.Grants]: {
+		name: 'grants_total',
+		help: "Requests for slots that this node's dispatchers decided, by standing of the target or by refusal",
+		labelNames: ['service', 'result'],
+	},
 };
 
 const GAUGES: Record<core.GaugeName, MetricDefinition> = {
@@ -77,6 +82,11 @@
 		help: 'Time that calls waited for a slot',
 		labelNames: ['workClass'],
 	},
+	[core.HistogramName.VerdictAgeSeconds]: {
+		name: 'verdict_age_seconds',
+		help: 'Time since the last result of the target that a grant names',
+		labelNames: [],
+	},
 };
 
 const PREFIX = 'bilberrydoor_';
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -120,7 +120,6 @@
 			.regionsOf(wish.service)
 			.toSorted((left, right) => Number(right === self.region) - Number(left === self.region));
 		const shortWaitMs = Math.max(SPILL_WAIT_MS, wish.objectiveLeftMs * SPILL_RATIO);
-		// Large bodies cross the link between regions only when waiting would make them late.
 		const ownWaitMs = wish.isBulk ? Math.max(shortWaitMs, wish.remainingMs * WAIT_RATIO) : shortWaitMs;
 		return regions.map((region, index) => ({
 			region,
@@ -144,7 +143,11 @@
 		if (timed.isTimedOut || timed.value.isErr()) {
 			// The grant expires by itself; only the evidence on the target is missing.
 			metrics.increment(ports.CounterName.PeerMessages, {kind: ports.FleetMessageKind.ReportResult, result: 'failed'});
-			parts.logger.debug('report lost', {event: 'report-lost', peer: node.address, grantId: request.grantId});
+			parts.logger.debug('report lost', {
+				event: ports.LogEvent.ReportLost,
+				peer: node.address,
+				grantId: request.grantId,
+			});
 		}
 	};
 
@@ -153,6 +156,12 @@
 			const steps = planSteps(wish);
 			const denials: Array<{step: Step; denial: ports.GrantDenial}> = [];
 			for (const step of steps) {
+				if (wish.isBulk && denials.some(({denial}) => denial.refusal !== ports.GrantRefusal.NoTarget)) {
+					// One large body takes the link between regions for as long as ten small calls, and most that crossed on heavy
+					// days met targets as busy as those at home. It crosses only when a region has no target to wait for.
+					break;
+				}
+
 				const answer = await askRegion(wish, step, signal);
 				if (answer.isGranted) {
 					return answer;
@@ -185,8 +194,10 @@
 				result,
 				durationMs: Math.round(durationMs),
 			};
-			// The own dispatcher learns too, for the time when no other can be reached.
-			const nodes = [grant.dispatcher, ...rankDispatchers(service, grant.region), self];
+			// The own dispatcher learns too, for the time when no other can be reached. The successor of another region's
+			// dispatcher learns from the calls of its own region, which spares the link between regions a message a call.
+			const successors = grant.region === self.region ? rankDispatchers(service, grant.region) : [];
+			const nodes = [grant.dispatcher, ...successors, self];
 			const receivers = new Map(nodes.map(node => [node.nodeId, node]));
 			[...receivers.values()].forEach(node => {
 				void tellDispatcher(node, request);
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -4,7 +4,8 @@
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
 import {createGrayPhases} from './gray-phases.js';
-import {createTargetLedger, GrantStanding, type Asker, type TargetLedger} from './target-ledger.js';
+import {hasRoom, pickTarget} from './pick-target.js';
+import {createTargetLedger, GrantStanding, type TargetLedger} from './target-ledger.js';
 import {createUsualDurations} from './usual-durations.js';
 import {createUsualFailureRatio} from './usual-failure-ratio.js';
 import {createWaitingCalls, type WaitingCall} from './waiting-calls.js';
@@ -21,8 +22,7 @@
 /** Duration assumed before any call has ended, in ms. */
 const UNKNOWN_DURATION_MS = 250;
 
-/** Breaks ties between targets of the same cost. */
-const COST_JITTER = 0.05;
+const MS_PER_SECOND = 1000;
 
 /** Grants slots of one group's targets. */
 export type GroupDispatcher = {
@@ -87,58 +87,13 @@
 			.filter(ledger => ledger.target().readiness === domain.TargetReadiness.Ready);
 	};
 
-	const hasRoom = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
-
-	const pickCheapest = (candidates: readonly TargetLedger[], asker: Asker): TargetLedger | undefined => {
-		const priced = candidates.map(ledger => ({
-			ledger,
-			cost: ledger.costFor(asker) + parts.random.fraction() * COST_JITTER,
-		}));
-		return priced.reduce<{ledger: TargetLedger; cost: number} | undefined>(
-			(best, candidate) => (best && best.cost <= candidate.cost ? best : candidate),
-			undefined,
-		)?.ledger;
-	};
-
-	/**
-	 * Picks a target: a sound one with a free slot; one on trial when the call may be repeated or sound ones are scarce;
-	 * and, as a last resort, the one with the least evidence against it.
-	 */
-	const pickTarget = (request: ports.AcquireGrantRequest): TargetLedger | undefined => {
-		const excluded = new Set(request.excludedTargetIds);
-		const usable = listLedgers().filter(ledger => !excluded.has(ledger.target().targetId));
-		const byStanding = (standing: GrantStanding): TargetLedger[] =>
-			usable.filter(ledger => ledger.standingFor(request.nodeId) === standing);
-		const sound = byStanding(GrantStanding.Sound);
-		const free = sound.filter(hasRoom);
-		const onTrial = byStanding(GrantStanding.OnTrial).filter(ledger => ledger.openCount() === 0);
-		const openCount = sound.reduce((sum, ledger) => sum + ledger.openCount(), 0);
-		const slotCount = sound.reduce((sum, ledger) => sum + ledger.slotCount(), 0);
-		const isRepeatable =
-			request.repeatability === domain.Repeatability.Repeatable && request.attemptIndex === 0 && budget.hasRetry();
-		const isScarce = openCount >= slotCount * options.trialOccupancyRatio;
-		const isTrialDue = isRepeatable || isScarce || free.length === 0;
-		if (onTrial.length > 0 && isTrialDue) {
-			return pickCheapest(onTrial, request);
-		}
-
-		// Refusals come and go with chance when a whole service sheds, so a resting target is still worth a call.
-		const resting = byStanding(GrantStanding.Resting).filter(hasRoom);
-		const best = pickCheapest(free, request) ?? pickCheapest(resting, request);
-		if (best !== undefined || !request.isLastResort) {
-			return best;
-		}
-
-		return [...byStanding(GrantStanding.OnTrial), ...byStanding(GrantStanding.SetAside)]
-			.filter(hasRoom)
-			.toSorted(
-				(left, right) =>
-					left.failedReturnCount() - right.failedReturnCount() || left.lastFaultAtMs() - right.lastFaultAtMs(),
-			)[0];
-	};
-
 	const tryGrant = (request: ports.AcquireGrantRequest): ports.Grant | undefined => {
-		const ledger = pickTarget(request);
+		const ledger = pickTarget(request, {
+			ledgers: listLedgers(),
+			options,
+			random: parts.random,
+			hasRetry: budget.hasRetry,
+		});
 		if (!ledger) {
 			return undefined;
 		}
@@ -159,6 +114,9 @@
 	const hasAnyRoom = (): boolean =>
 		listLedgers().some(ledger => hasRoom(ledger) && ledger.standingFor(ANY_NODE) !== GrantStanding.SetAside);
 
+	const hasReachableTarget = (nodeId: string): boolean =>
+		listLedgers().some(ledger => ledger.standingFor(nodeId) !== GrantStanding.PathLost);
+
 	const serveWaiting = (): void => {
 		servedWaitingAtMs = clock.monotonicMs();
 		const calls = waiting.list();
@@ -259,41 +217,63 @@
 		return counts;
 	};
 
-	return {
-		async acquire(request, signal) {
-			if (request.repeatability === domain.Repeatability.Repeatable) {
-				lastRepeatableAtMs = clock.monotonicMs();
-			}
+	const acquire = async (request: ports.AcquireGrantRequest, signal: AbortSignal): Promise<ports.AcquireGrantReply> => {
+		if (request.repeatability === domain.Repeatability.Repeatable) {
+			lastRepeatableAtMs = clock.monotonicMs();
+		}
 
-			const refused = checkAdmission(request);
-			if (refused) {
-				return refused;
-			}
+		const refused = checkAdmission(request);
+		if (refused) {
+			return refused;
+		}
 
-			// Calls that already wait go first.
-			serveWaiting();
-			const grant = tryGrant(request);
-			if (grant) {
-				recordGrant(request);
-				return grant;
-			}
+		// Calls that already wait go first.
+		serveWaiting();
+		const grant = tryGrant(request);
+		if (grant) {
+			recordGrant(request);
+			return grant;
+		}
 
-			const predictedWaitMs = predictWaitMs(request.priority);
-			if (listLedgers().length === 0) {
-				return deny(ports.GrantRefusal.NoTarget, predictedWaitMs);
-			}
+		const predictedWaitMs = predictWaitMs(request.priority);
+		if (!hasReachableTarget(request.nodeId)) {
+			return deny(ports.GrantRefusal.NoTarget, predictedWaitMs);
+		}
 
-			if (predictedWaitMs > request.waitLimitMs) {
-				return deny(ports.GrantRefusal.Busy, predictedWaitMs);
-			}
+		if (predictedWaitMs > request.waitLimitMs) {
+			return deny(ports.GrantRefusal.Busy, predictedWaitMs);
+		}
 
-			const awaited = await waitForGrant(request, signal);
-			if (!awaited) {
-				return deny(ports.GrantRefusal.Busy, predictWaitMs(request.priority));
-			}
+		const awaited = await waitForGrant(request, signal);
+		if (!awaited) {
+			return deny(ports.GrantRefusal.Busy, predictWaitMs(request.priority));
+		}
 
-			recordGrant(request);
-			return awaited;
+		recordGrant(request);
+		return awaited;
+	};
+
+	/** Counts a decision; the wait is that of calls which were not refused at once. */
+	const recordDecision = (
+		{service}: ports.AcquireGrantRequest,
+		reply: ports.AcquireGrantReply,
+		waitMs: number,
+	): void => {
+		const result = reply.isGranted ? reply.standing : reply.refusal;
+		metrics.increment(ports.CounterName.Grants, {service, result});
+		metrics.observe(ports.HistogramName.QueueSeconds, {}, waitMs / MS_PER_SECOND);
+		const verdictAgeMs = reply.isGranted ? ledgers.get(reply.target.targetId)?.verdictAgeMs() : undefined;
+		if (verdictAgeMs !== undefined) {
+			metrics.observe(ports.HistogramName.VerdictAgeSeconds, {}, verdictAgeMs / MS_PER_SECOND);
+		}
+	};
+
+	return {
+		async acquire(request, signal) {
+			const askedAtMs = clock.monotonicMs();
+			const reply = await acquire(request, signal);
+			recordDecision(request, reply, clock.monotonicMs() - askedAtMs);
+			return reply;
 		},
 		report(request) {
 			const ledger = ledgers.get(request.targetId);
@@ -301,7 +281,7 @@
 			if (isSetAside) {
 				metrics.increment(ports.CounterName.Ejections, {service: request.service, reason: request.result});
 				logger.info('target set aside', {
-					event: 'target-set-aside',
+					event: ports.LogEvent.TargetSetAside,
 					groupId,
 					targetId: request.targetId,
 					grantId: request.grantId,
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -109,6 +109,8 @@
 	costFor(asker: Asker): number;
 	/** Monotonic time of the last sign of a fault, in ms; 0 when there was none. */
 	lastFaultAtMs(): number;
+	/** Time since the last result that tells of the target, in ms; undefined before the first. */
+	verdictAgeMs(): number | undefined;
 	/** Returns that failed since the target was set aside. */
 	failedReturnCount(): number;
 	open(
@@ -294,6 +296,10 @@
 			);
 		},
 		lastFaultAtMs: () => lastFaultAtMs,
+		verdictAgeMs() {
+			const lastAtMs = Math.max(lastFaultAtMs, lastSuccessAtMs ?? 0);
+			return lastAtMs === 0 ? undefined : clock.monotonicMs() - lastAtMs;
+		},
 		failedReturnCount: () => absence?.failedReturnCount ?? 0,
 		open(grantId, {nodeId, routeId, repeatability}, ttlMs) {
 			const nowMs = clock.monotonicMs();
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -10,6 +10,7 @@
 	CatalogueEdits = 'catalogueEdits',
 	PeerMessages = 'peerMessages',
 	StoreCalls = 'storeCalls',
+	Grants = 'grants',
 }
 
 export enum GaugeName {
@@ -25,6 +26,7 @@
 export enum HistogramName {
 	CallSeconds = 'callSeconds',
 	QueueSeconds = 'queueSeconds',
+	VerdictAgeSeconds = 'verdictAgeSeconds',
 }
 
 /** Label values by label name. Label names are fixed for each metric by the adapter. */
