refactor(core): no import cycles, unused functions removed

Cause: entry-service and group-offers, target-record and target-standing, slot-broker and wait-queue imported each other for types; subscribeToLeavingTargets, measureLinkSharing and isPathSuspect had no caller.

Change: the shared types AdmittedCall, TargetStanding and SlotGrant have files of their own; the three are removed with the state that only they read.

--- a/packages/core/src/entry/entry-service.ts
+++ b/packages/core/src/entry/entry-service.ts
@@ -7,6 +7,7 @@
 import type {NodeGuardOptions} from '../scheduling/scheduler-options.js';
 import {limitBody} from '../shared/limit-body.js';
 import {trackReading} from '../shared/track-reading.js';
+import type {AdmittedCall} from './admitted-call.js';
 import {createGroupOffers} from './group-offers.js';
 import type {GroupDelivery} from './group-delivery.js';
 
@@ -18,16 +19,6 @@
 /** Runs work that may be executed at most once. */
 export type SingleWorkHandler = (admitted: AdmittedCall, signal: AbortSignal) => Promise<domain.CallEnding>;
 
-/** A call that has passed the checks at the entry node. */
-export type AdmittedCall = {
-	readonly service: string;
-	readonly route: domain.RouteEntry;
-	readonly call: domain.CallRequest;
-	readonly deadlineAtMs: number;
-	/** Whether nothing of the request body has been read yet. */
-	readonly isBodyUnread: () => boolean;
-};
-
 /** Reason of the refusal for each way to miss a route. */
 export const ROUTE_MISS_REASONS: Record<routeTables.RouteMiss, domain.RefusalReason> = {
 	[routeTables.RouteMiss.UnknownPath]: domain.RefusalReason.UnknownRoute,
--- a/packages/core/src/entry/group-offers.ts
+++ b/packages/core/src/entry/group-offers.ts
@@ -3,7 +3,7 @@
 import * as ports from '../ports/index.js';
 import type {TargetGroup} from '../routing/target-groups.js';
 import type {SchedulerRegistry} from '../scheduling/scheduler-registry.js';
-import type {AdmittedCall} from './entry-service.js';
+import type {AdmittedCall} from './admitted-call.js';
 import type {GroupDelivery} from './group-delivery.js';
 
 /** Offers repeatable calls to the groups of their service. */
--- a/packages/core/src/health/group-health.ts
+++ b/packages/core/src/health/group-health.ts
@@ -12,13 +12,12 @@
 import {createTargetProbes} from './target-probes.js';
 import {computeRampRatio, noteShedding, type TargetRecord} from './target-record.js';
 import {createTargetRoster} from './target-roster.js';
-import {readStanding, UNKNOWN_STANDING, type TargetStanding} from './target-standing.js';
+import type {TargetStanding} from './standing.js';
+import {readStanding, UNKNOWN_STANDING} from './target-standing.js';
 import {HealthEvent} from './target-transitions.js';
 import {createTimedChanges} from './timed-changes.js';
 
 export {AttemptResult} from './attempt-result.js';
-export type {TargetStanding} from './target-standing.js';
-
 /** One attempt in flight, as health sees it. */
 export type ObservedAttempt = {
 	/** Reports the head of the answer, or the failure. Later reports of the same attempt are ignored. */
@@ -41,8 +40,6 @@
 	markLeaving(targetId: string, reason: string): void;
 	/** Slots of targets that count as healthy capacity. */
 	healthySlotCount(): number;
-	/** True while a peer reaches targets that this node does not, so that the group is better scheduled elsewhere. */
-	isPathSuspect(): boolean;
 	/** Registers a listener for changes of standing, after which waiting work may fit. */
 	subscribe(listener: () => void): void;
 	/** Runs the background tasks until `signal` is aborted. */
@@ -249,7 +246,6 @@
 			}
 		},
 		healthySlotCount: () => roster.healthySlotCount(),
-		isPathSuspect: () => judge.isPathSuspect(),
 		subscribe(listener) {
 			listeners.push(listener);
 		},
--- /dev/null
+++ b/packages/core/src/health/standing.ts
@@ -0,0 +1,16 @@
+import type * as domain from '@bilberrydoor/domain';
+
+/** Standing of one target. */
+export type TargetStanding = {
+	readonly state: domain.TargetState;
+	/** Why the target is in this state. */
+	readonly reason: string;
+	/** When it entered the state, on this node's monotonic clock, in ms. */
+	readonly sinceMs: number;
+	/** Share of the target's slots that may be used now, 0 to 1. */
+	readonly openRatio: number;
+	/** Preference among targets with free slots, 0 to 1. */
+	readonly weight: number;
+	/** True when only repeatable work may be sent, as during probation. */
+	readonly isRepeatableOnly: boolean;
+};
--- a/packages/core/src/health/target-judge.ts
+++ b/packages/core/src/health/target-judge.ts
@@ -15,8 +15,6 @@
 	observe(record: TargetRecord, sign: HealthSign): void;
 	/** Judges again what depends on time: minimum times, idle suspects and the group's typical bad ratio. */
 	refresh(): void;
-	/** True while a peer reaches targets that this node does not. */
-	isPathSuspect(): boolean;
 };
 
 type Dependencies = {
@@ -189,6 +187,5 @@
 				judge[record.state](record);
 			});
 		},
-		isPathSuspect: () => clock.monotonicMs() < pathSuspicion.untilMs,
 	};
 };
--- a/packages/core/src/health/target-record.ts
+++ b/packages/core/src/health/target-record.ts
@@ -2,7 +2,7 @@
 import {HealthSign} from './attempt-result.js';
 import type {HealthOptions} from './health-options.js';
 import {createSequentialTest, type SequentialTest} from './sequential-test.js';
-import type {TargetStanding} from './target-standing.js';
+import type {TargetStanding} from './standing.js';
 
 /** Results of a set of targets, counted from an arbitrary start. */
 export type ResultCounts = {
--- a/packages/core/src/health/target-standing.ts
+++ b/packages/core/src/health/target-standing.ts
@@ -1,22 +1,8 @@
 import * as domain from '@bilberrydoor/domain';
 import type {HealthOptions} from './health-options.js';
+import type {TargetStanding} from './standing.js';
 import {computeRampRatio, readShedRatio, type TargetRecord} from './target-record.js';
 
-/** Standing of one target. */
-export type TargetStanding = {
-	readonly state: domain.TargetState;
-	/** Why the target is in this state. */
-	readonly reason: string;
-	/** When it entered the state, on this node's monotonic clock, in ms. */
-	readonly sinceMs: number;
-	/** Share of the target's slots that may be used now, 0 to 1. */
-	readonly openRatio: number;
-	/** Preference among targets with free slots, 0 to 1. */
-	readonly weight: number;
-	/** True when only repeatable work may be sent, as during probation. */
-	readonly isRepeatableOnly: boolean;
-};
-
 type Access = Pick<TargetStanding, 'openRatio' | 'weight' | 'isRepeatableOnly'>;
 
 const CLOSED: Access = {openRatio: 0, weight: 0, isRepeatableOnly: false};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,7 +20,7 @@
 export * from './health/health-options.js';
 export * from './health/leaving-sign.js';
 export * from './health/path-check.js';
-export type * from './health/target-standing.js';
+export type * from './health/standing.js';
 export * from './membership/member-directory.js';
 export * from './membership/membership-options.js';
 export * from './membership/update-queue.js';
--- a/packages/core/src/membership/member-directory.ts
+++ b/packages/core/src/membership/member-directory.ts
@@ -28,8 +28,6 @@
 	stateOf(address: string): domain.MemberState | undefined;
 	/** Target addresses that the VM list calls leaving. */
 	isTargetLeaving(address: string): boolean;
-	/** Registers a listener for targets that the VM list newly calls leaving. */
-	subscribeToLeavingTargets(listener: (address: string) => void): void;
 	/** Highest applied offset that any member has reported; -1 when none has. */
 	highestKnownOffset(): number;
 	/** Applied offset that a member last reported to this node; undefined when it has reported none. */
@@ -90,10 +88,7 @@
 
 const createDirectory = (
 	table: MemberTable,
-	parts: Pick<
-		MemberDirectory,
-		'self' | 'isTargetLeaving' | 'listLeavingTargetAddresses' | 'subscribeToLeavingTargets' | 'highestKnownOffset'
-	>,
+	parts: Pick<MemberDirectory, 'self' | 'isTargetLeaving' | 'listLeavingTargetAddresses' | 'highestKnownOffset'>,
 ): MemberDirectory => ({
 	...parts,
 	version: table.eligible.version,
@@ -136,7 +131,6 @@
 			self,
 			isTargetLeaving: vmListReader.isTargetLeaving,
 			listLeavingTargetAddresses: vmListReader.listLeavingTargetAddresses,
-			subscribeToLeavingTargets: vmListReader.subscribeToLeavingTargets,
 			highestKnownOffset: exchange.highestKnownOffset,
 		}),
 		peerHandlers: createProbeHandlers({clock, table, exchange, verifier, appliedOffset}),
--- a/packages/core/src/membership/vm-list-reader.ts
+++ b/packages/core/src/membership/vm-list-reader.ts
@@ -13,8 +13,6 @@
 	isTargetLeaving(address: string): boolean;
 	/** Addresses of all targets that the list calls leaving. */
 	listLeavingTargetAddresses(): readonly string[];
-	/** Registers a listener for targets that the list newly calls leaving. */
-	subscribeToLeavingTargets(listener: (address: string) => void): void;
 };
 
 /** Longest wait for the list, in ms. */
@@ -37,7 +35,6 @@
 }): VmListReader => {
 	const {table, options} = dependencies;
 	const {clock, logger, random, vmList} = dependencies.ports;
-	const listeners: Array<(address: string) => void> = [];
 	let leavingTargets = new Set<string>();
 	let leavingVmIds = new Set<string>();
 	let itemCount = 0;
@@ -80,15 +77,7 @@
 	};
 
 	const applyTargets = (items: readonly ports.VmListItem[]): void => {
-		const before = leavingTargets;
 		leavingTargets = new Set(items.filter(item => item.isLeaving).map(item => item.address));
-		[...leavingTargets]
-			.filter(address => !before.has(address))
-			.forEach(address => {
-				listeners.forEach(listener => {
-					listener(address);
-				});
-			});
 	};
 
 	const refresh = async (signal: AbortSignal): Promise<boolean> => {
@@ -128,8 +117,5 @@
 		},
 		isTargetLeaving: address => leavingTargets.has(address),
 		listLeavingTargetAddresses: () => [...leavingTargets],
-		subscribeToLeavingTargets(listener) {
-			listeners.push(listener);
-		},
 	};
 };
--- a/packages/core/src/operations/operation-entry.ts
+++ b/packages/core/src/operations/operation-entry.ts
@@ -1,6 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
-import type {AdmittedCall} from '../entry/entry-service.js';
+import type {AdmittedCall} from '../entry/admitted-call.js';
 import type {GroupDelivery} from '../entry/group-delivery.js';
 import type {MemberDirectory} from '../membership/member-directory.js';
 import * as ports from '../ports/index.js';
--- a/packages/core/src/scheduling/attempt.ts
+++ b/packages/core/src/scheduling/attempt.ts
@@ -9,7 +9,7 @@
 import {createStopper, type Stopper} from './attempt-stopper.js';
 import type {ScheduledCall} from './scheduled-call.js';
 import type {ServiceTimes} from './service-times.js';
-import type {SlotGrant} from './slot-broker.js';
+import type {SlotGrant} from './slot-grant.js';
 
 export type AttemptOutcome = {
 	readonly end: AttemptEnd;
--- a/packages/core/src/scheduling/call-runner.ts
+++ b/packages/core/src/scheduling/call-runner.ts
@@ -8,7 +8,8 @@
 import type {ScheduledCall} from './scheduled-call.js';
 import type {SchedulerOptions} from './scheduler-options.js';
 import type {ServiceTimes} from './service-times.js';
-import {isSlotGrant, type SlotBroker, type SlotGrant, type SlotRequest} from './slot-broker.js';
+import {isSlotGrant, type SlotBroker, type SlotRequest} from './slot-broker.js';
+import type {SlotGrant} from './slot-grant.js';
 import {SlotUse, type SlotShares} from './slot-shares.js';
 import type {TargetPool} from './target-pool.js';
 
--- a/packages/core/src/scheduling/slot-broker.ts
+++ b/packages/core/src/scheduling/slot-broker.ts
@@ -2,18 +2,11 @@
 import * as ports from '../ports/index.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
 import type {ServiceTimes} from './service-times.js';
+import type {SlotGrant} from './slot-grant.js';
 import type {SlotShares, SlotUse} from './slot-shares.js';
 import type {TargetPool, TargetSlots} from './target-pool.js';
 import type {Waiter, WaitQueue} from './wait-queue.js';
 
-/** A slot that a call holds. */
-export type SlotGrant = {
-	readonly slots: TargetSlots;
-	readonly use: SlotUse;
-	/** Frees the slot. Further calls have no effect. */
-	release(): void;
-};
-
 /** What a call asks for when it wants a slot. */
 export type SlotRequest = Omit<Waiter, 'settle' | 'enqueuedAtMs'>;
 
--- a/packages/core/src/scheduling/wait-queue.ts
+++ b/packages/core/src/scheduling/wait-queue.ts
@@ -2,7 +2,7 @@
 import * as ports from '../ports/index.js';
 import {createFairQueue, type FairQueue, type FairQueueItem} from './fair-queue.js';
 import {createLinkedQueue, type LinkedQueue} from './linked-queue.js';
-import type {SlotGrant} from './slot-broker.js';
+import type {SlotGrant} from './slot-grant.js';
 import type {ClassCounts} from './slot-shares.js';
 import type {TargetRequirements} from './target-pool.js';
 
--- a/packages/measures/src/link-blocking.ts
+++ b/packages/measures/src/link-blocking.ts
@@ -173,29 +173,3 @@
 	[LinkMode.Product]: await measureShortCalls(LinkMode.Product, seed),
 	[LinkMode.Independent]: await measureShortCalls(LinkMode.Independent, seed),
 });
-
-/** How the nodes of a region share the link when `uploaderCount` of them upload. */
-export type LinkSharingResult = {
-	/** Bulk bytes over the capacity. */
-	readonly usedRatio: number;
-	/** Jain's index over the uploading nodes; 1 when all get the same. */
-	readonly fairness: number;
-	readonly smallestShareRatio: number;
-	readonly largestShareRatio: number;
-};
-
-export const measureLinkSharing = async (options: {
-	readonly seed: number;
-	readonly uploaderCount: number;
-}): Promise<LinkSharingResult> => {
-	const {uploadedBytes} = await runMode(LinkMode.Product, options.seed, options.uploaderCount);
-	const sum = uploadedBytes.reduce((total, bytes) => total + bytes, 0);
-	const squareSum = uploadedBytes.reduce((total, bytes) => total + bytes * bytes, 0);
-	const equalShare = sum / uploadedBytes.length;
-	return {
-		usedRatio: (sum * MS_PER_SECOND) / (CAPACITY_BYTES_PER_SECOND * DURATION_MS),
-		fairness: (sum * sum) / (uploadedBytes.length * squareSum),
-		smallestShareRatio: Math.min(...uploadedBytes) / equalShare,
-		largestShareRatio: Math.max(...uploadedBytes) / equalShare,
-	};
-};
