refactor(grants): the cost of a target, the replacement of slow attempts and the stand-in target have files of their own

Change: moved without a change of behaviour; the tests of dispatcher, proxy and simulator pass unchanged.

--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -2,6 +2,7 @@
 import * as ports from '../ports/index.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import type {GrayPhases} from './gray-phases.js';
+import {computeTargetCost, isOverdue} from './target-cost.js';
 import type {UsualDurations} from './usual-durations.js';
 import type {UsualFailureRatio} from './usual-failure-ratio.js';
 
@@ -27,45 +28,12 @@
 /** A target's relative slowness follows this many calls. */
 const DURATION_WINDOW_COUNT = 6;
 
-/** A call that takes this many times the usual duration counts as overdue: longer than all but 2 in 100 calls. */
-const OVERDUE_FACTOR = 4;
-
 /** A silence of this many times the usual duration is evidence against a target. */
 const TELLING_SILENCE_FACTOR = 3;
 
 /** Duration assumed for a route without a success, in ms. */
 const UNKNOWN_DURATION_MS = 300;
 
-/** A target's connection of a node is reused for about this time. */
-const CONNECTION_REUSE_MS = 4000;
-
-/** Bounds of a target's relative slowness, so that neither one lucky nor one stuck call decides. */
-const SLOWNESS_RANGE = {minimum: 0.7, maximum: 4};
-
-/**
- * Costs relative to a target whose slots are all in use. A near target is preferred while it has up to one call more than
- * another, which keeps bodies in their zone and connections in use without uneven load.
- */
-const OVERDUE_COST = 0.5;
-const EVIDENCE_COST = 0.2;
-const CONNECTION_BONUS = 0.1;
-const ZONE_BONUS = 0.15;
-
-/**
- * A target that has just served is hardly gray, and one that has not served for a while may be. Work that may not be
- * repeated goes where the last success is recent, and so spares the first failure of targets that turned gray unseen.
- */
-const STALENESS_COSTS: Record<domain.Repeatability, number> = {
-	[domain.Repeatability.Repeatable]: 0,
-	[domain.Repeatability.Single]: 0.6,
-};
-
-/** Age of a success at which it says nothing about the target any more. */
-const STALE_SUCCESS_MS = 10_000;
-
-/** A target that has never served is tried before the others, so that new capacity is in use within seconds. */
-const UNTRIED_BONUS = 1;
-
 type OpenGrant = Pick<ports.AcquireGrantRequest, 'routeId' | 'repeatability'> & {
 	readonly grantedAtMs: number;
 	readonly expiresAtMs: number;
@@ -275,25 +243,21 @@
 		},
 		costFor({nodeId, availabilityZone, repeatability}) {
 			const nowMs = clock.monotonicMs();
-			const relativeDuration = Math.min(SLOWNESS_RANGE.maximum, Math.max(SLOWNESS_RANGE.minimum, slowness));
-			const warmUpFactor = nowMs - knownSinceMs < target.warmUpLeftMs ? 2 : 1;
-			const overdueCount = [...openGrants.values()].filter(grant => {
-				const usualMs = durations.ofRoute(grant.routeId);
-				return usualMs !== undefined && nowMs - grant.grantedAtMs > usualMs * OVERDUE_FACTOR;
-			}).length;
-			const hasConnection = nowMs - (lastUseByNode.get(nodeId) ?? -CONNECTION_REUSE_MS) < CONNECTION_REUSE_MS;
-			const staleness = lastSuccessAtMs === undefined ? 0 : Math.min(1, (nowMs - lastSuccessAtMs) / STALE_SUCCESS_MS);
-			const isUntried = lastSuccessAtMs === undefined && openGrants.size === 0 && warmUpFactor === 1;
-			const occupancy = (openGrants.size + 1) / slotCount();
-			return (
-				occupancy * relativeDuration * warmUpFactor +
-				staleness * STALENESS_COSTS[repeatability] +
-				overdueCount * OVERDUE_COST -
-				(isUntried ? UNTRIED_BONUS : 0) +
-				Math.max(0, readEvidence()) * EVIDENCE_COST -
-				(hasConnection ? CONNECTION_BONUS : 0) -
-				(target.availabilityZone === availabilityZone ? ZONE_BONUS : 0)
-			);
+			const overdueCount = [...openGrants.values()].filter(grant =>
+				isOverdue(nowMs - grant.grantedAtMs, durations.ofRoute(grant.routeId)),
+			).length;
+			return computeTargetCost({
+				repeatability,
+				occupancy: (openGrants.size + 1) / slotCount(),
+				openCount: openGrants.size,
+				overdueCount,
+				slowness,
+				evidence: readEvidence(),
+				isWarmingUp: nowMs - knownSinceMs < target.warmUpLeftMs,
+				isSameZone: target.availabilityZone === availabilityZone,
+				sinceUseMs: nowMs - (lastUseByNode.get(nodeId) ?? Number.NEGATIVE_INFINITY),
+				sinceSuccessMs: lastSuccessAtMs === undefined ? undefined : nowMs - lastSuccessAtMs,
+			});
 		},
 		lastFaultAtMs: () => lastFaultAtMs,
 		verdictAgeMs() {
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -10,6 +10,7 @@
 import {pickService} from './pick-service.js';
 import {DEFAULT_PROXY_OPTIONS, type ProxyOptions} from './proxy-options.js';
 import {createEndingRecorder} from './record-ending.js';
+import {createSlowAttemptReplacer} from './replace-slow-attempt.js';
 
 export type CallProxyParts = {
 	readonly registry: Registry;
@@ -80,53 +81,7 @@
 	const mayRepeat = (state: CallState): boolean =>
 		state.route.repeatability === domain.Repeatability.Repeatable && state.sentCount < state.route.attemptLimit;
 
-	/** Time after which an attempt is slow, in ms; undefined when no other may take its place. */
-	const findSlowMs = (state: CallState, grant: HeldGrant): number | undefined => {
-		const isReplaceable = mayRepeat(state) && state.sentCount + 1 < state.route.attemptLimit;
-		return isReplaceable && grant.usualDurationMs !== undefined
-			? Math.max(
-					grant.usualDurationMs * options.slowAttemptFactor,
-					state.route.latencyObjectiveMs * options.slowAttemptObjectiveRatio,
-				)
-			: undefined;
-	};
-
-	/** Stops a slow attempt once there is a grant for the next one. Without a grant the attempt goes on. */
-	const replaceSlowAttempt = async (
-		state: CallState,
-		grant: HeldGrant,
-		attemptSignals: {ended: AbortSignal; stop: () => void},
-	): Promise<void> => {
-		const slowMs = findSlowMs(state, grant);
-		if (slowMs === undefined) {
-			return;
-		}
-
-		await clock.sleep(slowMs, attemptSignals.ended);
-		if (attemptSignals.ended.aborted) {
-			return;
-		}
-
-		const next = await acquire(
-			{
-				...state,
-				sentCount: state.sentCount + 1,
-				excludedTargetIds: [...state.excludedTargetIds, grant.target.targetId],
-			},
-			attemptSignals.ended,
-		);
-		if (!next.isGranted) {
-			return;
-		}
-
-		if (attemptSignals.ended.aborted) {
-			grants.report(next, ports.GrantResult.Cancelled, 0);
-			return;
-		}
-
-		state.nextGrant = next;
-		attemptSignals.stop();
-	};
+	const replaceSlowAttempt = createSlowAttemptReplacer({clock, grants, options, acquire, mayRepeat});
 
 	const logAttempt = (
 		state: CallState,
--- a/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
@@ -1,7 +1,8 @@
 import * as platformStandIn from '@bilberrydoor/platform/stand-in';
 import test from 'ava';
 import * as undici from 'undici';
-import {send, startFleet, TargetBehaviour, waitUntil, type StandInTarget} from './fleet-harness.js';
+import {send, startFleet, waitUntil} from './fleet-harness.js';
+import {TargetBehaviour, type StandInTarget} from './stand-in-target.js';
 
 const countRuns = (targets: readonly StandInTarget[], requestId: string): number =>
 	targets.flatMap(({runIds}) => runIds).filter(id => id === requestId).length;
