feat(grants): a line for each target that returns; the line on dropped lines names its node

Change: event target-returned with the time since the target was found gray; the line writer takes fields. The ledgers' table has a file of its own. No decision changes.

--- a/packages/adapters/src/__tests__/line-writer.test.ts
+++ b/packages/adapters/src/__tests__/line-writer.test.ts
@@ -27,7 +27,7 @@
 
 test('lines beyond the limit are dropped and counted while the reader is slow', async t => {
 	const {output, settle, readLines} = createSlowOutput();
-	const writer = createLineWriter({output, limitLength: 12});
+	const writer = createLineWriter({output, limitLength: 12, fields: {node: 'edge-1'}});
 	['one\n', 'two\n', 'three\n', 'four\n', 'five\n'].forEach(line => {
 		writer.write(line);
 	});
@@ -40,7 +40,8 @@
 		lines.filter(line => !line.startsWith('{')),
 		['one', 'two', 'six'],
 	);
-	const dropped = JSON.parse(lines.find(line => line.startsWith('{'))!) as {event: string; droppedCount: number};
+	const dropped = JSON.parse(lines.find(line => line.startsWith('{'))!) as Record<string, unknown>;
+	t.is(dropped.node, 'edge-1');
 	t.is(dropped.event, 'log-lines-dropped');
 	t.is(dropped.droppedCount, 3);
 });
--- a/packages/adapters/src/observability/line-writer.ts
+++ b/packages/adapters/src/observability/line-writer.ts
@@ -8,6 +8,8 @@
 	readonly output: stream.Writable;
 	/** Characters that may wait while the reader is slow; later lines are dropped and counted. */
 	readonly limitLength: number;
+	/** Fields of the line that tells of dropped lines. */
+	readonly fields: Readonly<Record<string, unknown>>;
 };
 
 /** Writes lines without holding up the process or filling its memory while their reader is slow. */
@@ -21,8 +23,9 @@
 /** The node's lines in a second of the users' heaviest day take less than a tenth of this. */
 const DEFAULT_LIMIT_LENGTH = 1_048_576;
 
-const describeDropped = (droppedCount: number): string =>
+const describeDropped = (droppedCount: number, fields: LineWriterOptions['fields']): string =>
 	`${JSON.stringify({
+		...fields,
 		level: 'warn',
 		message: 'log lines dropped',
 		event: core.LogEvent.LogLinesDropped,
@@ -31,7 +34,12 @@
 	})}\n`;
 
 export const createLineWriter = (given: Partial<LineWriterOptions> = {}): LineWriter => {
-	const {output, limitLength} = {output: process.stdout, limitLength: DEFAULT_LIMIT_LENGTH, ...given};
+	const {output, limitLength, fields} = {
+		output: process.stdout,
+		limitLength: DEFAULT_LIMIT_LENGTH,
+		fields: {},
+		...given,
+	};
 	let droppedCount = 0;
 	// A reader that is gone must not end the process, and there is no other place for the error.
 	output.on('error', () => {
@@ -45,7 +53,7 @@
 			}
 
 			if (droppedCount > 0) {
-				output.write(describeDropped(droppedCount));
+				output.write(describeDropped(droppedCount, fields));
 				droppedCount = 0;
 			}
 
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -157,8 +157,8 @@
 			const denials: Array<{step: Step; denial: ports.GrantDenial}> = [];
 			for (const step of steps) {
 				if (wish.isBulk && denials.some(({denial}) => denial.refusal !== ports.GrantRefusal.NoTarget)) {
-					// One large body takes the link between regions for as long as ten small calls, and most that crossed on heavy
-					// days met targets as busy as those at home. It crosses only when a region has no target to wait for.
+					// One large body takes the link between regions for as long as ten small calls, so it crosses only when its own
+					// region has no target to wait for.
 					break;
 				}
 
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -4,8 +4,9 @@
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
 import {createGrayPhases} from './gray-phases.js';
+import {createLedgerTable} from './ledger-table.js';
 import {hasRoom, pickTarget} from './pick-target.js';
-import {createTargetLedger, GrantStanding, type TargetLedger} from './target-ledger.js';
+import {createTargetLedger, GrantStanding} from './target-ledger.js';
 import {createUsualDurations} from './usual-durations.js';
 import {createUsualFailureRatio} from './usual-failure-ratio.js';
 import {createWaitingCalls, type WaitingCall} from './waiting-calls.js';
@@ -50,7 +51,6 @@
 	const {options, clock, logger, metrics, groupId} = parts;
 	const failureRatio = createUsualFailureRatio();
 	const durations = createUsualDurations();
-	const ledgers = new Map<string, TargetLedger>();
 	const waiting = createWaitingCalls();
 	const phases = createGrayPhases(options);
 	const budget = createFleetRetryBudget(options, clock);
@@ -63,29 +63,12 @@
 			? domain.Repeatability.Repeatable
 			: domain.Repeatability.Single;
 
-	/** Ledgers of the targets that are registered and ready. */
-	const listLedgers = (): readonly TargetLedger[] => {
-		const targets = parts.listTargets();
-		const known = new Set(targets.map(({targetId}) => targetId));
-		[...ledgers.keys()]
-			.filter(targetId => !known.has(targetId))
-			.forEach(targetId => {
-				ledgers.delete(targetId);
-			});
-		return targets
-			.map(target => {
-				const existing = ledgers.get(target.targetId);
-				if (existing?.target().startedAtMs === target.startedAtMs) {
-					existing.update(target);
-					return existing;
-				}
-
-				const ledger = createTargetLedger(target, {options, clock, failureRatio, durations, phases, readTrialWork});
-				ledgers.set(target.targetId, ledger);
-				return ledger;
-			})
-			.filter(ledger => ledger.target().readiness === domain.TargetReadiness.Ready);
-	};
+	const ledgers = createLedgerTable({
+		listTargets: parts.listTargets,
+		createLedger: target =>
+			createTargetLedger(target, {options, clock, failureRatio, durations, phases, readTrialWork}),
+	});
+	const listLedgers = ledgers.listReady;
 
 	const tryGrant = (request: ports.AcquireGrantRequest): ports.Grant | undefined => {
 		const ledger = pickTarget(request, {
@@ -268,6 +251,22 @@
 		}
 	};
 
+	const logSetAside = (request: ports.ReportResultRequest): void => {
+		metrics.increment(ports.CounterName.Ejections, {service: request.service, reason: request.result});
+		logger.info('target set aside', {
+			event: ports.LogEvent.TargetSetAside,
+			groupId,
+			targetId: request.targetId,
+			grantId: request.grantId,
+			result: request.result,
+			reporter: request.nodeId,
+			usualFailureRatio: Number(failureRatio.read().toFixed(4)),
+			usualPhaseMs: Math.round(phases.usualMs()),
+			standings: Object.fromEntries(countStandings()),
+			waitingCount: waiting.list().length,
+		});
+	};
+
 	return {
 		async acquire(request, signal) {
 			const askedAtMs = clock.monotonicMs();
@@ -277,21 +276,16 @@
 		},
 		report(request) {
 			const ledger = ledgers.get(request.targetId);
+			const graySinceMs = ledger?.graySinceMs();
 			const isSetAside = ledger?.close(request) ?? false;
 			if (isSetAside) {
-				metrics.increment(ports.CounterName.Ejections, {service: request.service, reason: request.result});
-				logger.info('target set aside', {
-					event: ports.LogEvent.TargetSetAside,
-					groupId,
-					targetId: request.targetId,
-					grantId: request.grantId,
-					result: request.result,
-					reporter: request.nodeId,
-					usualFailureRatio: Number(failureRatio.read().toFixed(4)),
-					usualPhaseMs: Math.round(phases.usualMs()),
-					standings: Object.fromEntries(countStandings()),
-					waitingCount: waiting.list().length,
-				});
+				logSetAside(request);
+			}
+
+			if (graySinceMs !== undefined && ledger?.graySinceMs() === undefined) {
+				const grayMs = Math.round(clock.monotonicMs() - graySinceMs);
+				const {targetId, grantId} = request;
+				logger.info('target returned', {event: ports.LogEvent.TargetReturned, groupId, targetId, grantId, grayMs});
 			}
 
 			serveWaiting();
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -79,6 +79,8 @@
 	lastFaultAtMs(): number;
 	/** Time since the last result that tells of the target, in ms; undefined before the first. */
 	verdictAgeMs(): number | undefined;
+	/** Monotonic time at which the target was found gray, in ms; undefined when it is not, or has returned since. */
+	graySinceMs(): number | undefined;
 	/** Returns that failed since the target was set aside. */
 	failedReturnCount(): number;
 	open(
@@ -264,6 +266,7 @@
 			const lastAtMs = Math.max(lastFaultAtMs, lastSuccessAtMs ?? 0);
 			return lastAtMs === 0 ? undefined : clock.monotonicMs() - lastAtMs;
 		},
+		graySinceMs: () => absence?.sinceMs,
 		failedReturnCount: () => absence?.failedReturnCount ?? 0,
 		open(grantId, {nodeId, routeId, repeatability}, ttlMs) {
 			const nowMs = clock.monotonicMs();
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -44,6 +44,8 @@
 	StoreLost = 'store-lost',
 	/** The store answers again. */
 	StoreRegained = 'store-regained',
+	/** A target that was gray has served again. */
+	TargetReturned = 'target-returned',
 	/** A target was found gray. */
 	TargetSetAside = 'target-set-aside',
 }
--- a/packages/daemon/src/fleet/build-fleet-ports.ts
+++ b/packages/daemon/src/fleet/build-fleet-ports.ts
@@ -16,8 +16,9 @@
 /** Builds the adapters that the settings ask for. */
 export const buildFleetPorts = (settings: platform.PlatformSettings, logLevel: adapters.LogLevel): FleetPorts => {
 	const {metrics, registry} = adapters.createPrometheusMetrics({hasProcessMetrics: false});
-	const writer = adapters.createLineWriter();
-	const logger = adapters.createWinstonLogger({level: logLevel, fields: {node: settings.nodeId}, writer});
+	const fields = {node: settings.nodeId};
+	const writer = adapters.createLineWriter({fields});
+	const logger = adapters.createWinstonLogger({level: logLevel, fields, writer});
 	const store = platform.createHttpRegistryStore({
 		address: settings.storeAddress,
 		context: {regionsByZone: settings.regionsByZone},
--- a/packages/fakes/src/__tests__/group-dispatcher.test.ts
+++ b/packages/fakes/src/__tests__/group-dispatcher.test.ts
@@ -14,12 +14,19 @@
 const createHarness = (targets: readonly domain.RegisteredTarget[], given: Partial<core.DispatcherOptions> = {}) => {
 	const clock = createVirtualClock();
 	const registered = {targets};
+	const events: unknown[] = [];
+	const logger: core.Logger = {
+		...createSilentLogger(),
+		info(_message, fields) {
+			events.push(fields?.event);
+		},
+	};
 	const dispatcher = core.createGroupDispatcher({
 		groupId: 'malipo@pwani',
 		options: {...core.DEFAULT_DISPATCHER_OPTIONS, ...given},
 		clock,
 		random: createSeededRandom(1),
-		logger: createSilentLogger(),
+		logger,
 		metrics: createFakeMetrics(),
 		listTargets: () => registered.targets,
 	});
@@ -50,7 +57,7 @@
 		return reply;
 	};
 
-	return {clock, registered, dispatcher, acquire, acquireGrant, report};
+	return {clock, registered, dispatcher, acquire, acquireGrant, report, events};
 };
 
 const buildPool = (count: number): domain.RegisteredTarget[] =>
@@ -91,7 +98,7 @@
 });
 
 test('a return is tried with work that may be repeated, and two successes end the trial', async t => {
-	const {clock, acquireGrant, report, dispatcher} = createHarness(buildPool(3));
+	const {clock, acquireGrant, report, dispatcher, events} = createHarness(buildPool(3));
 	const failed = await acquireGrant();
 	report(failed, core.GrantResult.Failure);
 	await clock.advance(FIRST_ABSENCE_MS);
@@ -103,6 +110,8 @@
 		report(trial, core.GrantResult.Success);
 		t.is(dispatcher.countStandings().get(core.GrantStanding.OnTrial), expected);
 	}
+
+	t.deepEqual(events, [core.LogEvent.TargetSetAside, core.LogEvent.TargetReturned]);
 });
 
 test('a failed return doubles the absence', async t => {
