--- a/packages/cli/src/trace-request.ts
+++ b/packages/cli/src/trace-request.ts
@@ -1,19 +1,20 @@
+import * as core from '@bilberrydoor/core';
 import type {LogLine} from './log-line.js';
 
 /** Time around a request in which other lines may explain it: the longest absence of a target, in ms. */
 const CONTEXT_MS = 15_000;
 
 /** Events that say what a node believed when it handled a request. */
-const BELIEF_EVENTS = new Set([
-	'catalogue-in-force',
-	'node-started',
-	'node-stopping',
-	'peer-lost',
-	'peer-regained',
-	'reader-started',
-	'settings-reloaded',
-	'store-lost',
-	'store-regained',
+const BELIEF_EVENTS = new Set<string>([
+	core.LogEvent.CatalogueInForce,
+	core.LogEvent.NodeStarted,
+	core.LogEvent.NodeStopping,
+	core.LogEvent.PeerLost,
+	core.LogEvent.PeerRegained,
+	core.LogEvent.ReaderStarted,
+	core.LogEvent.SettingsReloaded,
+	core.LogEvent.StoreLost,
+	core.LogEvent.StoreRegained,
 ]);
 
 /** What of a request's own lines decides which other lines belong to it. */
