test(fakes): one builder for a node's registry, dispatchers and grant client

The tests of the proxy and of the grant client built the same parts and the same whole topics by hand. buildGrantParts does it with the existing buildWhole; the assertions are unchanged. The time between arrivals of the gray load has a named unit.

--- a/packages/fakes/src/__tests__/call-proxy.test.ts
+++ b/packages/fakes/src/__tests__/call-proxy.test.ts
@@ -2,10 +2,10 @@
 import * as domain from '@bilberrydoor/domain';
 import test from 'ava';
 import * as neverthrow from 'neverthrow';
-import {buildFleetCatalogue, buildNode, buildHostRoute, buildTarget} from '../build-fleet.js';
-import {createFakeMetrics, createSilentLogger} from '../fake-observability.js';
+import {buildFleetCatalogue, buildHostRoute, buildTarget} from '../build-fleet.js';
+import {buildGrantParts} from '../build-grants.js';
 import {createSeededRandom} from '../seeded-random.js';
-import {createVirtualClock, type VirtualClock} from '../virtual-clock.js';
+import type {VirtualClock} from '../virtual-clock.js';
 
 /** What a scripted target does with a call. */
 type Step = {
@@ -38,44 +38,17 @@
 };
 
 const createHarness = (steps: readonly Step[], route: Partial<domain.HostRoute> = {}) => {
-	const clock = createVirtualClock();
-	const logger = createSilentLogger();
-	const metrics = createFakeMetrics();
-	const random = createSeededRandom(1);
-	const peerStanding = core.createPeerStanding({clock, logger});
-	const self = buildNode('self');
-	const registry = core.createRegistry({self, clock, logger, peerStanding});
+	const peerClient: core.FleetPeerClient = {
+		request: async () => neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'no peers'}),
+	};
 	const targets = ['a', 'b', 'c', 'd'].map(targetId => buildTarget({targetId}));
-	registry.apply(
-		{
-			[core.RegistryTopic.Targets]: {
-				records: targets.map((value, offset) => ({key: value.targetId, offset, value})),
-				nextOffset: targets.length,
-				isWhole: true,
-			},
-		},
-		0,
-	);
+	const {clock, logger, metrics, random, registry, grants} = buildGrantParts({targets, peerClient});
 	const publish = (version: number): void => {
 		const value = buildFleetCatalogue(version, [buildHostRoute(route)]);
 		const records = [{key: 'config', offset: version, value}];
 		registry.apply({[core.RegistryTopic.Catalogue]: {records, nextOffset: version + 1, isWhole: false}}, 0);
 	};
 
-	const dispatchers = core.createDispatcherTable({registry, clock, random, logger, metrics});
-	const peerClient: core.FleetPeerClient = {
-		request: async () => neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'no peers'}),
-	};
-	const grants = core.createGrantClient({
-		self,
-		registry,
-		dispatchers,
-		peerClient,
-		peerStanding,
-		clock,
-		logger,
-		metrics,
-	});
 	const {client, sent} = createScriptedClient(clock, steps);
 	const proxy = core.createCallProxy({registry, grants, targetClient: client, clock, random, logger, metrics});
 	const caller = new AbortController();
--- a/packages/fakes/src/__tests__/grant-client.test.ts
+++ b/packages/fakes/src/__tests__/grant-client.test.ts
@@ -3,9 +3,7 @@
 import test from 'ava';
 import * as neverthrow from 'neverthrow';
 import {buildGrantRequest, buildNode, buildTarget} from '../build-fleet.js';
-import {createFakeMetrics, createSilentLogger} from '../fake-observability.js';
-import {createSeededRandom} from '../seeded-random.js';
-import {createVirtualClock} from '../virtual-clock.js';
+import {buildGrantParts} from '../build-grants.js';
 
 const HOME = 'pwani';
 const AWAY = 'bara';
@@ -15,29 +13,6 @@
 
 /** A node whose region has the given targets, and peers in another region that grant every call. */
 const createHarness = (homeTargets: readonly domain.RegisteredTarget[]) => {
-	const clock = createVirtualClock();
-	const logger = createSilentLogger();
-	const metrics = createFakeMetrics();
-	const peerStanding = core.createPeerStanding({clock, logger});
-	const self = buildNode('self');
-	const registry = core.createRegistry({self, clock, logger, peerStanding});
-	const targets = [...homeTargets, awayTarget];
-	const nodes = ['peer-1', 'peer-2', 'peer-3'].map(nodeId => buildNode(nodeId, {region: AWAY}));
-	registry.apply(
-		{
-			[core.RegistryTopic.Targets]: {
-				records: targets.map((value, offset) => ({key: value.targetId, offset, value})),
-				nextOffset: targets.length,
-				isWhole: true,
-			},
-			[core.RegistryTopic.Nodes]: {
-				records: nodes.map((value, offset) => ({key: value.nodeId, offset, value})),
-				nextOffset: nodes.length,
-				isWhole: true,
-			},
-		},
-		0,
-	);
 	const messages: Message[] = [];
 	const grant: core.Grant = {
 		isGranted: true,
@@ -53,21 +28,12 @@
 			return neverthrow.ok(replies[kind as keyof typeof replies] as never);
 		},
 	};
-	const dispatchers = core.createDispatcherTable({registry, clock, random: createSeededRandom(1), logger, metrics});
-	const grants = core.createGrantClient({
-		self,
-		registry,
-		dispatchers,
-		peerClient,
-		peerStanding,
-		clock,
-		logger,
-		metrics,
-	});
+	const nodes = ['peer-1', 'peer-2', 'peer-3'].map(nodeId => buildNode(nodeId, {region: AWAY}));
+	const {clock, grants} = buildGrantParts({targets: [...homeTargets, awayTarget], nodes, peerClient});
 	const wish = {...buildGrantRequest('request'), isBulk: false};
 	const acquire = async (given: Partial<core.GrantWish> = {}): Promise<core.GrantAnswer> =>
 		clock.runUntilSettled(grants.acquire({...wish, ...given}, new AbortController().signal), 10_000);
-	return {clock, grants, dispatchers, messages, acquire};
+	return {clock, grants, messages, acquire};
 };
 
 const BUSY = buildTarget({targetId: 'home', region: HOME, slotCount: 1});
--- a/packages/fakes/src/__tests__/gray-load.test.ts
+++ b/packages/fakes/src/__tests__/gray-load.test.ts
@@ -20,6 +20,7 @@
 	readonly usualFailureRatio: number;
 };
 
+const MS_PER_SECOND = 1000;
 const RUN_MS = 60_000;
 const SETTLE_MS = 5000;
 const FAILURE_MS = 2;
@@ -111,7 +112,7 @@
 	const arrive = async (): Promise<void> => {
 		for (let index = 0; clock.monotonicMs() < RUN_MS; index++) {
 			void runCall(`request-${index}`);
-			await clock.sleep((-Math.log(1 - random.fraction()) * 1000) / load.callsPerSecond);
+			await clock.sleep((-Math.log(1 - random.fraction()) * MS_PER_SECOND) / load.callsPerSecond);
 		}
 	};
 
--- /dev/null
+++ b/packages/fakes/src/build-grants.ts
@@ -0,0 +1,46 @@
+import * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
+import {buildNode, buildWhole} from './build-fleet.js';
+import {createFakeMetrics, createSilentLogger} from './fake-observability.js';
+import {createSeededRandom} from './seeded-random.js';
+import {createVirtualClock} from './virtual-clock.js';
+
+export type GrantPartsOptions = {
+	readonly targets: readonly domain.RegisteredTarget[];
+	/** Other nodes that are registered. */
+	readonly nodes?: readonly domain.RegisteredNode[];
+	readonly peerClient: core.FleetPeerClient;
+};
+
+/** A node's registry with the given records, its dispatchers and its client for grants, under a virtual clock. */
+export const buildGrantParts = (options: GrantPartsOptions) => {
+	const clock = createVirtualClock();
+	const logger = createSilentLogger();
+	const metrics = createFakeMetrics();
+	const random = createSeededRandom(1);
+	const peerStanding = core.createPeerStanding({clock, logger});
+	const self = buildNode('self');
+	const registry = core.createRegistry({self, clock, logger, peerStanding});
+	const targets = options.targets.map((value, offset) => ({key: value.targetId, offset, value}));
+	const nodes = (options.nodes ?? []).map((value, offset) => ({key: value.nodeId, offset, value}));
+	registry.apply(
+		{
+			[core.RegistryTopic.Targets]: buildWhole(targets, targets.length),
+			[core.RegistryTopic.Nodes]: buildWhole(nodes, nodes.length),
+		},
+		0,
+	);
+	const dispatchers = core.createDispatcherTable({registry, clock, random, logger, metrics});
+	const {peerClient} = options;
+	const grants = core.createGrantClient({
+		self,
+		registry,
+		dispatchers,
+		peerClient,
+		peerStanding,
+		clock,
+		logger,
+		metrics,
+	});
+	return {clock, logger, metrics, random, registry, grants};
+};
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,5 +1,6 @@
 export * from './build-entry.js';
 export * from './build-fleet.js';
+export * from './build-grants.js';
 export * from './fake-authenticator.js';
 export * from './fake-fleet.js';
 export * from './fake-host.js';
