--- a/packages/daemon/src/fleet/build-fleet-ports.ts
+++ b/packages/daemon/src/fleet/build-fleet-ports.ts
@@ -19,9 +19,11 @@
 	const fields = {node: settings.nodeId};
 	const writer = adapters.createLineWriter({fields});
 	const logger = adapters.createWinstonLogger({level: logLevel, fields, writer});
+	const clock = adapters.createSystemClock();
 	const store = platform.createHttpRegistryStore({
 		address: settings.storeAddress,
 		context: {regionsByZone: settings.regionsByZone},
+		clock,
 		logger,
 		metrics,
 	});
@@ -30,7 +32,7 @@
 	return {
 		metricsRegistry: registry,
 		ports: {
-			clock: adapters.createSystemClock(),
+			clock,
 			random: adapters.createSystemRandom(),
 			logger,
 			metrics,
