refactor(core): one bounded map and one moving mean

Rankings of nodes, usual durations and pools of targets each kept the latest values in a Map by hand, and four estimates moved a mean by the same formula. createRecentMap and moveMean serve them; the unused leftCount of the retry budget is gone. No decision changes.

--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -77,7 +77,7 @@
 	given: Pick<FleetTargetClientOptions, 'dialect'> & Partial<FleetTargetClientOptions>,
 ): core.FleetTargetClient & {close(): Promise<void>} => {
 	const options = {...DEFAULT_FLEET_TARGET_CLIENT_OPTIONS, ...given};
-	const pools = new Map<string, undici.Pool>();
+	const pools = core.createRecentMap<string, undici.Pool>(options.poolLimitCount);
 	const ends = createConnectionEnds();
 
 	/** Drops the connections to an address after a fault, since others may be silent too. */
@@ -87,20 +87,8 @@
 		void pool?.close();
 	};
 
-	const openPool = (address: string, connectionLimit: number): undici.Pool => {
-		const existing = pools.get(address);
-		if (existing) {
-			// Keeps the map in order of use.
-			pools.delete(address);
-			pools.set(address, existing);
-			return existing;
-		}
-
-		if (pools.size >= options.poolLimitCount) {
-			retirePool(pools.keys().next().value!);
-		}
-
-		const pool = new undici.Pool(`http://${address}`, {
+	const createPool = (address: string, connectionLimit: number): undici.Pool =>
+		new undici.Pool(`http://${address}`, {
 			connections: connectionLimit,
 			pipelining: 1,
 			keepAliveTimeout: options.keepAliveMs,
@@ -110,7 +98,10 @@
 			bodyTimeout: 0,
 			connect: createConnector(options.connectTimeoutMs, ends),
 		});
-		pools.set(address, pool);
+
+	const openPool = (address: string, connectionLimit: number): undici.Pool => {
+		const pool = pools.get(address) ?? createPool(address, connectionLimit);
+		void pools.set(address, pool)?.close();
 		return pool;
 	};
 
@@ -174,7 +165,7 @@
 			return result;
 		},
 		async close() {
-			await Promise.all([...pools.values()].map(async pool => pool.destroy()));
+			await Promise.all(pools.values().map(async pool => pool.destroy()));
 		},
 	};
 };
--- a/packages/core/src/grants/fleet-retry-budget.ts
+++ b/packages/core/src/grants/fleet-retry-budget.ts
@@ -11,8 +11,6 @@
 	recordFirstAttempt(): void;
 	hasRetry(): boolean;
 	takeRetry(): void;
-	/** Retries that may be made now, for the log. */
-	leftCount(): number;
 };
 
 const MS_PER_SECOND = 1000;
@@ -41,6 +39,5 @@
 		takeRetry() {
 			leftCount--;
 		},
-		leftCount: () => leftCount,
 	};
 };
--- a/packages/core/src/grants/gray-phases.ts
+++ b/packages/core/src/grants/gray-phases.ts
@@ -1,4 +1,5 @@
 import * as domain from '@bilberrydoor/domain';
+import {moveMean} from '../shared/move-mean.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 
 /** The estimate follows about this many phases, so that a deployment's own length shows within a minute. */
@@ -31,16 +32,12 @@
 export const createGrayPhases = (options: Pick<DispatcherOptions, 'usualPhaseMs' | 'absenceRangeMs'>): GrayPhases => {
 	const {minimum, maximum} = options.absenceRangeMs;
 	let estimateMs = options.usualPhaseMs;
-	const setEstimate = (valueMs: number): void => {
-		estimateMs = Math.min(maximum, Math.max(minimum, valueMs));
-	};
-
 	return {
 		absenceMs: (repeatability, failedReturnCount) =>
 			Math.min(maximum, estimateMs * FIRST_ABSENCE_RATIOS[repeatability] * 2 ** failedReturnCount),
 		usualMs: () => estimateMs,
 		recordPhase(durationMs) {
-			setEstimate(estimateMs + (durationMs - estimateMs) / WINDOW_COUNT);
+			estimateMs = Math.min(maximum, Math.max(minimum, moveMean(estimateMs, durationMs, WINDOW_COUNT)));
 		},
 	};
 };
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -1,5 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import {moveMean} from '../shared/move-mean.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import type {GrayPhases} from './gray-phases.js';
 import {computeTargetCost, isOverdue} from './target-cost.js';
@@ -189,7 +190,7 @@
 			evidence = Math.max(0, readEvidence() + Math.log((1 - options.grayFailureRatio) / (1 - failureRatio.read())));
 			lastSuccessAtMs = clock.monotonicMs();
 			const usualMs = durations.ofRoute(routeId);
-			slowness += usualMs ? (durationMs / usualMs - slowness) / DURATION_WINDOW_COUNT : 0;
+			slowness = usualMs ? moveMean(slowness, durationMs / usualMs, DURATION_WINDOW_COUNT) : slowness;
 			lostPaths.delete(nodeId);
 			failureRatio.recordSuccess();
 			durations.record(routeId, durationMs);
--- a/packages/core/src/grants/usual-durations.ts
+++ b/packages/core/src/grants/usual-durations.ts
@@ -1,3 +1,6 @@
+import {moveMean} from '../shared/move-mean.js';
+import {createRecentMap} from '../shared/recent-map.js';
+
 /** Durations are averaged over about this many results, so that a change of load shows within seconds. */
 const WINDOW_COUNT = 30;
 
@@ -14,22 +17,17 @@
 };
 
 const move = (meanMs: number | undefined, sampleMs: number): number =>
-	meanMs === undefined ? sampleMs : meanMs + (sampleMs - meanMs) / WINDOW_COUNT;
+	meanMs === undefined ? sampleMs : moveMean(meanMs, sampleMs, WINDOW_COUNT);
 
 export const createUsualDurations = (): UsualDurations => {
-	const byRoute = new Map<string, number>();
+	const byRoute = createRecentMap<string, number>(ROUTE_LIMIT_COUNT);
 	let overallMs: number | undefined;
 	return {
 		ofRoute: routeId => byRoute.get(routeId),
 		overall: () => overallMs,
 		record(routeId, durationMs) {
 			overallMs = move(overallMs, durationMs);
-			const meanMs = move(byRoute.get(routeId), durationMs);
-			byRoute.delete(routeId);
-			byRoute.set(routeId, meanMs);
-			if (byRoute.size > ROUTE_LIMIT_COUNT) {
-				byRoute.delete(byRoute.keys().next().value!);
-			}
+			byRoute.set(routeId, move(byRoute.get(routeId), durationMs));
 		},
 	};
 };
--- a/packages/core/src/grants/usual-failure-ratio.ts
+++ b/packages/core/src/grants/usual-failure-ratio.ts
@@ -1,3 +1,5 @@
+import {moveMean} from '../shared/move-mean.js';
+
 /** The ratio is averaged over about this many results, enough to tell 1 in 100 from 5 in 100. */
 const WINDOW_COUNT = 200;
 
@@ -16,7 +18,7 @@
 export const createUsualFailureRatio = (): UsualFailureRatio => {
 	let ratio = INITIAL_RATIO;
 	const move = (sample: number): void => {
-		ratio = Math.min(RANGE.maximum, Math.max(RANGE.minimum, ratio + (sample - ratio) / WINDOW_COUNT));
+		ratio = Math.min(RANGE.maximum, Math.max(RANGE.minimum, moveMean(ratio, sample, WINDOW_COUNT)));
 	};
 
 	return {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,6 +51,7 @@
 export * from './shared/limit-body.js';
 export * from './shared/observe-body.js';
 export * from './shared/read-ahead.js';
+export * from './shared/recent-map.js';
 export * from './shared/run-with-timeout.js';
 export * from './shared/stop-reason.js';
 export * from './shared/track-reading.js';
--- a/packages/core/src/registry/node-ranking.ts
+++ b/packages/core/src/registry/node-ranking.ts
@@ -1,6 +1,7 @@
 import type * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
 import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
+import {createRecentMap} from '../shared/recent-map.js';
 
 export type NodeRankingOptions = {
 	readonly clock: ports.Clock;
@@ -39,7 +40,7 @@
 
 export const createNodeRanking = (options: NodeRankingOptions): NodeRanking => {
 	const {clock, listNodes, readRevision, isUsable} = options;
-	const rankings = new Map<string, KeptRanking>();
+	const rankings = createRecentMap<string, KeptRanking>(KEY_LIMIT_COUNT);
 
 	const rankNodes = (key: string, nodes: readonly domain.RegisteredNode[], limitCount: number) =>
 		rankByRendezvous(
@@ -64,13 +65,8 @@
 	const readRanking = (key: string, region: string): KeptRanking => {
 		const id = `${region} ${key}`;
 		const kept = rankings.get(id);
-		rankings.delete(id);
 		const ranking = kept && isCurrent(kept) ? kept : buildRanking(key, region);
 		rankings.set(id, ranking);
-		if (rankings.size > KEY_LIMIT_COUNT) {
-			rankings.delete(rankings.keys().next().value!);
-		}
-
 		return ranking;
 	};
 
--- /dev/null
+++ b/packages/core/src/shared/recent-map.ts
@@ -0,0 +1,31 @@
+/** A map that keeps a limited number of values, those that were set last. */
+export type RecentMap<Key, Value> = {
+	get(key: Key): Value | undefined;
+	/** Sets a value as the newest. Returns the oldest one when it had to go. */
+	set(key: Key, value: Value): Value | undefined;
+	delete(key: Key): void;
+	values(): readonly Value[];
+};
+
+export const createRecentMap = <Key, Value>(limitCount: number): RecentMap<Key, Value> => {
+	// A Map lists its keys in the order in which they were added.
+	const entries = new Map<Key, Value>();
+	return {
+		get: key => entries.get(key),
+		set(key, value) {
+			entries.delete(key);
+			entries.set(key, value);
+			if (entries.size <= limitCount) {
+				return undefined;
+			}
+
+			const [oldestKey, oldest] = entries.entries().next().value!;
+			entries.delete(oldestKey);
+			return oldest;
+		},
+		delete(key) {
+			entries.delete(key);
+		},
+		values: () => [...entries.values()],
+	};
+};
