feat(observability): the age of each topic in log lines, messages and metrics

Until now one age stood for all topics, and the loss of one topic was hidden by the next answer for another.

--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -69,6 +69,16 @@
 		help: '1 while neither the log nor enough nodes hold the catalogue',
 		labelNames: [],
 	},
+	[core.GaugeName.CatalogueVersion]: {
+		name: 'catalogue_version',
+		help: 'Version of the catalogue in force on this node',
+		labelNames: [],
+	},
+	[core.GaugeName.RegistryAgeSeconds]: {
+		name: 'registry_age_seconds',
+		help: 'Age that a topic of the registry had reached when it was last confirmed',
+		labelNames: ['topic'],
+	},
 };
 
 const HISTOGRAMS: Record<core.HistogramName, MetricDefinition> = {
--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -129,6 +129,7 @@
 				[core.RegistryTopic.Nodes]: buildChangesSchema(nodeSchema),
 			}),
 			ageMs: zod.number(),
+			topicAgesMs: zod.record(zod.enum(core.RegistryTopic), zod.number()),
 		}) as zod.ZodType<core.PullRegistryReply>,
 	},
 };
--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -59,7 +59,7 @@
 	const {self, seedAddresses} = options.settings;
 	const stopping = new AbortController();
 	const peerStanding = createPeerStanding({clock, logger});
-	const registry = createRegistry({self, clock, logger, peerStanding});
+	const registry = createRegistry({self, clock, logger, metrics, peerStanding});
 	const storeReader = createStoreReader({registry, store, clock, random, logger});
 	const dispatchers = createDispatcherTable({
 		registry,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -72,3 +72,4 @@
 export * from './registry/registry-sync.js';
 export * from './registry/replica.js';
 export * from './registry/store-reader.js';
+export * from './registry/topic-ages.js';
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -118,8 +118,13 @@
 	readonly topics: {readonly [Topic in RegistryTopic]: TopicChanges<Topic>};
 	/** Time since the store last answered the node that reads it, in ms. */
 	readonly ageMs: number;
+	/** Time since the store last answered a read of each topic, in ms. */
+	readonly topicAgesMs: TopicAgesMs;
 };
 
+/** Time since the store last answered a read of each topic, in ms. */
+export type TopicAgesMs = Readonly<Record<RegistryTopic, number>>;
+
 /** Types of each message. */
 export type FleetMessages = {
 	[FleetMessageKind.AcquireGrant]: {request: AcquireGrantRequest; reply: AcquireGrantReply};
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -36,6 +36,8 @@
 	ReloadFailed = 'reload-failed',
 	/** A dispatcher did not get a result. */
 	ReportLost = 'report-lost',
+	/** The node learns from another peer, or from the store itself. */
+	RegistrySourceChanged = 'registry-source-changed',
 	/** Changed settings are in force. */
 	SettingsReloaded = 'settings-reloaded',
 	/** The settings file cannot be read. */
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -21,6 +21,8 @@
 	QueuedCalls = 'queuedCalls',
 	OperationRecords = 'operationRecords',
 	CatalogueAtRisk = 'catalogueAtRisk',
+	CatalogueVersion = 'catalogueVersion',
+	RegistryAgeSeconds = 'registryAgeSeconds',
 }
 
 export enum HistogramName {
--- a/packages/core/src/proxy/record-ending.ts
+++ b/packages/core/src/proxy/record-ending.ts
@@ -47,6 +47,7 @@
 			catalogueVersion: state?.catalogueVersion ?? registry.catalogue()?.version,
 			...(state === undefined && {host: call.host, path: call.pathAndQuery.split('?', 1)[0]}),
 			registryAgeMs: Math.round(registry.ageMs()),
+			catalogueAgeMs: registry.topicAgesMs()[ports.RegistryTopic.Catalogue],
 			attempts: state?.sentCount,
 			unreachable: state?.unreachableCount,
 			elapsedMs: Math.round(elapsedMs),
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -56,14 +56,18 @@
 /** Pause of a follower between reads of its own when every reader is stale; long, because all followers do the same. */
 const OWN_READ_BACK_OFF = {firstMs: 1500, limitMs: 4000};
 
+/** Name of the store in log lines about the source of the registry. */
+const STORE_SOURCE = 'store';
+
 /** Keeps the registry up to date, from the store or from peers, until the signal is aborted. */
 export const runRegistrySync = async (options: RegistrySyncOptions, signal: AbortSignal): Promise<void> => {
-	const {self, registry, peerStanding, clock} = options;
+	const {self, registry, peerStanding, clock, logger} = options;
 	const ownReadBackOff = createBackOff({random: options.random, ...OWN_READ_BACK_OFF});
 	const staleBackOff = createBackOff({random: options.random, ...STALE_BACK_OFF});
 	const lostBackOff = createBackOff({random: options.random, ...LOST_STORE_BACK_OFF});
 	let stay = {address: '', untilMs: 0};
 	let nextOwnReadAtMs = 0;
+	let lastSource = '';
 
 	const passedOverUntilMs = new Map<string, number>();
 	let lostUntilMs = 0;
@@ -83,6 +87,14 @@
 		passedOverUntilMs.set(address, clock.monotonicMs() + STALE_ABSENCE_MS);
 	};
 
+	const noteSource = (source: string): void => {
+		if (source !== lastSource) {
+			const topicAgesMs = registry.topicAgesMs();
+			logger.info('registry source changed', {event: ports.LogEvent.RegistrySourceChanged, source, topicAgesMs});
+			lastSource = source;
+		}
+	};
+
 	/** Whether the peer gave an answer that is fresh. */
 	const pullFrom = async (address: string, waitMs: number): Promise<boolean> => {
 		const fromOffsets = {
@@ -105,11 +117,13 @@
 		}
 
 		peerStanding.recordSuccess(address);
-		registry.apply(timed.value.value.topics, timed.value.value.ageMs);
-		const isFresh = timed.value.value.ageMs < STALE_AGE_MS;
+		const {topics, ageMs, topicAgesMs} = timed.value.value;
+		registry.apply(topics, ageMs, topicAgesMs);
+		const isFresh = ageMs < STALE_AGE_MS;
 		registry.setSourceLost(!isFresh);
 		if (isFresh) {
 			passedOverUntilMs.delete(address);
+			noteSource(address);
 		} else {
 			passOver(address);
 		}
@@ -195,6 +209,7 @@
 
 		if (registry.ageMs() >= STALE_AGE_MS && clock.monotonicMs() >= nextOwnReadAtMs) {
 			nextOwnReadAtMs = clock.monotonicMs() + ownReadBackOff.nextMs();
+			noteSource(STORE_SOURCE);
 			await options.storeReader.readOnce(signal);
 		}
 
@@ -205,7 +220,8 @@
 	while (!signal.aborted) {
 		const isFirst = (): boolean => rankReaders()[0]?.nodeId === self.nodeId;
 		if (isFirst()) {
-			options.logger.info('reading the store for the region', {event: ports.LogEvent.ReaderStarted});
+			logger.info('reading the store for the region', {event: ports.LogEvent.ReaderStarted});
+			noteSource(STORE_SOURCE);
 			notePause(await readAsReader(isFirst));
 		} else {
 			await followOnce(rankReaders());
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -5,9 +5,7 @@
 import {createNodeRanking} from './node-ranking.js';
 import type {PeerStanding} from './peer-standing.js';
 import {createReplica, type Replica} from './replica.js';
-
-/** Age that a node reports which has never read the store. */
-export const NEVER_READ_AGE_MS = 1_000_000_000;
+import {createTopicAges, NEVER_READ_AGE_MS} from './topic-ages.js';
 
 /** Age from which what a node knows is stale; two missed reads of the targets' topic. */
 export const STALE_AGE_MS = 2200;
@@ -31,8 +29,16 @@
 	 * has lost what it knew, rarely comes back to its former place.
 	 */
 	rankNodes(key: string, region: string, limitCount: number): readonly domain.RegisteredNode[];
-	/** Takes over what the store or a peer sent. */
-	apply(topics: Partial<ports.PullRegistryReply['topics']>, ageMs: number): void;
+	/**
+	 * Takes over what the store or a peer sent.
+	 *
+	 * @param topicAgesMs time since the store answered a read of each topic, where it differs from `ageMs`
+	 */
+	apply(
+		topics: Partial<ports.PullRegistryReply['topics']>,
+		ageMs: number,
+		topicAgesMs?: Partial<ports.TopicAgesMs>,
+	): void;
 	/**
 	 * Notes whether the store or the peer that this node learns from has failed or is stale itself. Nodes that learn from
 	 * this one hear of it at once and turn to another source before their records grow old.
@@ -40,6 +46,8 @@
 	setSourceLost(isLost: boolean): void;
 	/** Time since the store last answered a node that this one learns from, in ms. */
 	ageMs(): number;
+	/** Time since the store last answered a read of each topic, here or at a node that this one learns from, in ms. */
+	topicAgesMs(): ports.TopicAgesMs;
 	/** What a peer lacks; waits for a change when there is none. */
 	pull(request: ports.PullRegistryRequest, signal: AbortSignal): Promise<ports.PullRegistryReply>;
 	/** Resolves at the next change or after `waitMs`. */
@@ -50,9 +58,12 @@
 	readonly self: domain.RegisteredNode;
 	readonly clock: ports.Clock;
 	readonly logger: ports.Logger;
+	readonly metrics: ports.Metrics;
 	readonly peerStanding: PeerStanding;
 };
 
+const MS_PER_SECOND = 1000;
+
 const TOPICS = Object.values(ports.RegistryTopic);
 
 /** Targets in force change with the clock after an outage, so the index is rebuilt at this age at the latest. */
@@ -89,7 +100,7 @@
 };
 
 export const createRegistry = (options: RegistryOptions): Registry => {
-	const {self, clock, logger} = options;
+	const {self, clock, logger, metrics} = options;
 	const replicas = {
 		[ports.RegistryTopic.Catalogue]: createReplica(ports.RegistryTopic.Catalogue, clock),
 		[ports.RegistryTopic.Targets]: createReplica(ports.RegistryTopic.Targets, clock),
@@ -97,6 +108,7 @@
 	};
 	const gate = createChangeGate(clock);
 	const readTargetIndex = createTargetIndex(replicas.targets, clock);
+	const topicAges = createTopicAges(clock);
 	let freshAtMs = -NEVER_READ_AGE_MS;
 	let isLost = false;
 	let catalogue: domain.FleetCatalogue | undefined;
@@ -135,7 +147,9 @@
 				previousVersion: catalogue?.version,
 				routeCount: newest.routes.length,
 				registryAgeMs: Math.round(ageMs()),
+				topicAgesMs: topicAges.list(),
 			});
+			metrics.set(ports.GaugeName.CatalogueVersion, {}, newest.version);
 			catalogue = newest;
 		}
 	};
@@ -146,6 +160,11 @@
 		changes: ports.TopicChanges<Topic> | undefined,
 	): boolean => changes !== undefined && (replicas[topic] as unknown as Replica<Topic>).apply(changes);
 
+	const confirmTopic = (topic: ports.RegistryTopic, confirmedAgeMs: number): void => {
+		metrics.set(ports.GaugeName.RegistryAgeSeconds, {topic}, topicAges.ageMs(topic) / MS_PER_SECOND);
+		topicAges.confirm(topic, confirmedAgeMs);
+	};
+
 	const hasChanges = ({fromOffsets}: ports.PullRegistryRequest): boolean =>
 		TOPICS.some(topic => replicas[topic].changesSince(fromOffsets[topic]).records.length > 0);
 
@@ -157,8 +176,11 @@
 		target: targetId => readTargetIndex().byId.get(targetId),
 		nodesOf,
 		rankNodes: ranking.rank,
-		apply(topics, sourceAgeMs) {
+		apply(topics, sourceAgeMs, topicAgesMs = {}) {
 			const changedTopics = TOPICS.filter(topic => applyTopic(topic, topics[topic] as never));
+			TOPICS.filter(topic => topics[topic] !== undefined).forEach(topic => {
+				confirmTopic(topic, topicAgesMs[topic] ?? sourceAgeMs);
+			});
 			freshAtMs = Math.max(freshAtMs, clock.monotonicMs() - sourceAgeMs);
 			if (changedTopics.length > 0) {
 				takeCatalogue();
@@ -173,6 +195,7 @@
 			}
 		},
 		ageMs,
+		topicAgesMs: topicAges.list,
 		async pull(request, signal) {
 			if (!hasChanges(request) && !isSourceLost()) {
 				await gate.wait(request.waitMs, signal);
@@ -185,6 +208,7 @@
 					[ports.RegistryTopic.Nodes]: replicas.nodes.changesSince(request.fromOffsets.nodes),
 				},
 				ageMs: Math.round(ageMs()),
+				topicAgesMs: topicAges.list(),
 			};
 		},
 		waitForChange: async (waitMs, signal) => gate.wait(waitMs, signal),
--- a/packages/core/src/registry/store-reader.ts
+++ b/packages/core/src/registry/store-reader.ts
@@ -46,22 +46,35 @@
 	const {registry, store, clock, random, logger} = options;
 	let isStoreLost = false;
 	let settledAtMs = 0;
+	const lostTopics = new Set<ports.RegistryTopic>();
 
-	const recordResult = (topic: ports.RegistryTopic, error: ports.RegistryError | undefined): void => {
+	/** Logs the loss and the return of each topic: reads of one may hang while those of another are answered. */
+	const logResult = (topic: ports.RegistryTopic, error: ports.RegistryError | undefined, askedAtMs: number): void => {
 		const isLost = error !== undefined;
-		registry.setSourceLost(isLost);
-		if (isLost === isStoreLost) {
+		if (isLost === lostTopics.has(topic)) {
 			return;
 		}
 
-		isStoreLost = isLost;
+		const waitedMs = Math.round(clock.monotonicMs() - askedAtMs);
+		const topicAgesMs = registry.topicAgesMs();
 		if (isLost) {
-			logger.warn('store lost', {event: ports.LogEvent.StoreLost, topic, detail: error.detail});
+			lostTopics.add(topic);
+			const {detail} = error;
+			logger.warn('store lost', {event: ports.LogEvent.StoreLost, topic, detail, waitedMs, topicAgesMs});
 			return;
 		}
 
-		settledAtMs = clock.monotonicMs() + SETTLING_MS;
-		logger.info('store regained', {event: ports.LogEvent.StoreRegained, topic});
+		lostTopics.delete(topic);
+		logger.info('store regained', {event: ports.LogEvent.StoreRegained, topic, waitedMs, topicAgesMs});
+	};
+
+	const recordResult = (isLost: boolean): void => {
+		registry.setSourceLost(isLost);
+		if (!isLost && isStoreLost) {
+			settledAtMs = clock.monotonicMs() + SETTLING_MS;
+		}
+
+		isStoreLost = isLost;
 	};
 
 	const readTopic = async <Topic extends ports.RegistryTopic>(
@@ -70,6 +83,7 @@
 		signal: AbortSignal,
 	): Promise<boolean> => {
 		const fromOffset = registry.replicas[topic].nextOffset();
+		const askedAtMs = clock.monotonicMs();
 		const changed =
 			fromOffset < 0
 				? await store.readAll(topic, signal)
@@ -80,7 +94,8 @@
 			return false;
 		}
 
-		recordResult(topic, result.isErr() ? result.error : undefined);
+		recordResult(result.isErr());
+		logResult(topic, result.isErr() ? result.error : undefined, askedAtMs);
 		if (result.isErr()) {
 			return false;
 		}
--- a/packages/fakes/src/__tests__/registry-replica.test.ts
+++ b/packages/fakes/src/__tests__/registry-replica.test.ts
@@ -2,7 +2,7 @@
 import * as domain from '@bilberrydoor/domain';
 import test from 'ava';
 import {buildFleetCatalogue, buildNode, buildHostRoute, buildTarget, buildWhole} from '../build-fleet.js';
-import {createSilentLogger} from '../fake-observability.js';
+import {createFakeMetrics, createSilentLogger} from '../fake-observability.js';
 import {createVirtualClock} from '../virtual-clock.js';
 
 const {Targets, Catalogue, Nodes} = core.RegistryTopic;
@@ -70,7 +70,11 @@
 	const logger = createSilentLogger();
 	const peerStanding = core.createPeerStanding({clock, logger});
 	const self = buildNode('self');
-	return {clock, peerStanding, registry: core.createRegistry({self, clock, logger, peerStanding})};
+	return {
+		clock,
+		peerStanding,
+		registry: core.createRegistry({self, clock, logger, metrics: createFakeMetrics(), peerStanding}),
+	};
 };
 
 test('a catalogue never gives way to an older version or to a damaged record', t => {
--- a/packages/fakes/src/build-grants.ts
+++ b/packages/fakes/src/build-grants.ts
@@ -20,7 +20,7 @@
 	const random = createSeededRandom(1);
 	const peerStanding = core.createPeerStanding({clock, logger});
 	const self = buildNode('self');
-	const registry = core.createRegistry({self, clock, logger, peerStanding});
+	const registry = core.createRegistry({self, clock, logger, metrics, peerStanding});
 	const targets = options.targets.map((value, offset) => ({key: value.targetId, offset, value}));
 	const nodes = (options.nodes ?? []).map((value, offset) => ({key: value.nodeId, offset, value}));
 	registry.apply(
--- a/packages/measures/src/grants/measure-grants.ts
+++ b/packages/measures/src/grants/measure-grants.ts
@@ -37,6 +37,7 @@
 		self: fakes.buildNode('self'),
 		clock,
 		logger,
+		metrics: fakes.createFakeMetrics(),
 		peerStanding: core.createPeerStanding({clock, logger}),
 	});
 };
