fix(registry): the catalogue and the targets are fresh each by itself

Cause: a reader held one read of the catalogue open for 20 s. Sent into the silence of the store, it stayed open after the store was back, while the reads of the targets each 0.8 s were answered. Freshness was one figure for a node, so the reader looked fresh and its followers stayed with it: versions 10 and 13 came into force on 4 of 44 nodes, and 40 stayed at version 8 from 27.4 to 33.8 s.

Change: each topic has its own age, and a node is stale when its catalogue or its targets are. The store may hold a read of the catalogue open for 1.6 s, so that a lost answer is noticed within 2.2 s; the first read and one after a failure do not wait. A topic whose last read failed stays lost until a read of the same topic is answered.

Evidence: the new tests "the open reads of the catalogue get no answer" and "4750, 5000 and 5250 ms without an answer from the store" fail on the code before.

A test asserted that the age of a node is 0 once its targets were read, although it had never read a catalogue. That was the fault; it asserts the age of the topic now, and a new test that such a node is stale.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -128,7 +128,7 @@
 				[core.RegistryTopic.Targets]: buildChangesSchema(targetSchema),
 				[core.RegistryTopic.Nodes]: buildChangesSchema(nodeSchema),
 			}),
-			ageMs: zod.number(),
+			isStale: zod.boolean(),
 			topicAgesMs: zod.record(zod.enum(core.RegistryTopic), zod.number()),
 		}) as zod.ZodType<core.PullRegistryReply>,
 	},
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -116,8 +116,8 @@
 
 export type PullRegistryReply = {
 	readonly topics: {readonly [Topic in RegistryTopic]: TopicChanges<Topic>};
-	/** Time since the store last answered the node that reads it, in ms. */
-	readonly ageMs: number;
+	/** Whether the peer has lost its source or knows a topic from too long ago, so that others should be asked. */
+	readonly isStale: boolean;
 	/** Time since the store last answered a read of each topic, in ms. */
 	readonly topicAgesMs: TopicAgesMs;
 };
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -4,7 +4,7 @@
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
 import type {PeerStanding} from './peer-standing.js';
-import {STALE_AGE_MS, type Registry} from './registry.js';
+import type {Registry} from './registry.js';
 import type {StoreReader} from './store-reader.js';
 
 export type RegistrySyncOptions = {
@@ -117,18 +117,17 @@
 		}
 
 		peerStanding.recordSuccess(address);
-		const {topics, ageMs, topicAgesMs} = timed.value.value;
-		registry.apply(topics, ageMs, topicAgesMs);
-		const isFresh = ageMs < STALE_AGE_MS;
-		registry.setSourceLost(!isFresh);
-		if (isFresh) {
+		const {topics, isStale, topicAgesMs} = timed.value.value;
+		registry.apply(topics, topicAgesMs);
+		registry.setSourceLost(isStale);
+		if (isStale) {
+			passOver(address);
+		} else {
 			passedOverUntilMs.delete(address);
 			noteSource(address);
-		} else {
-			passOver(address);
 		}
 
-		return isFresh;
+		return !isStale;
 	};
 
 	/** Reads the store for as long as the node is a reader and the store answers. True when the store was lost. */
@@ -142,9 +141,9 @@
 		const reading = options.storeReader.run(controller.signal);
 		do {
 			await clock.sleep(READER_TURN_MS, signal);
-		} while (!signal.aborted && registry.ageMs() < STALE_AGE_MS && isStillReader());
+		} while (!signal.aborted && !registry.isStale() && isStillReader());
 
-		const isLost = registry.ageMs() >= STALE_AGE_MS;
+		const isLost = registry.isStale();
 		stop();
 		signal.removeEventListener('abort', stop);
 		await reading;
@@ -207,7 +206,7 @@
 			return;
 		}
 
-		if (registry.ageMs() >= STALE_AGE_MS && clock.monotonicMs() >= nextOwnReadAtMs) {
+		if (registry.isStale() && clock.monotonicMs() >= nextOwnReadAtMs) {
 			nextOwnReadAtMs = clock.monotonicMs() + ownReadBackOff.nextMs();
 			noteSource(STORE_SOURCE);
 			await options.storeReader.readOnce(signal);
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -7,9 +7,6 @@
 import {createReplica, type Replica} from './replica.js';
 import {createTopicAges, NEVER_READ_AGE_MS} from './topic-ages.js';
 
-/** Age from which what a node knows is stale; two missed reads of the targets' topic. */
-export const STALE_AGE_MS = 2200;
-
 /** Names the targets of a service in a region. */
 export const buildGroupId = (service: string, region: string): string => `${service}@${region}`;
 
@@ -32,20 +29,21 @@
 	/**
 	 * Takes over what the store or a peer sent.
 	 *
-	 * @param topicAgesMs time since the store answered a read of each topic, where it differs from `ageMs`
+	 * @param topicAgesMs time since the store answered a read of each topic; a topic without an age was read just now
 	 */
-	apply(
-		topics: Partial<ports.PullRegistryReply['topics']>,
-		ageMs: number,
-		topicAgesMs?: Partial<ports.TopicAgesMs>,
-	): void;
+	apply(topics: Partial<ports.PullRegistryReply['topics']>, topicAgesMs?: Partial<ports.TopicAgesMs>): void;
 	/**
 	 * Notes whether the store or the peer that this node learns from has failed or is stale itself. Nodes that learn from
 	 * this one hear of it at once and turn to another source before their records grow old.
 	 */
 	setSourceLost(isLost: boolean): void;
-	/** Time since the store last answered a node that this one learns from, in ms. */
+	/** Age of the catalogue or the targets, whichever is older, in ms. */
 	ageMs(): number;
+	/**
+	 * Whether this node has lost its source, or knows the catalogue or the targets from too long ago. Each topic counts by
+	 * itself: the store may answer reads of one while those of the other hang.
+	 */
+	isStale(): boolean;
 	/** Time since the store last answered a read of each topic, here or at a node that this one learns from, in ms. */
 	topicAgesMs(): ports.TopicAgesMs;
 	/** What a peer lacks; waits for a change when there is none. */
@@ -109,7 +107,6 @@
 	const gate = createChangeGate(clock);
 	const readTargetIndex = createTargetIndex(replicas.targets, clock);
 	const topicAges = createTopicAges(clock);
-	let freshAtMs = -NEVER_READ_AGE_MS;
 	let isLost = false;
 	let catalogue: domain.FleetCatalogue | undefined;
 
@@ -127,13 +124,10 @@
 		isUsable: ({nodeId, address}) => nodeId === self.nodeId || options.peerStanding.isUsable(address),
 	});
 
-	const ageMs = (): number => {
-		const sinceReadMs = Math.min(NEVER_READ_AGE_MS, clock.monotonicMs() - freshAtMs);
-		return isLost ? Math.max(sinceReadMs, STALE_AGE_MS) : sinceReadMs;
-	};
+	const isStale = (): boolean => isLost || topicAges.isStale();
 
 	/** Whether this node has lost its source. One that never had any is about to get its first. */
-	const isSourceLost = (): boolean => ageMs() >= STALE_AGE_MS && ageMs() < NEVER_READ_AGE_MS;
+	const isSourceLost = (): boolean => isStale() && topicAges.oldestMs() < NEVER_READ_AGE_MS;
 
 	const takeCatalogue = (): void => {
 		const newest = [...replicas.catalogue.values().values()].reduce<domain.FleetCatalogue | undefined>(
@@ -146,7 +140,7 @@
 				version: newest.version,
 				previousVersion: catalogue?.version,
 				routeCount: newest.routes.length,
-				registryAgeMs: Math.round(ageMs()),
+				registryAgeMs: Math.round(topicAges.oldestMs()),
 				topicAgesMs: topicAges.list(),
 			});
 			metrics.set(ports.GaugeName.CatalogueVersion, {}, newest.version);
@@ -176,12 +170,11 @@
 		target: targetId => readTargetIndex().byId.get(targetId),
 		nodesOf,
 		rankNodes: ranking.rank,
-		apply(topics, sourceAgeMs, topicAgesMs = {}) {
+		apply(topics, topicAgesMs = {}) {
 			const changedTopics = TOPICS.filter(topic => applyTopic(topic, topics[topic] as never));
 			TOPICS.filter(topic => topics[topic] !== undefined).forEach(topic => {
-				confirmTopic(topic, topicAgesMs[topic] ?? sourceAgeMs);
+				confirmTopic(topic, topicAgesMs[topic] ?? 0);
 			});
-			freshAtMs = Math.max(freshAtMs, clock.monotonicMs() - sourceAgeMs);
 			if (changedTopics.length > 0) {
 				takeCatalogue();
 				gate.announce();
@@ -194,7 +187,8 @@
 				gate.announce();
 			}
 		},
-		ageMs,
+		ageMs: topicAges.oldestMs,
+		isStale,
 		topicAgesMs: topicAges.list,
 		async pull(request, signal) {
 			if (!hasChanges(request) && !isSourceLost()) {
@@ -207,7 +201,7 @@
 					[ports.RegistryTopic.Targets]: replicas.targets.changesSince(request.fromOffsets.targets),
 					[ports.RegistryTopic.Nodes]: replicas.nodes.changesSince(request.fromOffsets.nodes),
 				},
-				ageMs: Math.round(ageMs()),
+				isStale: isStale(),
 				topicAgesMs: topicAges.list(),
 			};
 		},
--- a/packages/core/src/registry/store-reader.ts
+++ b/packages/core/src/registry/store-reader.ts
@@ -1,6 +1,7 @@
 import * as ports from '../ports/index.js';
 import {createBackOff} from '../shared/back-off.js';
 import type {Registry} from './registry.js';
+import {DECISIVE_TOPICS} from './topic-ages.js';
 
 export type StoreReaderOptions = {
 	readonly registry: Registry;
@@ -20,12 +21,13 @@
 
 /**
  * The targets' topic changes with every heartbeat, so it is read at intervals; a planned stop of a target must be known
- * within 2.5 s. The others change rarely and are read by long polls.
+ * within 2.5 s. The others change rarely and are read by long polls. An answer that is lost shows only when the wait is
+ * over, so the catalogue's wait leaves time for a second read within the 2.5 s in which a change must be in force.
  */
 const READING_PLANS: Record<ports.RegistryTopic, ReadingPlan> = {
-	[ports.RegistryTopic.Catalogue]: {waitMs: 20_000, pauseMs: 20},
+	[ports.RegistryTopic.Catalogue]: {waitMs: 1600, pauseMs: 20},
 	[ports.RegistryTopic.Targets]: {waitMs: 0, pauseMs: 800},
-	[ports.RegistryTopic.Nodes]: {waitMs: 20_000, pauseMs: 100},
+	[ports.RegistryTopic.Nodes]: {waitMs: 10_000, pauseMs: 100},
 };
 
 /** Pauses after failed reads: short enough for the 2.5 s within which a change is in force once the store is back. */
@@ -38,17 +40,17 @@
 export type StoreReader = {
 	/** Reads all topics until the signal is aborted. */
 	run(signal: AbortSignal): Promise<void>;
-	/** Reads each topic once without waiting; true when all reads succeeded. */
-	readOnce(signal: AbortSignal): Promise<boolean>;
+	/** Reads each topic once without waiting. Gives up when the first read fails. */
+	readOnce(signal: AbortSignal): Promise<void>;
 };
 
 export const createStoreReader = (options: StoreReaderOptions): StoreReader => {
 	const {registry, store, clock, random, logger} = options;
-	let isStoreLost = false;
 	let settledAtMs = 0;
+	/** Topics whose last read failed: reads of one may hang while those of another are answered. */
 	const lostTopics = new Set<ports.RegistryTopic>();
 
-	/** Logs the loss and the return of each topic: reads of one may hang while those of another are answered. */
+	/** Logs the loss and the return of each topic. */
 	const logResult = (topic: ports.RegistryTopic, error: ports.RegistryError | undefined, askedAtMs: number): void => {
 		const isLost = error !== undefined;
 		if (isLost === lostTopics.has(topic)) {
@@ -58,23 +60,22 @@
 		const waitedMs = Math.round(clock.monotonicMs() - askedAtMs);
 		const topicAgesMs = registry.topicAgesMs();
 		if (isLost) {
-			lostTopics.add(topic);
 			const {detail} = error;
 			logger.warn('store lost', {event: ports.LogEvent.StoreLost, topic, detail, waitedMs, topicAgesMs});
 			return;
 		}
 
-		lostTopics.delete(topic);
 		logger.info('store regained', {event: ports.LogEvent.StoreRegained, topic, waitedMs, topicAgesMs});
 	};
 
-	const recordResult = (isLost: boolean): void => {
-		registry.setSourceLost(isLost);
-		if (!isLost && isStoreLost) {
+	const recordResult = (topic: ports.RegistryTopic, isLost: boolean): void => {
+		if (isLost) {
+			lostTopics.add(topic);
+		} else if (lostTopics.delete(topic)) {
 			settledAtMs = clock.monotonicMs() + SETTLING_MS;
 		}
 
-		isStoreLost = isLost;
+		registry.setSourceLost(DECISIVE_TOPICS.some(decisive => lostTopics.has(decisive)));
 	};
 
 	const readTopic = async <Topic extends ports.RegistryTopic>(
@@ -94,8 +95,8 @@
 			return false;
 		}
 
-		recordResult(result.isErr());
 		logResult(topic, result.isErr() ? result.error : undefined, askedAtMs);
+		recordResult(topic, result.isErr());
 		if (result.isErr()) {
 			return false;
 		}
@@ -105,15 +106,17 @@
 			? result.value.records.map(record => (record.value === undefined ? {...record, isProvisional} : record))
 			: result.value.records;
 		const isWhole = isExpired || fromOffset < 0;
-		registry.apply({[topic]: {records, nextOffset: result.value.nextOffset, isWhole, isProvisional}}, 0);
+		registry.apply({[topic]: {records, nextOffset: result.value.nextOffset, isWhole, isProvisional}});
 		return true;
 	};
 
 	const followTopic = async (topic: ports.RegistryTopic, signal: AbortSignal): Promise<void> => {
 		const {waitMs, pauseMs} = READING_PLANS[topic];
 		const backOff = createBackOff({random, ...BACK_OFF});
+		let isRead = false;
 		while (!signal.aborted) {
-			const isRead = await readTopic(topic, waitMs, signal);
+			// Neither the first read nor one after a failure waits for a change, so that the topic is confirmed at once.
+			isRead = await readTopic(topic, isRead ? waitMs : 0, signal);
 			if (isRead) {
 				backOff.reset();
 			}
@@ -127,9 +130,10 @@
 			await Promise.all(Object.values(ports.RegistryTopic).map(async topic => followTopic(topic, signal)));
 		},
 		async readOnce(signal) {
-			const reads = Object.values(ports.RegistryTopic).map(async topic => readTopic(topic, 0, signal));
-			const results = await Promise.all(reads);
-			return results.every(Boolean);
+			const [first, ...others] = Object.values(ports.RegistryTopic);
+			if (await readTopic(first!, 0, signal)) {
+				await Promise.all(others.map(async topic => readTopic(topic, 0, signal)));
+			}
 		},
 	};
 };
--- a/packages/fakes/src/__tests__/call-proxy.test.ts
+++ b/packages/fakes/src/__tests__/call-proxy.test.ts
@@ -46,7 +46,7 @@
 	const publish = (version: number): void => {
 		const value = buildFleetCatalogue(version, [buildHostRoute(route)]);
 		const records = [{key: 'config', offset: version, value}];
-		registry.apply({[core.RegistryTopic.Catalogue]: {records, nextOffset: version + 1, isWhole: false}}, 0);
+		registry.apply({[core.RegistryTopic.Catalogue]: {records, nextOffset: version + 1, isWhole: false}});
 	};
 
 	const {client, sent} = createScriptedClient(clock, steps);
--- a/packages/fakes/src/__tests__/registry-replica.test.ts
+++ b/packages/fakes/src/__tests__/registry-replica.test.ts
@@ -80,10 +80,10 @@
 test('a catalogue never gives way to an older version or to a damaged record', t => {
 	const {registry} = createRegistry();
 	const newer = buildFleetCatalogue(7, [buildHostRoute()]);
-	registry.apply({[Catalogue]: changes([{key: 'config', offset: 3, value: newer}], 4)}, 0);
-	registry.apply({[Catalogue]: changes([{key: 'config', offset: 5, value: buildFleetCatalogue(6, [])}], 6)}, 0);
+	registry.apply({[Catalogue]: changes([{key: 'config', offset: 3, value: newer}], 4)});
+	registry.apply({[Catalogue]: changes([{key: 'config', offset: 5, value: buildFleetCatalogue(6, [])}], 6)});
 	t.is(registry.catalogue()?.version, 7);
-	registry.apply({[Catalogue]: changes([{key: 'config', offset: 6, value: undefined}], 7)}, 0);
+	registry.apply({[Catalogue]: changes([{key: 'config', offset: 6, value: undefined}], 7)});
 	t.is(registry.catalogue()?.version, 7);
 });
 
@@ -92,16 +92,32 @@
 	const fromOffsets = {[Catalogue]: 0, [Targets]: 0, [Nodes]: 0};
 	const pulled = registry.pull({fromOffsets, waitMs: 1000}, new AbortController().signal);
 	await clock.advance(100);
-	registry.apply({[Targets]: changes([{key: 'a', offset: 0, value: target}], 1)}, 0);
+	registry.apply({[Targets]: changes([{key: 'a', offset: 0, value: target}], 1)});
 	const reply = await clock.runUntilSettled(pulled, 10);
 	t.is(reply.topics.targets.records.length, 1);
-	t.is(reply.ageMs, 0);
+	t.is(reply.topicAgesMs[Targets], 0);
+});
+
+// Guards against a node that counts as fresh although only one of its topics is read.
+[Catalogue, Targets].forEach(staleTopic => {
+	test(`a node that no longer hears of the ${staleTopic} is stale whatever else it hears`, async t => {
+		const {clock, registry} = createRegistry();
+		registry.apply({[Catalogue]: changes([], 1), [Targets]: changes([], 1)});
+		t.false(registry.isStale());
+		const heardTopic = staleTopic === Catalogue ? Targets : Catalogue;
+		await clock.advance(3000);
+		registry.apply({[heardTopic]: changes([], 1)});
+		t.true(registry.isStale());
+		t.is(registry.ageMs(), 3000);
+		registry.apply({[staleTopic]: changes([], 1)});
+		t.false(registry.isStale());
+	});
 });
 
 test('an unreachable peer drops out of the rankings and comes back', async t => {
 	const {clock, peerStanding, registry} = createRegistry();
 	const peer = buildNode('peer');
-	registry.apply({[Nodes]: changes([{key: 'peer', offset: 0, value: peer}], 1)}, 0);
+	registry.apply({[Nodes]: changes([{key: 'peer', offset: 0, value: peer}], 1)});
 	const rank = () => registry.rankNodes('key', 'pwani', 2).map(({nodeId}) => nodeId);
 	t.is(rank().length, 2);
 	peerStanding.recordFailure(peer.address);
@@ -115,7 +131,7 @@
 	const peers = Array.from({length: 40}, (_, index) => buildNode(`peer-${index}`));
 	const publish = (count: number): void => {
 		const records = peers.slice(0, count).map((value, offset) => ({key: value.nodeId, offset, value}));
-		registry.apply({[Nodes]: changes(records, count)}, 0);
+		registry.apply({[Nodes]: changes(records, count)});
 	};
 
 	const rank = (limitCount: number) => registry.rankNodes('key', 'pwani', limitCount);
--- a/packages/fakes/src/__tests__/registry-sync.test.ts
+++ b/packages/fakes/src/__tests__/registry-sync.test.ts
@@ -13,6 +13,9 @@
 
 const NETWORK_MS = 1;
 
+/** Longer than the fake store takes to notice that its open reads are to be lost. */
+const POLL_TURN_MS = 20;
+
 const createFleet = (t: ExecutionContext, nodeCount: number) => {
 	const clock = createVirtualClock();
 	const store = createFakeRegistryStore(clock);
@@ -82,9 +85,9 @@
 	const {nodes} = createFleet(t, 1);
 	const node = nodes.get('node-0')!;
 	const records = [{key: 'config', offset: 0, value: buildFleetCatalogue(1, [buildHostRoute()])}];
-	node.registry.apply({[core.RegistryTopic.Catalogue]: {records, nextOffset: 1, isWhole: true}}, 0);
+	node.registry.apply({[core.RegistryTopic.Catalogue]: {records, nextOffset: 1, isWhole: true}});
 	t.false(node.isReady());
-	node.registry.apply({[core.RegistryTopic.Targets]: {records: [], nextOffset: 1, isWhole: true}}, 0);
+	node.registry.apply({[core.RegistryTopic.Targets]: {records: [], nextOffset: 1, isWhole: true}});
 	t.true(node.isReady());
 });
 
@@ -140,6 +143,37 @@
 	});
 });
 
+// Guards against a reader that looks fresh by its reads of the targets while its read of the catalogue hangs.
+test('a change is in force in time although the open reads of the catalogue get no answer', async t => {
+	const {clock, store, listVersions} = createFleet(t, 8);
+	await clock.advance(5000);
+	store.loseOpenReads(core.RegistryTopic.Catalogue);
+	await clock.advance(POLL_TURN_MS);
+	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(2, [buildHostRoute()]));
+	await clock.advance(IN_FORCE_MS);
+	t.deepEqual(
+		listVersions(),
+		Array.from({length: 8}, () => 2),
+	);
+});
+
+// Guards against reads that were sent into the silence of the store and stay open after its return.
+Array.from({length: 10}, (_, index) => 4000 + index * 250).forEach(silenceMs => {
+	test(`a change is in force in time after ${silenceMs} ms without an answer from the store`, async t => {
+		const {clock, store, listVersions} = createFleet(t, 8);
+		await clock.advance(5000);
+		store.isSilent = true;
+		await clock.advance(silenceMs);
+		store.isSilent = false;
+		store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(2, [buildHostRoute()]));
+		await clock.advance(IN_FORCE_MS);
+		t.deepEqual(
+			listVersions(),
+			Array.from({length: 8}, () => 2),
+		);
+	});
+});
+
 test('a change is in force in time although the reader was cut off', async t => {
 	const {clock, store, nodes, cutNodeIds, listVersions} = createFleet(t, 8);
 	await clock.advance(5000);
--- a/packages/fakes/src/build-grants.ts
+++ b/packages/fakes/src/build-grants.ts
@@ -23,13 +23,10 @@
 	const registry = core.createRegistry({self, clock, logger, metrics, peerStanding});
 	const targets = options.targets.map((value, offset) => ({key: value.targetId, offset, value}));
 	const nodes = (options.nodes ?? []).map((value, offset) => ({key: value.nodeId, offset, value}));
-	registry.apply(
-		{
-			[core.RegistryTopic.Targets]: buildWhole(targets, targets.length),
-			[core.RegistryTopic.Nodes]: buildWhole(nodes, nodes.length),
-		},
-		0,
-	);
+	registry.apply({
+		[core.RegistryTopic.Targets]: buildWhole(targets, targets.length),
+		[core.RegistryTopic.Nodes]: buildWhole(nodes, nodes.length),
+	});
 	const dispatchers = core.createDispatcherTable({registry, clock, random, logger, metrics});
 	const {peerClient} = options;
 	const grants = core.createGrantClient({
--- a/packages/measures/src/grants/measure-grants.ts
+++ b/packages/measures/src/grants/measure-grants.ts
@@ -49,7 +49,7 @@
 ): core.Registry => {
 	const registry = createRegistry();
 	const records = values.map((value, offset) => ({key: String(offset), offset, value}));
-	registry.apply({[topic]: {records, nextOffset: records.length, isWhole: false}}, 0);
+	registry.apply({[topic]: {records, nextOffset: records.length, isWhole: false}});
 	return registry;
 };
 
