fix(registry): relays and compressed copies carry a large catalogue through a large region

After the loss of all nodes the last ones had no catalogue for 19 s.

Cause: all followers of a region copied the catalogue from one reader at once, 270 KB each over a link of 10 Mbit/s, 11 s in all. Each copy had 1.6 s, was given up with most of its bytes sent, and started again. The link was full, so the reader lost the store as well. The class of fault is congestion collapse: a limit on the whole transfer, without regard to its progress. At a start all nodes read everything from the store, half of them over the link between regions, with the same kind of limit.

Change: - The catalogue travels compressed, and each version is compressed once. - In regions of more than 25 nodes the eight that rank after the reader relay what they learn. Relays ask more often, so that what they know is not stale when their own followers have it. - Time limits of pulls and of the store's answers start again with each part that arrives. - A new node reads only the list of nodes from the store, and then follows. Readers rank by node id, so that nodes which still know each other's former incarnations agree on the reader.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -1,6 +1,8 @@
 import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
+import * as neverthrow from 'neverthrow';
 import * as zod from 'zod';
+import {decodeCatalogue, encodeCatalogue, keepCatalogueText} from './catalogue-text.js';
 
 const targetSchema = zod.object({
 	targetId: zod.string(),
@@ -47,6 +49,21 @@
 	}),
 });
 
+/** A catalogue travels compressed: the whole of it goes to each node of a region. */
+const catalogueTextSchema = zod.string().transform((text, context): domain.FleetCatalogue => {
+	const parsed = decodeCatalogue(text).andThen(value => {
+		const checked = catalogueSchema.safeParse(value);
+		return checked.success ? neverthrow.ok(checked.data) : neverthrow.err(checked.error.message);
+	});
+	if (parsed.isErr()) {
+		context.addIssue({code: 'custom', message: parsed.error});
+		return zod.NEVER;
+	}
+
+	keepCatalogueText(parsed.value, text);
+	return parsed.value;
+});
+
 const buildChangesSchema = <Value extends zod.ZodType>(value: Value) =>
 	zod.object({
 		records: zod.array(
@@ -124,7 +141,7 @@
 		}),
 		reply: zod.object({
 			topics: zod.object({
-				[core.RegistryTopic.Catalogue]: buildChangesSchema(catalogueSchema),
+				[core.RegistryTopic.Catalogue]: buildChangesSchema(catalogueTextSchema),
 				[core.RegistryTopic.Targets]: buildChangesSchema(targetSchema),
 				[core.RegistryTopic.Nodes]: buildChangesSchema(nodeSchema),
 			}),
@@ -133,3 +150,23 @@
 		}) as zod.ZodType<core.PullRegistryReply>,
 	},
 };
+
+const encodePull = (reply: core.PullRegistryReply): unknown => {
+	const {catalogue} = reply.topics;
+	const records = catalogue.records.map(record => ({
+		...record,
+		value: record.value && encodeCatalogue(record.value),
+	}));
+	return {...reply, topics: {...reply.topics, [core.RegistryTopic.Catalogue]: {...catalogue, records}}};
+};
+
+type ReplyEncoders = {
+	readonly [Kind in core.FleetMessageKind]: (reply: core.FleetMessages[Kind]['reply']) => unknown;
+};
+
+/** Gives replies the form that their schemas read. */
+export const FLEET_REPLY_ENCODERS: ReplyEncoders = {
+	[core.FleetMessageKind.AcquireGrant]: reply => reply,
+	[core.FleetMessageKind.ReportResult]: reply => reply,
+	[core.FleetMessageKind.PullRegistry]: encodePull,
+};
--- a/packages/adapters/src/peer/fleet-peer-app.ts
+++ b/packages/adapters/src/peer/fleet-peer-app.ts
@@ -4,7 +4,7 @@
 import * as hono from 'hono';
 import * as honoBodyLimit from 'hono/body-limit';
 import type {NodeBindings} from '../http/http-listener.js';
-import {FLEET_MESSAGE_SCHEMAS} from './fleet-message-schemas.js';
+import {FLEET_MESSAGE_SCHEMAS, FLEET_REPLY_ENCODERS} from './fleet-message-schemas.js';
 
 /** Largest message in bytes; the largest are requests for grants with a handful of excluded targets. */
 const MESSAGE_LIMIT_BYTES = 65_536;
@@ -20,9 +20,10 @@
 const builder = trpc.initTRPC.context<{signal: AbortSignal}>().create();
 
 const createProcedure = <Kind extends core.FleetMessageKind>(kind: Kind, handlers: core.FleetMessageHandlers) =>
-	builder.procedure
-		.input(FLEET_MESSAGE_SCHEMAS[kind].request)
-		.mutation(async ({input, ctx}) => handlers[kind](input as core.FleetMessages[Kind]['request'], ctx.signal));
+	builder.procedure.input(FLEET_MESSAGE_SCHEMAS[kind].request).mutation(async ({input, ctx}) => {
+		const reply = await handlers[kind](input as core.FleetMessages[Kind]['request'], ctx.signal);
+		return FLEET_REPLY_ENCODERS[kind](reply);
+	});
 
 /** The listener for the other nodes: one tRPC procedure for each kind of message. */
 export const createFleetPeerApp = (options: FleetPeerAppOptions): hono.Hono<NodeBindings> => {
--- a/packages/adapters/src/peer/fleet-peer-client.ts
+++ b/packages/adapters/src/peer/fleet-peer-client.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import * as core from '@bilberrydoor/core';
 import * as neverthrow from 'neverthrow';
 import * as undici from 'undici';
@@ -38,7 +39,7 @@
 	});
 
 	return {
-		async request(address, kind, request, signal) {
+		async request(address, kind, request, signal, noteProgress) {
 			try {
 				const response = await undici.request(`http://${address}${FLEET_PATH}/${kind}`, {
 					dispatcher: agent,
@@ -47,7 +48,13 @@
 					body: JSON.stringify(request),
 					signal,
 				});
-				const reply = (await response.body.json()) as TrpcReply;
+				const chunks: Uint8Array[] = [];
+				for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
+					chunks.push(chunk);
+					noteProgress?.();
+				}
+
+				const reply = JSON.parse(Buffer.concat(chunks).toString()) as TrpcReply;
 				const parsed = FLEET_MESSAGE_SCHEMAS[kind].reply.safeParse(reply.result?.data);
 				return parsed.success
 					? neverthrow.ok(parsed.data)
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -140,12 +140,13 @@
 	) => Promise<FleetMessages[Kind]['reply']>;
 };
 
-/** Sends messages to other nodes. */
+/** Sends messages to other nodes. `noteProgress` is called whenever a part of the reply arrives. */
 export type FleetPeerClient = {
 	request<Kind extends FleetMessageKind>(
 		address: string,
 		kind: Kind,
 		request: FleetMessages[Kind]['request'],
 		signal: AbortSignal,
+		noteProgress?: () => void,
 	): Promise<neverthrow.Result<FleetMessages[Kind]['reply'], PeerError>>;
 };
--- a/packages/core/src/registry/node-ranking.ts
+++ b/packages/core/src/registry/node-ranking.ts
@@ -5,6 +5,8 @@
 
 export type NodeRankingOptions = {
 	readonly clock: ports.Clock;
+	/** What a node's place follows from. */
+	readonly identify: (node: domain.RegisteredNode) => string;
 	/** Nodes of a region as they are known now. */
 	readonly listNodes: (region: string) => readonly domain.RegisteredNode[];
 	/** Rises whenever the known nodes change. */
@@ -39,13 +41,13 @@
 };
 
 export const createNodeRanking = (options: NodeRankingOptions): NodeRanking => {
-	const {clock, listNodes, readRevision, isUsable} = options;
+	const {clock, identify, listNodes, readRevision, isUsable} = options;
 	const rankings = createRecentMap<string, KeptRanking>(KEY_LIMIT_COUNT);
 
 	const rankNodes = (key: string, nodes: readonly domain.RegisteredNode[], limitCount: number) =>
 		rankByRendezvous(
 			key,
-			nodes.map(node => ({node, address: node.incarnationId})),
+			nodes.map(node => ({node, address: identify(node)})),
 			limitCount,
 		).map(({node}) => node);
 
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -1,5 +1,6 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
 import {createBackOff} from '../shared/back-off.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
@@ -20,20 +21,30 @@
 	readonly logger: ports.Logger;
 };
 
-/** Key under which the nodes of a region are ranked for reading the store. */
-const READER_KEY = 'registry-reader';
-
 /** Nodes of a region that a follower asks before it looks for others. */
 const READER_COUNT = 3;
 
+/**
+ * Followers of one node. In larger regions the nodes that rank after the reader relay what they learn: a small node's link of
+ * 10 Mbit/s carries 30 copies of a catalogue of a thousand routes a second, besides the calls.
+ */
+const DIRECT_FOLLOWER_COUNT = 24;
+const RELAY_COUNT = 8;
+
 /** Nodes of a region that may read the store for the others; the store may refuse a third of all nodes at once. */
 const CANDIDATE_COUNT = 6;
 
 /** How long a source that was stale or silent is passed over, so that the next of the ranking reads in its place. */
 const STALE_ABSENCE_MS = 1000;
 
-/** How long a peer may hold a pull open. It bounds how late a silent peer is noticed. */
-const PULL_WAIT_MS = 1000;
+/** How readers are asked. The wait bounds how late a silent peer is noticed. */
+const READER_PULL = {waitMs: 1000, staleAbsenceMs: STALE_ABSENCE_MS};
+
+/** How relays ask readers. What they know must not be stale yet when it has reached their own followers. */
+const READER_PULL_OF_RELAY = {...READER_PULL, waitMs: 500};
+
+/** How relays are asked. A stale one is fresh again as soon as it has found another reader. */
+const RELAY_PULL = {waitMs: 1000, staleAbsenceMs: 300};
 
 /** Time beyond the wait after which a pull has failed: two round trips between regions and a slow node. */
 const PULL_SLACK_MS = 600;
@@ -56,6 +67,13 @@
 /** Pause of a follower between reads of its own when every reader is stale; long, because all followers do the same. */
 const OWN_READ_BACK_OFF = {firstMs: 1500, limitMs: 4000};
 
+type PullOptions = {
+	/** How long the peer may hold the pull open, in ms. */
+	readonly waitMs: number;
+	/** How long the peer is passed over when it is stale, in ms. */
+	readonly staleAbsenceMs: number;
+};
+
 /** Name of the store in log lines about the source of the registry. */
 const STORE_SOURCE = 'store';
 
@@ -72,19 +90,31 @@
 	const passedOverUntilMs = new Map<string, number>();
 	let lostUntilMs = 0;
 
+	const isPassedOver = (address: string): boolean => clock.monotonicMs() < (passedOverUntilMs.get(address) ?? 0);
+
 	/** Nodes that read the store or are about to, best first, without those that just turned out to be stale. */
-	const rankReaders = (): readonly domain.RegisteredNode[] => {
+	const listReaders = (): readonly domain.RegisteredNode[] => {
 		const nowMs = clock.monotonicMs();
 		return registry
-			.rankNodes(READER_KEY, self.region, CANDIDATE_COUNT)
-			.filter(({nodeId, address}) =>
-				nodeId === self.nodeId ? nowMs >= lostUntilMs : nowMs >= (passedOverUntilMs.get(address) ?? 0),
-			)
+			.rankReaders(CANDIDATE_COUNT)
+			.filter(({nodeId, address}) => (nodeId === self.nodeId ? nowMs >= lostUntilMs : !isPassedOver(address)))
 			.slice(0, READER_COUNT);
 	};
 
-	const passOver = (address: string): void => {
-		passedOverUntilMs.set(address, clock.monotonicMs() + STALE_ABSENCE_MS);
+	const hasRelays = (): boolean => registry.nodesOf(self.region).length > DIRECT_FOLLOWER_COUNT + 1;
+
+	/** The relays from which this node learns, best first; none when it is one of them or follows the reader itself. */
+	const listRelays = (): readonly domain.RegisteredNode[] => {
+		const relays = registry.rankReaders(RELAY_COUNT + 1).slice(1);
+		if (!hasRelays() || [...listReaders(), ...relays].some(({nodeId}) => nodeId === self.nodeId)) {
+			return [];
+		}
+
+		return rankByRendezvous(self.nodeId, relays, RELAY_COUNT).filter(({address}) => !isPassedOver(address));
+	};
+
+	const passOver = (address: string, durationMs: number): void => {
+		passedOverUntilMs.set(address, clock.monotonicMs() + durationMs);
 	};
 
 	const noteSource = (source: string): void => {
@@ -96,14 +126,23 @@
 	};
 
 	/** Whether the peer gave an answer that is fresh. */
-	const pullFrom = async (address: string, waitMs: number): Promise<boolean> => {
+	const pullFrom = async (address: string, request: PullOptions): Promise<boolean> => {
+		const {waitMs} = request;
 		const fromOffsets = {
 			[ports.RegistryTopic.Catalogue]: registry.replicas.catalogue.nextOffset(),
 			[ports.RegistryTopic.Targets]: registry.replicas.targets.nextOffset(),
 			[ports.RegistryTopic.Nodes]: registry.replicas.nodes.nextOffset(),
 		};
-		const timed = await runWithTimeout({clock, timeoutMs: waitMs + PULL_SLACK_MS, signal}, async pullSignal =>
-			options.peerClient.request(address, ports.FleetMessageKind.PullRegistry, {fromOffsets, waitMs}, pullSignal),
+		const timed = await runWithTimeout(
+			{clock, timeoutMs: waitMs + PULL_SLACK_MS, progressTimeoutMs: PULL_SLACK_MS, signal},
+			async (pullSignal, noteProgress) =>
+				options.peerClient.request(
+					address,
+					ports.FleetMessageKind.PullRegistry,
+					{fromOffsets, waitMs},
+					pullSignal,
+					noteProgress,
+				),
 		);
 		if (signal.aborted) {
 			return false;
@@ -112,7 +151,7 @@
 		if (timed.isTimedOut || timed.value.isErr()) {
 			peerStanding.recordFailure(address);
 			registry.setSourceLost(true);
-			passOver(address);
+			passOver(address, STALE_ABSENCE_MS);
 			return false;
 		}
 
@@ -121,7 +160,7 @@
 		registry.apply(topics, topicAgesMs);
 		registry.setSourceLost(isStale);
 		if (isStale) {
-			passOver(address);
+			passOver(address, request.staleAbsenceMs);
 		} else {
 			passedOverUntilMs.delete(address);
 			noteSource(address);
@@ -150,14 +189,15 @@
 		return isLost;
 	};
 
+	/** Learns who the others are, from the store or else from the seeds. Only the readers read the rest from the store. */
 	const start = async (): Promise<void> => {
-		const isSeed = options.seedAddresses.includes(self.address);
-		const others = options.seedAddresses.filter(address => address !== self.address);
-		const isFresh =
-			!isSeed && (await Promise.all(others.map(async address => pullFrom(address, SEED_WAIT_MS)))).some(Boolean);
-		if (!isFresh) {
-			await options.storeReader.readOnce(signal);
+		if (await options.storeReader.readNodes(signal)) {
+			return;
 		}
+
+		const seeds = options.seedAddresses.filter(address => address !== self.address);
+		const request = {waitMs: SEED_WAIT_MS, staleAbsenceMs: STALE_ABSENCE_MS};
+		await Promise.all(seeds.map(async address => pullFrom(address, request)));
 	};
 
 	/** A reader that lost the store follows the others for a while, since the store may refuse this node only. */
@@ -180,9 +220,9 @@
 			: readers;
 	};
 
-	const pullFromAny = async (sources: readonly domain.RegisteredNode[]): Promise<boolean> => {
+	const pullFromAny = async (sources: readonly domain.RegisteredNode[], request: PullOptions): Promise<boolean> => {
 		for (const {address} of sources) {
-			if (await pullFrom(address, PULL_WAIT_MS)) {
+			if (await pullFrom(address, request)) {
 				const isNew = stay.address !== address || clock.monotonicMs() >= stay.untilMs;
 				stay = isNew ? {address, untilMs: clock.monotonicMs() + SOURCE_STAY_MS} : stay;
 				return true;
@@ -192,16 +232,29 @@
 		return false;
 	};
 
-	/** One round of a node that does not read for others: pulls from the readers, or reads for itself. */
-	const followOnce = async (readers: readonly domain.RegisteredNode[]): Promise<void> => {
-		const isFresh = await pullFromAny(orderSources(readers.filter(({nodeId}) => nodeId !== self.nodeId)));
+	/** Pulls from the relays, or from the readers when there are no relays or all are stale. True when one was fresh. */
+	const pullOnce = async (): Promise<boolean> => {
+		const relays = listRelays().slice(0, READER_COUNT);
+		const isRelayed = await pullFromAny(orderSources(relays), RELAY_PULL);
+		if (isRelayed || signal.aborted) {
+			return isRelayed;
+		}
+
+		const readers = listReaders().filter(({nodeId}) => nodeId !== self.nodeId);
+		const request = hasRelays() ? READER_PULL_OF_RELAY : READER_PULL;
+		return pullFromAny(orderSources(relays.length > 0 ? readers.slice(0, 1) : readers), request);
+	};
+
+	/** One round of a node that does not read for others: learns from peers, or reads for itself. */
+	const followOnce = async (): Promise<void> => {
+		const isFresh = await pullOnce();
 		if (isFresh || signal.aborted) {
 			staleBackOff.reset();
 			ownReadBackOff.reset();
 			return;
 		}
 
-		if (rankReaders().length > 0) {
+		if (listRelays().length === 0 && listReaders().length > 0) {
 			// The next of the ranking reads now, or this node does.
 			return;
 		}
@@ -217,13 +270,13 @@
 
 	await start();
 	while (!signal.aborted) {
-		const isFirst = (): boolean => rankReaders()[0]?.nodeId === self.nodeId;
+		const isFirst = (): boolean => listReaders()[0]?.nodeId === self.nodeId;
 		if (isFirst()) {
 			logger.info('reading the store for the region', {event: ports.LogEvent.ReaderStarted});
 			noteSource(STORE_SOURCE);
 			notePause(await readAsReader(isFirst));
 		} else {
-			await followOnce(rankReaders());
+			await followOnce();
 		}
 	}
 };
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -26,6 +26,11 @@
 	 * has lost what it knew, rarely comes back to its former place.
 	 */
 	rankNodes(key: string, region: string, limitCount: number): readonly domain.RegisteredNode[];
+	/**
+	 * Nodes of this node's region that can be reached, best first for reading the store. A restarted node keeps its place, so
+	 * that nodes agree on it while they still know its former incarnation, as after the loss of all of them.
+	 */
+	rankReaders(limitCount: number): readonly domain.RegisteredNode[];
 	/**
 	 * Takes over what the store or a peer sent.
 	 *
@@ -62,6 +67,9 @@
 
 const MS_PER_SECOND = 1000;
 
+/** Key under which the nodes of a region are ranked for reading the store. */
+const READER_KEY = 'registry-reader';
+
 const TOPICS = Object.values(ports.RegistryTopic);
 
 /** Targets in force change with the clock after an outage, so the index is rebuilt at this age at the latest. */
@@ -117,12 +125,15 @@
 		return region === self.region ? [...others, self] : others;
 	};
 
-	const ranking = createNodeRanking({
+	const rankingOptions = {
 		clock,
 		listNodes: nodesOf,
 		readRevision: replicas.nodes.revision,
-		isUsable: ({nodeId, address}) => nodeId === self.nodeId || options.peerStanding.isUsable(address),
-	});
+		isUsable: ({nodeId, address}: domain.RegisteredNode) =>
+			nodeId === self.nodeId || options.peerStanding.isUsable(address),
+	};
+	const ranking = createNodeRanking({...rankingOptions, identify: ({incarnationId}) => incarnationId});
+	const readerRanking = createNodeRanking({...rankingOptions, identify: ({nodeId}) => nodeId});
 
 	const isStale = (): boolean => isLost || topicAges.isStale();
 
@@ -170,6 +181,7 @@
 		target: targetId => readTargetIndex().byId.get(targetId),
 		nodesOf,
 		rankNodes: ranking.rank,
+		rankReaders: limitCount => readerRanking.rank(READER_KEY, self.region, limitCount),
 		apply(topics, topicAgesMs = {}) {
 			const changedTopics = TOPICS.filter(topic => applyTopic(topic, topics[topic] as never));
 			TOPICS.filter(topic => topics[topic] !== undefined).forEach(topic => {
--- a/packages/core/src/registry/store-reader.ts
+++ b/packages/core/src/registry/store-reader.ts
@@ -40,6 +40,8 @@
 export type StoreReader = {
 	/** Reads all topics until the signal is aborted. */
 	run(signal: AbortSignal): Promise<void>;
+	/** Reads the nodes once; false when the store did not answer. */
+	readNodes(signal: AbortSignal): Promise<boolean>;
 	/** Reads each topic once without waiting. Gives up when the first read fails. */
 	readOnce(signal: AbortSignal): Promise<void>;
 };
@@ -129,6 +131,7 @@
 		async run(signal) {
 			await Promise.all(Object.values(ports.RegistryTopic).map(async topic => followTopic(topic, signal)));
 		},
+		readNodes: async signal => readTopic(ports.RegistryTopic.Nodes, 0, signal),
 		async readOnce(signal) {
 			const [first, ...others] = Object.values(ports.RegistryTopic);
 			if (await readTopic(first!, 0, signal)) {
--- a/packages/core/src/shared/run-with-timeout.ts
+++ b/packages/core/src/shared/run-with-timeout.ts
@@ -4,14 +4,24 @@
 /** Outcome of {@link runWithTimeout}. */
 export type TimedResult<T> = {readonly isTimedOut: true} | {readonly isTimedOut: false; readonly value: T};
 
+export type TimeoutOptions = {
+	readonly clock: ports.Clock;
+	readonly timeoutMs: number;
+	/** Time that each sign of progress leaves for the next one, in ms; `timeoutMs` by default. */
+	readonly progressTimeoutMs?: number;
+	readonly signal: AbortSignal;
+};
+
 /**
  * Runs `task` with a signal that is aborted after `timeoutMs` or when `signal` is. Returns as soon as the time is up,
- * even when the task ignores its signal.
+ * even when the task ignores its signal. A task that transfers much data calls `noteProgress` for each part, and is not
+ * given up while parts arrive.
  */
 export const runWithTimeout = async <T>(
-	options: {clock: ports.Clock; timeoutMs: number; signal: AbortSignal},
-	task: (signal: AbortSignal) => Promise<T>,
+	options: TimeoutOptions,
+	task: (signal: AbortSignal, noteProgress: () => void) => Promise<T>,
 ): Promise<TimedResult<T>> => {
+	const {clock, timeoutMs, progressTimeoutMs = timeoutMs} = options;
 	const taskController = new AbortController();
 	const sleepController = new AbortController();
 	const abortTask = (): void => {
@@ -23,9 +33,20 @@
 	}
 
 	options.signal.addEventListener('abort', abortTask, {once: true});
-	const runTask = async (): Promise<TimedResult<T>> => ({isTimedOut: false, value: await task(taskController.signal)});
+	let deadlineMs = clock.monotonicMs() + timeoutMs;
+	const noteProgress = (): void => {
+		deadlineMs = Math.max(deadlineMs, clock.monotonicMs() + progressTimeoutMs);
+	};
+
+	const runTask = async (): Promise<TimedResult<T>> => ({
+		isTimedOut: false,
+		value: await task(taskController.signal, noteProgress),
+	});
 	const waitForTimeout = async (): Promise<TimedResult<T>> => {
-		await options.clock.sleep(options.timeoutMs, sleepController.signal);
+		do {
+			await clock.sleep(deadlineMs - clock.monotonicMs(), sleepController.signal);
+		} while (!sleepController.signal.aborted && clock.monotonicMs() < deadlineMs);
+
 		if (!sleepController.signal.aborted) {
 			abortTask();
 		}
--- a/packages/fakes/src/__tests__/registry-sync.test.ts
+++ b/packages/fakes/src/__tests__/registry-sync.test.ts
@@ -1,74 +1,24 @@
 import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
 import test, {type ExecutionContext} from 'ava';
-import * as neverthrow from 'neverthrow';
-import {buildFleetCatalogue, buildHostRoute, buildNode, buildTarget} from '../build-fleet.js';
-import {createFakeMetrics, createSilentLogger} from '../fake-observability.js';
-import {createFakeRegistryStore} from '../fake-registry-store.js';
-import {createSeededRandom} from '../seeded-random.js';
-import {createVirtualClock} from '../virtual-clock.js';
+import {buildFleetCatalogue, buildHostRoute, buildTarget} from '../build-fleet.js';
+import {createRegistryFleet} from '../registry-fleet.js';
 
 /** Bound for configuration and for targets that leave, from the store's acknowledgement. */
 const IN_FORCE_MS = 2500;
 
-const NETWORK_MS = 1;
-
 /** Longer than the fake store takes to notice that its open reads are to be lost. */
 const POLL_TURN_MS = 20;
 
 const createFleet = (t: ExecutionContext, nodeCount: number) => {
-	const clock = createVirtualClock();
-	const store = createFakeRegistryStore(clock);
-	const logger = createSilentLogger();
-	const metrics = createFakeMetrics();
-	const cutNodeIds = new Set<string>();
-	const nodes = new Map<string, core.FleetNode>();
-	const ids = Array.from({length: nodeCount}, (_, index) => `node-${index}`);
-	const createPeerClient = (senderId: string): core.FleetPeerClient => ({
-		async request(address, kind, request, signal) {
-			await clock.sleep(NETWORK_MS, signal);
-			const receiver = [...nodes.values()].find(({self}) => self.address === address);
-			if (!receiver || cutNodeIds.has(senderId) || cutNodeIds.has(receiver.self.nodeId)) {
-				return neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'cut'});
-			}
-
-			return neverthrow.ok(await receiver.messageHandlers[kind](request as never, signal));
-		},
-	});
-	const startNode = (nodeId: string, seed: number): void => {
-		const node = core.createFleetNode({
-			ports: {
-				clock,
-				random: createSeededRandom(seed),
-				logger,
-				metrics,
-				store: store.openFor(nodeId),
-				peerClient: createPeerClient(nodeId),
-				targetClient: {
-					send: async () => neverthrow.err({kind: core.AttemptErrorKind.Unreachable, detail: 'no target'}),
-				},
-			},
-			settings: {self: buildNode(nodeId), seedAddresses: [buildNode('node-0').address]},
-		});
-		nodes.set(nodeId, node);
-		const controller = new AbortController();
-		t.teardown(() => {
-			controller.abort();
-		});
-		void node.run(controller.signal);
-	};
-
-	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(1, [buildHostRoute()]));
-	store.write(core.RegistryTopic.Targets, 'a', buildTarget({targetId: 'a'}));
-	ids.forEach(startNode);
-	const listVersions = (): Array<number | undefined> =>
-		[...nodes.values()].map(({registry}) => registry.catalogue()?.version);
-	return {clock, store, nodes, cutNodeIds, startNode, listVersions};
+	const fleet = createRegistryFleet({nodeCount});
+	t.teardown(fleet.stop);
+	return fleet;
 };
 
 /** Id of the node that reads the store for the others. */
 const findReaderId = (nodes: ReadonlyMap<string, core.FleetNode>): string =>
-	[...nodes.values()][0]!.registry.rankNodes('registry-reader', 'pwani', 1)[0]!.nodeId;
+	[...nodes.values()][0]!.registry.rankReaders(1)[0]!.nodeId;
 
 test('all nodes learn the catalogue, the targets and each other', async t => {
 	const {clock, nodes, listVersions} = createFleet(t, 6);
@@ -122,7 +72,7 @@
 	test(`a change is in force in time while the store refuses the ${refusedCount} nodes that rank first`, async t => {
 		const {clock, store, nodes, listVersions} = createFleet(t, 10);
 		await clock.advance(5000);
-		const readers = [...nodes.values()][0]!.registry.rankNodes('registry-reader', 'pwani', refusedCount);
+		const readers = [...nodes.values()][0]!.registry.rankReaders(refusedCount);
 		readers.forEach(({nodeId}) => {
 			store.refusedNodeIds.add(nodeId);
 		});
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -15,3 +15,4 @@
 export * from './seeded-random.js';
 export * from './simulate-operations.js';
 export * from './virtual-clock.js';
+export * from './registry-fleet.js';
--- /dev/null
+++ b/packages/fakes/src/registry-fleet.ts
@@ -0,0 +1,98 @@
+import * as core from '@bilberrydoor/core';
+import * as neverthrow from 'neverthrow';
+import {buildFleetCatalogue, buildHostRoute, buildNode, buildTarget} from './build-fleet.js';
+import {createFakeMetrics, createSilentLogger} from './fake-observability.js';
+import {createFakeRegistryStore, type FakeRegistryStore} from './fake-registry-store.js';
+import {createSeededRandom} from './seeded-random.js';
+import {createVirtualClock, type VirtualClock} from './virtual-clock.js';
+
+/** Carries a reply from a node to the one that asked. */
+export type CarryReply = <Kind extends core.FleetMessageKind>(
+	senderId: string,
+	kind: Kind,
+	reply: core.FleetMessages[Kind]['reply'],
+	transfer: {readonly signal: AbortSignal; readonly noteProgress: () => void},
+) => Promise<core.FleetMessages[Kind]['reply']>;
+
+export type RegistryFleetOptions = {
+	readonly nodeCount: number;
+	readonly clock?: VirtualClock;
+	/** Replies arrive at once by default. */
+	readonly carryReply?: CarryReply;
+	/** Changes the store as a node sees it, for example to limit its link. */
+	readonly wrapStore?: (store: core.RegistryStore) => core.RegistryStore;
+	/** Fills the store before the nodes start. */
+	readonly fillStore?: (store: FakeRegistryStore) => void;
+};
+
+const NETWORK_MS = 1;
+
+const fillWithDefaults = (store: FakeRegistryStore): void => {
+	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(1, [buildHostRoute()]));
+	store.write(core.RegistryTopic.Targets, 'a', buildTarget({targetId: 'a'}));
+};
+
+/** Nodes of one region under a virtual clock, which learn what the store holds. The first is the others' seed. */
+export const createRegistryFleet = (options: RegistryFleetOptions) => {
+	const {
+		clock = createVirtualClock(),
+		carryReply = async (_senderId, _kind, reply) => reply,
+		wrapStore = store => store,
+		fillStore = fillWithDefaults,
+	} = options;
+	const store = createFakeRegistryStore(clock);
+	const logger = createSilentLogger();
+	const metrics = createFakeMetrics();
+	const cutNodeIds = new Set<string>();
+	const nodes = new Map<string, core.FleetNode>();
+	const controllers: AbortController[] = [];
+	const createPeerClient = (senderId: string): core.FleetPeerClient => ({
+		async request(address, kind, request, signal, noteProgress = () => undefined) {
+			await clock.sleep(NETWORK_MS, signal);
+			const receiver = [...nodes.values()].find(({self}) => self.address === address);
+			if (!receiver || cutNodeIds.has(senderId) || cutNodeIds.has(receiver.self.nodeId)) {
+				return neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'cut'});
+			}
+
+			const reply = await receiver.messageHandlers[kind](request as never, signal);
+			return neverthrow.ok(await carryReply(receiver.self.nodeId, kind, reply, {signal, noteProgress}));
+		},
+	});
+	const startNode = (nodeId: string, seed: number): void => {
+		const node = core.createFleetNode({
+			ports: {
+				clock,
+				random: createSeededRandom(seed),
+				logger,
+				metrics,
+				store: wrapStore(store.openFor(nodeId)),
+				peerClient: createPeerClient(nodeId),
+				targetClient: {
+					send: async () => neverthrow.err({kind: core.AttemptErrorKind.Unreachable, detail: 'no target'}),
+				},
+			},
+			settings: {self: buildNode(nodeId), seedAddresses: [buildNode('node-0').address]},
+		});
+		nodes.set(nodeId, node);
+		const controller = new AbortController();
+		controllers.push(controller);
+		void node.run(controller.signal);
+	};
+
+	fillStore(store);
+	Array.from({length: options.nodeCount}, (_, index) => `node-${index}`).forEach(startNode);
+	return {
+		clock,
+		store,
+		nodes,
+		cutNodeIds,
+		startNode,
+		listVersions: (): Array<number | undefined> =>
+			[...nodes.values()].map(({registry}) => registry.catalogue()?.version),
+		stop() {
+			controllers.forEach(controller => {
+				controller.abort();
+			});
+		},
+	};
+};
--- /dev/null
+++ b/packages/measures/src/__tests__/large-catalogue.test.ts
@@ -0,0 +1,107 @@
+import * as adapters from '@bilberrydoor/adapters';
+import * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
+import * as fakes from '@bilberrydoor/fakes';
+import test from 'ava';
+import * as neverthrow from 'neverthrow';
+
+/** Nodes of a region of the larger deployments. */
+const NODE_COUNT = 52;
+
+/** Half of the link of a small node, 10 Mbit/s; the rest carries calls. */
+const NODE_LINK_BYTES_PER_MS = 625;
+
+/** Link between regions, 42 Mbit/s. */
+const REGION_LINK_BYTES_PER_MS = 5250;
+
+const PART_BYTES = 16_384;
+const ROUTE_COUNT = 1180;
+const IN_FORCE_MS = 2500;
+
+/** Longest time without a part of an answer of the store. */
+const STORE_TIMEOUT_MS = 600;
+
+/** A link that its transfers share part by part. */
+const createLink = (clock: fakes.VirtualClock, bytesPerMs: number) => {
+	let freeAtMs = 0;
+	return async (sizeBytes: number, signal: AbortSignal, noteProgress: () => void): Promise<void> => {
+		for (let leftBytes = sizeBytes; leftBytes > 0 && !signal.aborted; leftBytes -= PART_BYTES) {
+			freeAtMs = Math.max(freeAtMs, clock.monotonicMs()) + Math.min(leftBytes, PART_BYTES) / bytesPerMs;
+			await clock.sleep(freeAtMs - clock.monotonicMs(), signal);
+			noteProgress();
+		}
+	};
+};
+
+const buildLargeCatalogue = (version: number): domain.FleetCatalogue => {
+	const random = fakes.createSeededRandom(version);
+	const routes = Array.from({length: ROUTE_COUNT}, () =>
+		fakes.buildHostRoute({routeId: `r-${random.token().slice(0, 7)}`, pathPrefix: `/${random.token().slice(0, 8)}/`}),
+	);
+	return fakes.buildFleetCatalogue(version, routes);
+};
+
+const createFleet = (fillStore?: (store: fakes.FakeRegistryStore) => void) => {
+	const clock = fakes.createVirtualClock();
+	const links = new Map<string, ReturnType<typeof createLink>>();
+	const openLink = (nodeId: string) => {
+		const link = links.get(nodeId) ?? createLink(clock, NODE_LINK_BYTES_PER_MS);
+		links.set(nodeId, link);
+		return link;
+	};
+
+	const carryReply: fakes.CarryReply = async (senderId, kind, reply, {signal, noteProgress}) => {
+		const text = JSON.stringify(adapters.FLEET_REPLY_ENCODERS[kind](reply));
+		await openLink(senderId)(text.length, signal, noteProgress);
+		return adapters.FLEET_MESSAGE_SCHEMAS[kind].reply.parse(JSON.parse(text));
+	};
+
+	const regionLink = createLink(clock, REGION_LINK_BYTES_PER_MS);
+	const wrapStore = (store: core.RegistryStore): core.RegistryStore => ({
+		...store,
+		async readAll(topic, signal) {
+			const result = await store.readAll(topic, signal);
+			const sizeBytes = JSON.stringify(result.unwrapOr(undefined) ?? '').length;
+			const limits = {clock, timeoutMs: STORE_TIMEOUT_MS, signal};
+			const timed = await core.runWithTimeout(limits, async (taskSignal, noteProgress) =>
+				regionLink(sizeBytes, taskSignal, noteProgress),
+			);
+			return timed.isTimedOut
+				? neverthrow.err({kind: core.RegistryErrorKind.Unavailable, detail: 'no answer in time'})
+				: result;
+		},
+	});
+	return fakes.createRegistryFleet({clock, nodeCount: NODE_COUNT, carryReply, wrapStore, fillStore});
+};
+
+const ALL_NODES = Array.from({length: NODE_COUNT}, (_, index) => `node-${index}`);
+
+// Guards against copies for all nodes of a region that one small link carries at once, so that each is given up and repeated.
+test('a large catalogue is in force in time on all nodes of a large region', async t => {
+	const {clock, store, listVersions, stop} = createFleet();
+	t.teardown(stop);
+	await clock.advance(5000);
+	store.write(core.RegistryTopic.Catalogue, 'config', buildLargeCatalogue(2));
+	await clock.advance(IN_FORCE_MS);
+	t.deepEqual(
+		listVersions(),
+		ALL_NODES.map(() => 2),
+	);
+});
+
+// Guards against nodes that all read the large catalogue over the link between regions after the loss of all of them.
+test('all nodes of a large region that start at once know a large catalogue in time', async t => {
+	const {clock, listVersions, stop} = createFleet(store => {
+		store.write(core.RegistryTopic.Catalogue, 'config', buildLargeCatalogue(2));
+		store.write(core.RegistryTopic.Targets, 'a', fakes.buildTarget({targetId: 'a'}));
+		ALL_NODES.forEach(nodeId => {
+			store.write(core.RegistryTopic.Nodes, nodeId, fakes.buildNode(nodeId, {incarnationId: `${nodeId}#0`}));
+		});
+	});
+	t.teardown(stop);
+	await clock.advance(IN_FORCE_MS);
+	t.deepEqual(
+		listVersions(),
+		ALL_NODES.map(() => 2),
+	);
+});
