fix(grants): the last resort is the target whose last fault is the oldest

Cause: the last resort preferred the target with the fewest failed returns. Targets that had been gray for long and were sound again went behind those that had turned gray a moment ago, which have none.

Change: the oldest fault decides.

Evidence: the new test fails on the code before.

--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -46,7 +46,7 @@
 
 /**
  * Picks a target: a sound one with a free slot; one on trial when the call may be repeated or sound ones are scarce;
- * and, as a last resort, the one with the least evidence against it.
+ * and, as a last resort, the one whose last fault is the oldest.
  */
 export const pickTarget = (request: ports.AcquireGrantRequest, choice: TargetChoice): TargetLedger | undefined => {
 	const {random} = choice;
@@ -69,8 +69,5 @@
 
 	return [...byStanding(GrantStanding.OnTrial), ...byStanding(GrantStanding.SetAside)]
 		.filter(hasRoom)
-		.toSorted(
-			(left, right) =>
-				left.failedReturnCount() - right.failedReturnCount() || left.lastFaultAtMs() - right.lastFaultAtMs(),
-		)[0];
+		.toSorted((left, right) => left.lastFaultAtMs() - right.lastFaultAtMs())[0];
 };
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -82,8 +82,6 @@
 	verdictAgeMs(): number | undefined;
 	/** Monotonic time at which the target was found gray, in ms; undefined when it is not, or has returned since. */
 	graySinceMs(): number | undefined;
-	/** Returns that failed since the target was set aside. */
-	failedReturnCount(): number;
 	open(
 		grantId: string,
 		request: Pick<ports.AcquireGrantRequest, 'nodeId' | 'routeId' | 'repeatability'>,
@@ -268,7 +266,6 @@
 			return lastAtMs === 0 ? undefined : clock.monotonicMs() - lastAtMs;
 		},
 		graySinceMs: () => absence?.sinceMs,
-		failedReturnCount: () => absence?.failedReturnCount ?? 0,
 		open(grantId, {nodeId, routeId, repeatability}, ttlMs) {
 			const nowMs = clock.monotonicMs();
 			openGrants.set(grantId, {routeId, repeatability, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
--- a/packages/fakes/src/__tests__/group-dispatcher.test.ts
+++ b/packages/fakes/src/__tests__/group-dispatcher.test.ts
@@ -155,6 +155,21 @@
 	t.is(last.target.targetId, first.target.targetId);
 });
 
+// Guards against calls that all go to targets which turned gray a moment ago, past one that failed long before.
+test('the last resort is the target whose last fault is the oldest, however often it failed to return', async t => {
+	const {clock, acquireGrant, report} = createHarness(buildPool(2));
+	const first = await acquireGrant();
+	report(first, core.GrantResult.Failure);
+	const excludedTargetIds = ['target-0', 'target-1'].filter(targetId => targetId !== first.target.targetId);
+	await clock.advance(FIRST_ABSENCE_MS);
+	report(await acquireGrant({excludedTargetIds}), core.GrantResult.Failure);
+	await clock.advance(1000);
+	report(await acquireGrant(), core.GrantResult.Failure);
+	await clock.advance(100);
+	const last = await acquireGrant({isLastResort: true});
+	t.is(last.target.targetId, first.target.targetId);
+});
+
 test('draining targets, targets of the call before and removed targets get nothing', async t => {
 	const harness = createHarness([
 		buildTarget({targetId: 'draining', readiness: domain.TargetReadiness.Draining}),
