fix(target): half an answer never passes as a whole one at bilberryd either

Report from another operator: a target stopped in the middle of the head of its answer and closed, and callers got a 200 with an empty or short body, framed as whole.

Ways in which it was tried here: heads cut at eleven places, for four framings, after early hints and without, with the connection ended and reset (fleet-target-client.test.ts): none passes as an answer at the fleet's client. The same cuts at the client of bilberryd (undici-target-client.test.ts): a cut head is an error too, but a body framed by chunks or by the end of its connection, with `Connection: close`, passed as whole when the connection ended or was reset.

Cause: undici completes such an answer.

Change: both clients share the pool that notes the ends of connections and fails an answer that completes only because of one.

Evidence: four of the 20 new tests of bilberryd's client fail on the code before.

--- a/packages/adapters/src/target/answer-receiver.ts
+++ b/packages/adapters/src/target/answer-receiver.ts
@@ -4,7 +4,6 @@
 import * as neverthrow from 'neverthrow';
 import type * as undici from 'undici';
 import * as headers from '../http/headers.js';
-import type {ConnectionEnds} from './connection-ends.js';
 
 /** Receives one answer: holds it while it is small, and turns it into a stream when it grows. */
 export class AnswerReceiver implements undici.Dispatcher.DispatchHandler {
@@ -19,7 +18,6 @@
 
 	constructor(
 		private readonly limitBytes: number,
-		private readonly ends: ConnectionEnds,
 		private readonly finish: (result: neverthrow.Result<domain.TargetAnswer, Error>) => void,
 	) {}
 
@@ -56,13 +54,6 @@
 	}
 
 	onResponseEnd(): void {
-		// A crashed target's half answer looks the same, so only a length proves that such an answer is whole.
-		const hasLength = headers.findHeader(this.answerHeaders, 'content-length') !== undefined;
-		if (this.ends.isHandling() && !hasLength) {
-			this.onResponseError(undefined, new Error('the connection ended, and nothing shows that the answer is whole'));
-			return;
-		}
-
 		if (this.overflow) {
 			this.overflow.push(null);
 			return;
--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -1,13 +1,13 @@
 import * as stream from 'node:stream';
 import * as core from '@bilberrydoor/core';
 import * as neverthrow from 'neverthrow';
-import * as undici from 'undici';
+import type * as undici from 'undici';
 import {isConnectError} from '../http/connect-error.js';
 import * as headers from '../http/headers.js';
 import type {WireDialect} from '../http/wire-dialect.js';
 import {AnswerReceiver} from './answer-receiver.js';
-import {createConnectionEnds, type ConnectionEnds} from './connection-ends.js';
 import {readMeaning} from './read-meaning.js';
+import {createWholeAnswerPool} from './whole-answer-pool.js';
 
 export type FleetTargetClientOptions = {
 	readonly dialect: WireDialect;
@@ -55,30 +55,12 @@
 	return {kind: signal.aborted ? core.AttemptErrorKind.CancelledSent : core.AttemptErrorKind.Broken, detail};
 };
 
-/**
- * Opens connections that note their ends before undici handles them. Undici completes an answer when a connection that is
- * not kept ends or is reset, also in the middle of a chunked body, and half an answer would pass as a whole one.
- */
-const createConnector = (connectTimeoutMs: number, ends: ConnectionEnds): undici.buildConnector.connector => {
-	const connect = undici.buildConnector({timeout: connectTimeoutMs});
-	return (connectOptions, callback) => {
-		connect(connectOptions, (...result) => {
-			const [, socket] = result;
-			['end', 'error', 'close'].forEach(event => {
-				socket?.prependListener(event, ends.note);
-			});
-			callback(...result);
-		});
-	};
-};
-
 /** Client for targets over HTTP with one connection pool for each target's address. */
 export const createFleetTargetClient = (
 	given: Pick<FleetTargetClientOptions, 'dialect'> & Partial<FleetTargetClientOptions>,
 ): core.FleetTargetClient & {close(): Promise<void>} => {
 	const options = {...DEFAULT_FLEET_TARGET_CLIENT_OPTIONS, ...given};
-	const pools = core.createRecentMap<string, undici.Pool>(options.poolLimitCount);
-	const ends = createConnectionEnds();
+	const pools = core.createRecentMap<string, undici.Dispatcher>(options.poolLimitCount);
 
 	/** Drops the connections to an address after a fault, since others may be silent too. */
 	const retirePool = (address: string): void => {
@@ -87,20 +69,8 @@
 		void pool?.close();
 	};
 
-	const createPool = (address: string, connectionLimit: number): undici.Pool =>
-		new undici.Pool(`http://${address}`, {
-			connections: connectionLimit,
-			pipelining: 1,
-			keepAliveTimeout: options.keepAliveMs,
-			keepAliveMaxTimeout: options.keepAliveMs,
-			// The call has its own deadline, and a second clock would end it earlier.
-			headersTimeout: 0,
-			bodyTimeout: 0,
-			connect: createConnector(options.connectTimeoutMs, ends),
-		});
-
-	const openPool = (address: string, connectionLimit: number): undici.Pool => {
-		const pool = pools.get(address) ?? createPool(address, connectionLimit);
+	const openPool = (address: string, connectionLimit: number): undici.Dispatcher => {
+		const pool = pools.get(address) ?? createWholeAnswerPool(address, {...options, connectionLimit});
 		void pools.set(address, pool)?.close();
 		return pool;
 	};
@@ -114,7 +84,7 @@
 				resolve(result);
 			};
 
-			const receiver = new AnswerReceiver(options.heldAnswerLimitBytes, ends, result => {
+			const receiver = new AnswerReceiver(options.heldAnswerLimitBytes, result => {
 				const isStreaming = result.isOk() && !(result.value.body instanceof Uint8Array);
 				const outcome = result
 					.map(answer => ({meaning: readMeaning(answer, call.requestId, options.dialect), answer}))
--- a/packages/adapters/src/target/undici-target-client.ts
+++ b/packages/adapters/src/target/undici-target-client.ts
@@ -1,9 +1,10 @@
 import * as core from '@bilberrydoor/core';
 import type * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
-import * as undici from 'undici';
+import type * as undici from 'undici';
 import * as headers from '../http/headers.js';
 import {isConnectError} from '../http/connect-error.js';
+import {createWholeAnswerPool} from './whole-answer-pool.js';
 
 export type UndiciTargetClientOptions = {
 	/** Longest time for opening a connection, in ms. */
@@ -37,23 +38,15 @@
 	given: Partial<UndiciTargetClientOptions> = {},
 ): core.TargetClient & {close(): Promise<void>} => {
 	const options = {...DEFAULT_UNDICI_TARGET_CLIENT_OPTIONS, ...given};
-	const pools = new Map<string, undici.Pool>();
+	const pools = new Map<string, undici.Dispatcher>();
 
-	const openPool = (target: domain.TargetEntry): undici.Pool => {
+	const openPool = (target: domain.TargetEntry): undici.Dispatcher => {
 		const existing = pools.get(target.address);
 		if (existing) {
 			return existing;
 		}
 
-		const pool = new undici.Pool(`http://${target.address}`, {
-			connections: target.connectionLimit,
-			pipelining: 1,
-			keepAliveTimeout: options.keepAliveMs,
-			// The scheduler owns the deadlines; a second clock here would end calls that it still counts on.
-			headersTimeout: 0,
-			bodyTimeout: 0,
-			connect: {timeout: options.connectTimeoutMs},
-		});
+		const pool = createWholeAnswerPool(target.address, {...options, connectionLimit: target.connectionLimit});
 		pools.set(target.address, pool);
 		return pool;
 	};
