fix(proxy): a streamed answer ends with its call's time or its caller

A target in trouble may send bytes without end until its caller closes. The head of such an answer ended with the call's deadline, but a body did not: once it was streamed, neither the deadline nor the caller's leaving stopped the exchange, which held its connection and a slot of the target for good.

An answer to another call is stopped at once.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -63,6 +63,7 @@
 export * from './grants/target-ledger.js';
 export * from './grants/usual-durations.js';
 export * from './grants/usual-failure-ratio.js';
+export * from './proxy/bound-answer.js';
 export * from './proxy/call-proxy.js';
 export * from './proxy/host-routes.js';
 export * from './proxy/pick-service.js';
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -4,6 +4,7 @@
 import type {Registry} from '../registry/registry.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
+import {boundAnswer} from './bound-answer.js';
 import {ANSWER_VERDICTS, ERROR_VERDICTS, GRANT_REFUSAL_REASONS} from './attempt-verdicts.js';
 import type {CallState} from './call-state.js';
 import {createHostRoutes, type HostRoutes} from './host-routes.js';
@@ -32,6 +33,12 @@
 /** Time after which a caller may come back while this node knows no catalogue, in ms. */
 const NO_CATALOGUE_RETRY_MS = 500;
 
+/** Meanings of answers that may be handed on. */
+const USABLE_MEANINGS: ReadonlySet<ports.AnswerMeaning> = new Set([
+	ports.AnswerMeaning.Completed,
+	ports.AnswerMeaning.Failed,
+]);
+
 const refuse = (reason: domain.RefusalReason, retryAfterMs?: number): domain.RefusedEnding => ({
 	outcome: domain.ProxyOutcome.Refused,
 	reason,
@@ -143,9 +150,7 @@
 		const durationMs = clock.monotonicMs() - startedAtMs;
 		ended.abort(STOP_REASON);
 		state.isAttempting = false;
-		if (result.isErr()) {
-			signal.removeEventListener('abort', abort);
-		}
+		signal.removeEventListener('abort', abort);
 
 		const verdict = result.isOk() ? ANSWER_VERDICTS[result.value.meaning] : ERROR_VERDICTS[result.error.kind];
 		const grantResult = state.callerSignal.aborted && result.isErr() ? ports.GrantResult.Cancelled : verdict.result;
@@ -165,15 +170,24 @@
 			return undefined;
 		}
 
-		const {meaning, answer} = result.value;
-		if (meaning === ports.AnswerMeaning.Completed) {
-			return answer;
+		const {meaning} = result.value;
+		if (!USABLE_MEANINGS.has(meaning)) {
+			abort();
+			return undefined;
 		}
 
-		if (meaning === ports.AnswerMeaning.Failed) {
-			state.lastAnswer = answer;
+		const {callerSignal} = state;
+		const answer = boundAnswer(result.value.answer, {
+			clock,
+			timeoutMs: remainingMs(state),
+			callerSignal,
+			stop: abort,
+		});
+		if (meaning === ports.AnswerMeaning.Completed) {
+			return answer;
 		}
 
+		state.lastAnswer = answer;
 		return undefined;
 	};
 
--- a/packages/daemon/src/fleet/__tests__/fleet-harness.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -204,12 +204,14 @@
 		method?: 'GET' | 'POST';
 		deadlineMs?: number;
 		dispatcher?: undici.Dispatcher;
+		signal?: AbortSignal;
 	} = {},
 ): Promise<Reply> => {
 	const method = given.method ?? 'POST';
 	const response = await undici.request(`${node.frontUrl}${given.path ?? '/unsafe/x'}`, {
 		method,
 		dispatcher: given.dispatcher,
+		signal: given.signal,
 		headers: {
 			host: given.host ?? 'malipo.example',
 			[dialect.requestIdHeader]: requestId,
--- a/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
@@ -1,3 +1,4 @@
+import * as timersPromises from 'node:timers/promises';
 import * as platformStandIn from '@bilberrydoor/platform/stand-in';
 import test from 'ava';
 import * as undici from 'undici';
@@ -42,6 +43,33 @@
 	});
 });
 
+// Guards against answers without end that hold their caller and a slot of their target.
+test('the head of an answer without end gets 504 at the deadline, and its connection is closed', async t => {
+	const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 1});
+	targets[0]!.behaviour = TargetBehaviour.EndlessHead;
+	t.is((await send(nodes[0]!, 'endless', {deadlineMs: 500})).status, 504);
+	await waitUntil(async () => (await targets[0]!.countConnections()) === 0);
+});
+
+test('the body of an answer without end is cut off at the deadline, and its connection is closed', async t => {
+	const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 1});
+	targets[0]!.behaviour = TargetBehaviour.EndlessBody;
+	await t.throwsAsync(send(nodes[0]!, 'endless', {deadlineMs: 500}));
+	await waitUntil(async () => (await targets[0]!.countConnections()) === 0);
+});
+
+test('the connection of a streamed answer is closed when its caller leaves', async t => {
+	const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 1});
+	targets[0]!.behaviour = TargetBehaviour.EndlessBody;
+	const leave = new AbortController();
+	const leaving = send(nodes[0]!, 'leaving', {deadlineMs: 60_000, signal: leave.signal});
+	await waitUntil(() => targets[0]!.runIds.includes('leaving'));
+	await timersPromises.setTimeout(300);
+	leave.abort(new Error('the caller left'));
+	await t.throwsAsync(leaving);
+	await waitUntil(async () => (await targets[0]!.countConnections()) === 0);
+});
+
 test('repeatable work is repeated at another target', async t => {
 	const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 2});
 	targets[0]!.behaviour = TargetBehaviour.Truncate;
--- /dev/null
+++ b/packages/fakes/src/__tests__/bound-answer.test.ts
@@ -0,0 +1,69 @@
+import * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
+import test from 'ava';
+import {createVirtualClock} from '../virtual-clock.js';
+
+const TIMEOUT_MS = 500;
+
+const createHarness = (body: domain.TargetAnswer['body']) => {
+	const clock = createVirtualClock();
+	const caller = new AbortController();
+	const counts = {stops: 0};
+	const answer = core.boundAnswer(
+		{status: 200, headers: [], body},
+		{
+			clock,
+			timeoutMs: TIMEOUT_MS,
+			callerSignal: caller.signal,
+			stop() {
+				counts.stops++;
+			},
+		},
+	);
+	return {clock, caller, counts, answer};
+};
+
+/** A body that gives one chunk and then nothing until it is closed. */
+async function* openBody(): AsyncGenerator<Uint8Array> {
+	yield new Uint8Array(1);
+	await new Promise(() => undefined);
+}
+
+async function* shortBody(): AsyncGenerator<Uint8Array> {
+	yield new Uint8Array(1);
+}
+
+// Guards against answers without end that keep their connection and their caller for good.
+test('the exchange of a streamed answer is stopped when its time is up', async t => {
+	const {clock, counts} = createHarness(openBody());
+	await clock.advance(TIMEOUT_MS - 1);
+	t.is(counts.stops, 0);
+	await clock.advance(1);
+	t.is(counts.stops, 1);
+});
+
+test('the exchange of a streamed answer is stopped when its caller leaves', async t => {
+	const {clock, caller, counts} = createHarness(openBody());
+	await clock.advance(1);
+	caller.abort();
+	t.is(counts.stops, 1);
+});
+
+test('an answer that was read to its end is not stopped later', async t => {
+	const {clock, caller, counts, answer} = createHarness(shortBody());
+	for await (const chunk of answer.body as domain.BodyStream) {
+		t.is(chunk.byteLength, 1);
+	}
+
+	const stopsAtEnd = counts.stops;
+	caller.abort();
+	await clock.advance(TIMEOUT_MS * 2);
+	t.is(counts.stops, stopsAtEnd);
+});
+
+test('an answer that is held whole has no bounds', async t => {
+	const {clock, caller, counts} = createHarness(new Uint8Array(3));
+	caller.abort();
+	await clock.advance(TIMEOUT_MS * 2);
+	t.is(counts.stops, 0);
+});
