--- a/packages/adapters/src/peer/fleet-peer-app.ts
+++ b/packages/adapters/src/peer/fleet-peer-app.ts
@@ -21,7 +21,7 @@
 
 const createProcedure = <Kind extends core.FleetMessageKind>(kind: Kind, handlers: core.FleetMessageHandlers) =>
 	builder.procedure.input(FLEET_MESSAGE_SCHEMAS[kind].request).mutation(async ({input, ctx}) => {
-		const reply = await handlers[kind](input as core.FleetMessages[Kind]['request'], ctx.signal);
+		const reply = await handlers[kind](input, ctx.signal);
 		return FLEET_REPLY_ENCODERS[kind](reply);
 	});
 
--- a/packages/adapters/src/peer/fleet-peer-client.ts
+++ b/packages/adapters/src/peer/fleet-peer-client.ts
@@ -39,7 +39,7 @@
 	});
 
 	return {
-		async request(address, kind, request, signal, noteProgress) {
+		async request(address, kind, request, {signal, noteProgress}) {
 			try {
 				const response = await undici.request(`http://${address}${FLEET_PATH}/${kind}`, {
 					dispatcher: agent,
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -74,7 +74,7 @@
 	): Promise<ports.AcquireGrantReply | undefined> => {
 		const timeoutMs = request.waitLimitMs + DISPATCHER_SLACK_MS;
 		const timed = await runWithTimeout({clock: parts.clock, timeoutMs, signal}, async askSignal =>
-			parts.peerClient.request(dispatcher.address, ports.FleetMessageKind.AcquireGrant, request, askSignal),
+			parts.peerClient.request(dispatcher.address, ports.FleetMessageKind.AcquireGrant, request, {signal: askSignal}),
 		);
 		if (signal.aborted) {
 			return undefined;
@@ -138,7 +138,7 @@
 		const {signal: reportSignal} = new AbortController();
 		const timed = await runWithTimeout(
 			{clock: parts.clock, timeoutMs: REPORT_TIMEOUT_MS, signal: reportSignal},
-			async signal => parts.peerClient.request(node.address, ports.FleetMessageKind.ReportResult, request, signal),
+			async signal => parts.peerClient.request(node.address, ports.FleetMessageKind.ReportResult, request, {signal}),
 		);
 		if (timed.isTimedOut || timed.value.isErr()) {
 			// The grant expires by itself; only the evidence on the target is missing.
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -140,13 +140,18 @@
 	) => Promise<FleetMessages[Kind]['reply']>;
 };
 
-/** Sends messages to other nodes. `noteProgress` is called whenever a part of the reply arrives. */
+export type Transfer = {
+	readonly signal: AbortSignal;
+	/** Called whenever a part of the reply arrives. */
+	readonly noteProgress?: () => void;
+};
+
+/** Sends messages to other nodes. */
 export type FleetPeerClient = {
 	request<Kind extends FleetMessageKind>(
 		address: string,
 		kind: Kind,
 		request: FleetMessages[Kind]['request'],
-		signal: AbortSignal,
-		noteProgress?: () => void,
+		transfer: Transfer,
 	): Promise<neverthrow.Result<FleetMessages[Kind]['reply'], PeerError>>;
 };
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -140,8 +140,7 @@
 					address,
 					ports.FleetMessageKind.PullRegistry,
 					{fromOffsets, waitMs},
-					pullSignal,
-					noteProgress,
+					{signal: pullSignal, noteProgress},
 				),
 		);
 		if (signal.aborted) {
--- a/packages/fakes/src/registry-fleet.ts
+++ b/packages/fakes/src/registry-fleet.ts
@@ -11,7 +11,7 @@
 	senderId: string,
 	kind: Kind,
 	reply: core.FleetMessages[Kind]['reply'],
-	transfer: {readonly signal: AbortSignal; readonly noteProgress: () => void},
+	transfer: core.Transfer,
 ) => Promise<core.FleetMessages[Kind]['reply']>;
 
 export type RegistryFleetOptions = {
@@ -47,14 +47,14 @@
 	const nodes = new Map<string, core.FleetNode>();
 	const controllers: AbortController[] = [];
 	const createPeerClient = (senderId: string): core.FleetPeerClient => ({
-		async request(address, kind, request, signal, noteProgress = () => undefined) {
+		async request(address, kind, request, {signal, noteProgress}) {
 			await clock.sleep(NETWORK_MS, signal);
 			const receiver = [...nodes.values()].find(({self}) => self.address === address);
 			if (!receiver || cutNodeIds.has(senderId) || cutNodeIds.has(receiver.self.nodeId)) {
 				return neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'cut'});
 			}
 
-			const reply = await receiver.messageHandlers[kind](request as never, signal);
+			const reply = await receiver.messageHandlers[kind](request, signal);
 			return neverthrow.ok(await carryReply(receiver.self.nodeId, kind, reply, {signal, noteProgress}));
 		},
 	});
