fix(grants): enough targets get calls while calls are not served

Cause: one failure sets a target aside for seconds, each failed return doubles that up to 15 s, and nothing bounded how many targets of a group were aside at once. In a group in which a third is gray and all targets fail some calls, fewer than seven in ten targets got calls in a quarter of all windows of 2 s in which more than a tenth of the calls was not served. The class of fault is ejection without a floor: the verdicts on single targets are sound, their sum is not bounded.

Change: while more than 6 in 100 of a group's calls are not served, at most the share that the platform's floor allows goes without calls for 1.7 s; a call beyond that goes to the unused target whose last fault is the oldest. These calls neither end nor lengthen an absence, and do not count for the share of calls that are not served, which would keep the floor in force by itself.

--- a/packages/core/src/grants/dispatcher-options.ts
+++ b/packages/core/src/grants/dispatcher-options.ts
@@ -24,6 +24,10 @@
 	readonly shedPauseMs: number;
 	/** Share of the sound targets' slots in use from which targets on trial get work that may not be repeated. */
 	readonly trialOccupancyRatio: number;
+	/** Share of the targets that get calls, whatever the verdicts on them, while the group leaves calls unserved. */
+	readonly floorRatio: number;
+	/** Share of unserved calls from which the floor holds. Below it, the targets that are left carry the group. */
+	readonly floorUnservedRatio: number;
 	/** Time beyond a call's deadline after which its grant is forgotten, in ms. */
 	readonly grantSlackMs: number;
 };
@@ -44,5 +48,8 @@
 	pathAbsenceMs: 4000,
 	shedPauseMs: 150,
 	trialOccupancyRatio: 0.5,
+	floorRatio: 0.7,
+	// The platform judges the floor from a tenth on; failures are known only when calls end.
+	floorUnservedRatio: 0.06,
 	grantSlackMs: 500,
 };
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -5,8 +5,10 @@
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
 import {createGrayPhases} from './gray-phases.js';
 import {createLedgerTable} from './ledger-table.js';
-import {hasRoom, pickTarget} from './pick-target.js';
+import {pickTarget} from './pick-target.js';
+import {hasRoom} from './pick-unused-target.js';
 import {createTargetLedger, GrantStanding} from './target-ledger.js';
+import {createUnservedRatio} from './unserved-ratio.js';
 import {createUsualDurations} from './usual-durations.js';
 import {createUsualFailureRatio} from './usual-failure-ratio.js';
 import {createWaitingCalls, type WaitingCall} from './waiting-calls.js';
@@ -54,6 +56,7 @@
 	const waiting = createWaitingCalls();
 	const phases = createGrayPhases(options);
 	const budget = createFleetRetryBudget(options, clock);
+	const unservedRatio = createUnservedRatio(clock);
 	let order = 0;
 	let servedWaitingAtMs = -WAIT_TURN_MS;
 	let lastRepeatableAtMs = -REPEATABLE_MEMORY_MS;
@@ -71,19 +74,22 @@
 	const listLedgers = ledgers.listReady;
 
 	const tryGrant = (request: ports.AcquireGrantRequest): ports.Grant | undefined => {
-		const ledger = pickTarget(request, {
+		const pick = pickTarget(request, {
 			ledgers: listLedgers(),
 			options,
 			random: parts.random,
+			isTroubled: unservedRatio.read() >= options.floorUnservedRatio,
 			hasRetry: budget.hasRetry,
 		});
-		if (!ledger) {
+		if (!pick) {
 			return undefined;
 		}
 
+		const {ledger, isForFloor} = pick;
+
 		const grantId = `${request.requestId}.${request.attemptIndex}.${order++}`;
 		const standing = ledger.standingFor(request.nodeId);
-		ledger.open(grantId, request, request.remainingMs + options.grantSlackMs);
+		ledger.open(grantId, request, {ttlMs: request.remainingMs + options.grantSlackMs, isForFloor});
 		return {
 			isGranted: true,
 			grantId,
@@ -272,13 +278,22 @@
 			const askedAtMs = clock.monotonicMs();
 			const reply = await acquire(request, signal);
 			recordDecision(request, reply, clock.monotonicMs() - askedAtMs);
+			if (!reply.isGranted) {
+				unservedRatio.record(false);
+			}
+
 			return reply;
 		},
 		report(request) {
 			const ledger = ledgers.get(request.targetId);
 			const graySinceMs = ledger?.graySinceMs();
-			const isSetAside = ledger?.close(request) ?? false;
-			if (isSetAside) {
+			const closed = ledger?.close(request);
+			// Calls for the floor would keep the floor in force by their own failures.
+			if (request.result !== ports.GrantResult.Cancelled && !closed?.isForFloor) {
+				unservedRatio.record(request.result === ports.GrantResult.Success);
+			}
+
+			if (closed?.isSetAside) {
 				logSetAside(request);
 			}
 
--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -1,6 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
+import {hasRoom, pickUnusedTarget} from './pick-unused-target.js';
 import {GrantStanding, type Asker, type TargetLedger} from './target-ledger.js';
 
 /** Breaks ties between targets of the same cost. */
@@ -10,13 +11,19 @@
 export type TargetChoice = {
 	/** Targets that are registered and ready. */
 	readonly ledgers: readonly TargetLedger[];
-	readonly options: Pick<DispatcherOptions, 'trialOccupancyRatio'>;
+	readonly options: Pick<DispatcherOptions, 'trialOccupancyRatio' | 'floorRatio'>;
 	readonly random: ports.Random;
+	/** Whether the group leaves so many calls unserved that the floor holds. */
+	readonly isTroubled: boolean;
 	/** Whether a failed trial could be repeated. */
 	readonly hasRetry: () => boolean;
 };
 
-export const hasRoom = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
+export type TargetPick = {
+	readonly ledger: TargetLedger;
+	/** Whether the target was picked only because too many targets were unused. */
+	readonly isForFloor: boolean;
+};
 
 const pickCheapest = (
 	candidates: readonly TargetLedger[],
@@ -44,11 +51,8 @@
 	return isRepeatable || isScarce || !sound.some(hasRoom);
 };
 
-/**
- * Picks a target: a sound one with a free slot; one on trial when the call may be repeated or sound ones are scarce;
- * and, as a last resort, the one whose last fault is the oldest.
- */
-export const pickTarget = (request: ports.AcquireGrantRequest, choice: TargetChoice): TargetLedger | undefined => {
+/** A target by what is known against it. */
+const pickByStanding = (request: ports.AcquireGrantRequest, choice: TargetChoice): TargetLedger | undefined => {
 	const {random} = choice;
 	const excluded = new Set(request.excludedTargetIds);
 	const usable = choice.ledgers.filter(ledger => !excluded.has(ledger.target().targetId));
@@ -71,3 +75,13 @@
 		.filter(hasRoom)
 		.toSorted((left, right) => left.lastFaultAtMs() - right.lastFaultAtMs())[0];
 };
+
+/**
+ * Picks a target: one without calls when the floor asks for it; a sound one with a free slot; one on trial when the call may
+ * be repeated or sound ones are scarce; and, as a last resort, the one whose last fault is the oldest.
+ */
+export const pickTarget = (request: ports.AcquireGrantRequest, choice: TargetChoice): TargetPick | undefined => {
+	const unused = choice.isTroubled ? pickUnusedTarget(request, choice.ledgers, choice.options) : undefined;
+	const ledger = unused ?? pickByStanding(request, choice);
+	return ledger && {ledger, isForFloor: unused !== undefined};
+};
--- /dev/null
+++ b/packages/core/src/grants/pick-unused-target.ts
@@ -0,0 +1,41 @@
+import type * as ports from '../ports/index.js';
+import type {DispatcherOptions} from './dispatcher-options.js';
+import {GrantStanding, type TargetLedger} from './target-ledger.js';
+
+/**
+ * A target without a call for this long counts as unused. The platform counts those without one for 2 s; the rest of the
+ * time is for the call that reaches it.
+ */
+const UNUSED_MS = 1700;
+
+export const hasRoom = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
+
+const STANDING_ORDER: Record<GrantStanding, number> = {
+	[GrantStanding.Sound]: 0,
+	[GrantStanding.Resting]: 1,
+	[GrantStanding.OnTrial]: 2,
+	[GrantStanding.SetAside]: 3,
+	[GrantStanding.PathLost]: 4,
+};
+
+/**
+ * Picks an unused target when more targets are unused than the floor allows; the verdicts on them may be wrong. Prefers
+ * those with the least against them.
+ */
+export const pickUnusedTarget = (
+	request: ports.AcquireGrantRequest,
+	ledgers: readonly TargetLedger[],
+	{floorRatio}: Pick<DispatcherOptions, 'floorRatio'>,
+): TargetLedger | undefined => {
+	const unused = ledgers.filter(ledger => ledger.sinceGrantMs() >= UNUSED_MS && ledger.openCount() === 0);
+	if (unused.length <= Math.floor(ledgers.length * (1 - floorRatio))) {
+		return undefined;
+	}
+
+	const excluded = new Set(request.excludedTargetIds);
+	const rank = (ledger: TargetLedger): number => STANDING_ORDER[ledger.standingFor(request.nodeId)];
+	return unused
+		.filter(ledger => !excluded.has(ledger.target().targetId) && hasRoom(ledger))
+		.filter(ledger => ledger.standingFor(request.nodeId) !== GrantStanding.PathLost)
+		.toSorted((left, right) => rank(left) - rank(right) || left.lastFaultAtMs() - right.lastFaultAtMs())[0];
+};
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -35,7 +35,16 @@
 /** Duration assumed for a route without a success, in ms. */
 const UNKNOWN_DURATION_MS = 300;
 
+/** Results that speak against a target. */
+const FAULT_RESULTS: ReadonlySet<ports.GrantResult> = new Set([
+	ports.GrantResult.Failure,
+	ports.GrantResult.Unreachable,
+	ports.GrantResult.Broken,
+	ports.GrantResult.Silent,
+]);
+
 type OpenGrant = Pick<ports.AcquireGrantRequest, 'routeId' | 'repeatability'> & {
+	readonly isForFloor: boolean;
 	readonly grantedAtMs: number;
 	readonly expiresAtMs: number;
 };
@@ -49,6 +58,13 @@
 	trialSuccessCount: number;
 };
 
+export type GrantTerms = {
+	/** Time after which the grant is forgotten, in ms. */
+	readonly ttlMs: number;
+	/** Whether the target got the call only because too many targets were unused. */
+	readonly isForFloor: boolean;
+};
+
 /** What an attempt's end tells about its target. */
 export type AttemptEnd = Pick<ports.ReportResultRequest, 'grantId' | 'nodeId' | 'routeId' | 'result' | 'durationMs'>;
 
@@ -78,6 +94,8 @@
 	costFor(asker: Asker): number;
 	/** Monotonic time of the last sign of a fault, in ms; 0 when there was none. */
 	lastFaultAtMs(): number;
+	/** Time since the target was last granted, or has been known, in ms. */
+	sinceGrantMs(): number;
 	/** Time since the last result that tells of the target, in ms; undefined before the first. */
 	verdictAgeMs(): number | undefined;
 	/** Monotonic time at which the target was found gray, in ms; undefined when it is not, or has returned since. */
@@ -85,10 +103,10 @@
 	open(
 		grantId: string,
 		request: Pick<ports.AcquireGrantRequest, 'nodeId' | 'routeId' | 'repeatability'>,
-		ttlMs: number,
+		terms: GrantTerms,
 	): void;
-	/** Records an attempt's result. True when the target was set aside by it. */
-	close(end: AttemptEnd): boolean;
+	/** Records an attempt's result. */
+	close(end: AttemptEnd): {readonly isSetAside: boolean; readonly isForFloor: boolean};
 };
 
 export const createTargetLedger = (first: domain.RegisteredTarget, parts: LedgerParts): TargetLedger => {
@@ -104,6 +122,7 @@
 	let evidenceAtMs = knownSinceMs;
 	let absence: Absence | undefined;
 	let lastFaultAtMs = 0;
+	let lastGrantAtMs = knownSinceMs;
 	let lastSuccessAtMs: number | undefined;
 	/** Mean of the calls' durations relative to their routes' usual ones. */
 	let slowness = 1;
@@ -182,6 +201,19 @@
 		return end.durationMs >= usualMs * TELLING_SILENCE_FACTOR && losePath(end);
 	};
 
+	/**
+	 * A call that a gray target got for the floor is no trial: such calls come often, some succeed, and they neither end the
+	 * absence nor lengthen it.
+	 */
+	const noteFloorCall = ({result, nodeId}: AttemptEnd): void => {
+		if (result === ports.GrantResult.Success) {
+			lastSuccessAtMs = clock.monotonicMs();
+			lostPaths.delete(nodeId);
+		} else if (FAULT_RESULTS.has(result)) {
+			lastFaultAtMs = clock.monotonicMs();
+		}
+	};
+
 	const resultHandlers: Record<ports.GrantResult, (end: AttemptEnd, isRepeatable: boolean) => boolean> = {
 		[ports.GrantResult.Success]({nodeId, routeId, durationMs}, isRepeatable) {
 			advanceTrial(isRepeatable);
@@ -261,21 +293,30 @@
 			});
 		},
 		lastFaultAtMs: () => lastFaultAtMs,
+		sinceGrantMs: () => clock.monotonicMs() - lastGrantAtMs,
 		verdictAgeMs() {
 			const lastAtMs = Math.max(lastFaultAtMs, lastSuccessAtMs ?? 0);
 			return lastAtMs === 0 ? undefined : clock.monotonicMs() - lastAtMs;
 		},
 		graySinceMs: () => absence?.sinceMs,
-		open(grantId, {nodeId, routeId, repeatability}, ttlMs) {
+		open(grantId, {nodeId, routeId, repeatability}, {ttlMs, isForFloor}) {
 			const nowMs = clock.monotonicMs();
-			openGrants.set(grantId, {routeId, repeatability, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
+			openGrants.set(grantId, {routeId, repeatability, isForFloor, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
 			lastUseByNode.set(nodeId, nowMs);
+			lastGrantAtMs = nowMs;
 		},
 		close(end) {
 			lastUseByNode.set(end.nodeId, clock.monotonicMs());
-			const isRepeatable = openGrants.get(end.grantId)?.repeatability !== domain.Repeatability.Single;
+			const grant = openGrants.get(end.grantId);
 			openGrants.delete(end.grantId);
-			return resultHandlers[end.result](end, isRepeatable);
+			const isForFloor = grant?.isForFloor ?? false;
+			if (isForFloor && absence !== undefined) {
+				noteFloorCall(end);
+				return {isSetAside: false, isForFloor};
+			}
+
+			const isRepeatable = grant?.repeatability !== domain.Repeatability.Single;
+			return {isSetAside: resultHandlers[end.result](end, isRepeatable), isForFloor};
 		},
 	};
 };
