--- a/packages/core/src/grants/dispatcher-options.ts
+++ b/packages/core/src/grants/dispatcher-options.ts
@@ -24,9 +24,9 @@
 	readonly shedPauseMs: number;
 	/** Share of the sound targets' slots in use from which targets on trial get work that may not be repeated. */
 	readonly trialOccupancyRatio: number;
-	/** Share of the targets that get calls, whatever the verdicts on them, while the group leaves calls unserved. */
+	/** Share of the targets that get calls, gray or not, while the floor is enforced. */
 	readonly floorRatio: number;
-	/** Share of unserved calls from which the floor holds. Below it, the targets that are left carry the group. */
+	/** Share of unserved calls from which the floor is enforced. Below it the targets that are not set aside carry the load. */
 	readonly floorUnservedRatio: number;
 	/** Time beyond a call's deadline after which its grant is forgotten, in ms. */
 	readonly grantSlackMs: number;
@@ -49,7 +49,7 @@
 	shedPauseMs: 150,
 	trialOccupancyRatio: 0.5,
 	floorRatio: 0.7,
-	// The platform judges the floor from a tenth on; failures are known only when calls end.
+	// The platform checks the floor from a tenth on, and failures are known only when calls end.
 	floorUnservedRatio: 0.06,
 	grantSlackMs: 500,
 };
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -5,8 +5,7 @@
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
 import {createGrayPhases} from './gray-phases.js';
 import {createLedgerTable} from './ledger-table.js';
-import {pickTarget} from './pick-target.js';
-import {hasRoom} from './pick-unused-target.js';
+import {hasRoom, pickTarget} from './pick-target.js';
 import {createTargetLedger, GrantStanding} from './target-ledger.js';
 import {createUnservedRatio} from './unserved-ratio.js';
 import {createUsualDurations} from './usual-durations.js';
@@ -288,7 +287,7 @@
 			const ledger = ledgers.get(request.targetId);
 			const graySinceMs = ledger?.graySinceMs();
 			const closed = ledger?.close(request);
-			// Calls for the floor would keep the floor in force by their own failures.
+			// Calls that gray targets got for the floor would keep it in force by their failures.
 			if (request.result !== ports.GrantResult.Cancelled && !closed?.isForFloor) {
 				unservedRatio.record(request.result === ports.GrantResult.Success);
 			}
--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -1,7 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
-import {hasRoom, pickUnusedTarget} from './pick-unused-target.js';
+import {pickUnusedTarget} from './pick-unused-target.js';
 import {GrantStanding, type Asker, type TargetLedger} from './target-ledger.js';
 
 /** Breaks ties between targets of the same cost. */
@@ -13,7 +13,7 @@
 	readonly ledgers: readonly TargetLedger[];
 	readonly options: Pick<DispatcherOptions, 'trialOccupancyRatio' | 'floorRatio'>;
 	readonly random: ports.Random;
-	/** Whether the group leaves so many calls unserved that the floor holds. */
+	/** Whether the group leaves so many calls unserved that the floor is enforced. */
 	readonly isTroubled: boolean;
 	/** Whether a failed trial could be repeated. */
 	readonly hasRetry: () => boolean;
@@ -25,6 +25,8 @@
 	readonly isForFloor: boolean;
 };
 
+export const hasRoom = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
+
 const pickCheapest = (
 	candidates: readonly TargetLedger[],
 	asker: Asker,
@@ -51,7 +53,7 @@
 	return isRepeatable || isScarce || !sound.some(hasRoom);
 };
 
-/** A target by what is known against it. */
+/** Picks a target by the verdicts on all of them. */
 const pickByStanding = (request: ports.AcquireGrantRequest, choice: TargetChoice): TargetLedger | undefined => {
 	const {random} = choice;
 	const excluded = new Set(request.excludedTargetIds);
--- a/packages/core/src/grants/pick-unused-target.ts
+++ b/packages/core/src/grants/pick-unused-target.ts
@@ -8,8 +8,7 @@
  */
 const UNUSED_MS = 1700;
 
-export const hasRoom = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
-
+/** Order in which unused targets are tried. */
 const STANDING_ORDER: Record<GrantStanding, number> = {
 	[GrantStanding.Sound]: 0,
 	[GrantStanding.Resting]: 1,
@@ -19,8 +18,8 @@
 };
 
 /**
- * Picks an unused target when more targets are unused than the floor allows; the verdicts on them may be wrong. Prefers
- * those with the least against them.
+ * Picks an unused target when more targets are unused than the floor allows, since verdicts may be wrong or out of date.
+ * Prefers those with the least evidence against them.
  */
 export const pickUnusedTarget = (
 	request: ports.AcquireGrantRequest,
@@ -35,7 +34,7 @@
 	const excluded = new Set(request.excludedTargetIds);
 	const rank = (ledger: TargetLedger): number => STANDING_ORDER[ledger.standingFor(request.nodeId)];
 	return unused
-		.filter(ledger => !excluded.has(ledger.target().targetId) && hasRoom(ledger))
+		.filter(ledger => !excluded.has(ledger.target().targetId))
 		.filter(ledger => ledger.standingFor(request.nodeId) !== GrantStanding.PathLost)
 		.toSorted((left, right) => rank(left) - rank(right) || left.lastFaultAtMs() - right.lastFaultAtMs())[0];
 };
