fix(registry): nodes that know nothing yet ask again soon, and their relays only

Processes come up over half a second. A node that found the readers down asked one that knew nothing either, and waited for it for 1 s, as that one did for another. In a large region the nodes whose relays knew nothing yet all asked the reader as well.

Change: a node that knows nothing asks with waits of 150 ms and passes peers over for 50 ms; followers of relays ask the reader only when no relay is left.

--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -7,6 +7,7 @@
 import type {PeerStanding} from './peer-standing.js';
 import type {Registry} from './registry.js';
 import type {StoreReader} from './store-reader.js';
+import {NEVER_READ_AGE_MS} from './topic-ages.js';
 
 export type RegistrySyncOptions = {
 	readonly self: domain.RegisteredNode;
@@ -35,23 +36,36 @@
 const CANDIDATE_COUNT = 6;
 
 /** How long a source that was stale or silent is passed over, so that the next of the ranking reads in its place. */
-const STALE_ABSENCE_MS = 1000;
+const ABSENCE_MS = 1000;
+
+/** How a peer is asked. */
+type PullOptions = {
+	/** How long the peer may hold the pull open, in ms. */
+	readonly waitMs: number;
+	/** How long the peer is passed over when it is stale, in ms. */
+	readonly staleAbsenceMs: number;
+	/** How long the peer is passed over when it does not answer, in ms. */
+	readonly silentAbsenceMs: number;
+};
 
 /** How readers are asked. The wait bounds how late a silent peer is noticed. */
-const READER_PULL = {waitMs: 1000, staleAbsenceMs: STALE_ABSENCE_MS};
+const READER_PULL: PullOptions = {waitMs: 1000, staleAbsenceMs: ABSENCE_MS, silentAbsenceMs: ABSENCE_MS};
 
 /** How relays ask readers. What they know must not be stale yet when it has reached their own followers. */
-const READER_PULL_OF_RELAY = {...READER_PULL, waitMs: 500};
+const READER_PULL_OF_RELAY: PullOptions = {...READER_PULL, waitMs: 500};
+
+/**
+ * How a node that knows nothing yet asks. After the loss of all nodes the peers that it asks may wait for others themselves,
+ * and the node that reads the store may not be up yet.
+ */
+const FIRST_PULL: PullOptions = {waitMs: 150, staleAbsenceMs: 50, silentAbsenceMs: 50};
 
 /** How relays are asked. A stale one is fresh again as soon as it has found another reader. */
-const RELAY_PULL = {waitMs: 1000, staleAbsenceMs: 300};
+const RELAY_PULL: PullOptions = {...READER_PULL, staleAbsenceMs: 300};
 
 /** Time beyond the wait after which a pull has failed: two round trips between regions and a slow node. */
 const PULL_SLACK_MS = 600;
 
-/** How long a new node waits for a seed before it reads the store itself. */
-const SEED_WAIT_MS = 800;
-
 /** How often a reader checks whether it still ranks first. */
 const READER_TURN_MS = 1000;
 
@@ -67,13 +81,6 @@
 /** Pause of a follower between reads of its own when every reader is stale; long, because all followers do the same. */
 const OWN_READ_BACK_OFF = {firstMs: 1500, limitMs: 4000};
 
-type PullOptions = {
-	/** How long the peer may hold the pull open, in ms. */
-	readonly waitMs: number;
-	/** How long the peer is passed over when it is stale, in ms. */
-	readonly staleAbsenceMs: number;
-};
-
 /** Name of the store in log lines about the source of the registry. */
 const STORE_SOURCE = 'store';
 
@@ -90,6 +97,9 @@
 	const passedOverUntilMs = new Map<string, number>();
 	let lostUntilMs = 0;
 
+	/** Whether the node has never known the catalogue or the targets. */
+	const isUnread = (): boolean => registry.ageMs() >= NEVER_READ_AGE_MS;
+
 	const isPassedOver = (address: string): boolean => clock.monotonicMs() < (passedOverUntilMs.get(address) ?? 0);
 
 	/** Nodes that read the store or are about to, best first, without those that just turned out to be stale. */
@@ -127,7 +137,7 @@
 
 	/** Whether the peer gave an answer that is fresh. */
 	const pullFrom = async (address: string, request: PullOptions): Promise<boolean> => {
-		const {waitMs} = request;
+		const {waitMs, staleAbsenceMs, silentAbsenceMs} = isUnread() ? FIRST_PULL : request;
 		const fromOffsets = {
 			[ports.RegistryTopic.Catalogue]: registry.replicas.catalogue.nextOffset(),
 			[ports.RegistryTopic.Targets]: registry.replicas.targets.nextOffset(),
@@ -150,7 +160,7 @@
 		if (timed.isTimedOut || timed.value.isErr()) {
 			peerStanding.recordFailure(address);
 			registry.setSourceLost(true);
-			passOver(address, STALE_ABSENCE_MS);
+			passOver(address, silentAbsenceMs);
 			return false;
 		}
 
@@ -159,7 +169,7 @@
 		registry.apply(topics, topicAgesMs);
 		registry.setSourceLost(isStale);
 		if (isStale) {
-			passOver(address, request.staleAbsenceMs);
+			passOver(address, staleAbsenceMs);
 		} else {
 			passedOverUntilMs.delete(address);
 			noteSource(address);
@@ -195,8 +205,7 @@
 		}
 
 		const seeds = options.seedAddresses.filter(address => address !== self.address);
-		const request = {waitMs: SEED_WAIT_MS, staleAbsenceMs: STALE_ABSENCE_MS};
-		await Promise.all(seeds.map(async address => pullFrom(address, request)));
+		await Promise.all(seeds.map(async address => pullFrom(address, READER_PULL)));
 	};
 
 	/** A reader that lost the store follows the others for a while, since the store may refuse this node only. */
@@ -231,17 +240,16 @@
 		return false;
 	};
 
-	/** Pulls from the relays, or from the readers when there are no relays or all are stale. True when one was fresh. */
+	/** Pulls from the relays, or from the readers when there are none. True when one was fresh. */
 	const pullOnce = async (): Promise<boolean> => {
-		const relays = listRelays().slice(0, READER_COUNT);
-		const isRelayed = await pullFromAny(orderSources(relays), RELAY_PULL);
-		if (isRelayed || signal.aborted) {
-			return isRelayed;
+		const relays = listRelays();
+		if (relays.length > 0) {
+			// Relays that are stale or know nothing yet are no reason to ask the reader, which all nodes of the region would do.
+			return pullFromAny(orderSources(relays.slice(0, READER_COUNT)), RELAY_PULL);
 		}
 
 		const readers = listReaders().filter(({nodeId}) => nodeId !== self.nodeId);
-		const request = hasRelays() ? READER_PULL_OF_RELAY : READER_PULL;
-		return pullFromAny(orderSources(relays.length > 0 ? readers.slice(0, 1) : readers), request);
+		return pullFromAny(orderSources(readers), hasRelays() ? READER_PULL_OF_RELAY : READER_PULL);
 	};
 
 	/** One round of a node that does not read for others: learns from peers, or reads for itself. */
@@ -253,7 +261,12 @@
 			return;
 		}
 
-		if (listRelays().length === 0 && listReaders().length > 0) {
+		if (listRelays().length > 0) {
+			await clock.sleep(isUnread() ? 0 : staleBackOff.nextMs(), signal);
+			return;
+		}
+
+		if (listReaders().length > 0) {
 			// The next of the ranking reads now, or this node does.
 			return;
 		}
--- a/packages/fakes/src/__tests__/registry-sync.test.ts
+++ b/packages/fakes/src/__tests__/registry-sync.test.ts
@@ -1,12 +1,16 @@
 import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
 import test, {type ExecutionContext} from 'ava';
-import {buildFleetCatalogue, buildHostRoute, buildTarget} from '../build-fleet.js';
+import {buildFleetCatalogue, buildHostRoute, buildNode, buildTarget} from '../build-fleet.js';
 import {createRegistryFleet} from '../registry-fleet.js';
+import {createSeededRandom} from '../seeded-random.js';
 
 /** Bound for configuration and for targets that leave, from the store's acknowledgement. */
 const IN_FORCE_MS = 2500;
 
+/** Time in which all nodes are ready after the last of them has started. */
+const SOON_MS = 500;
+
 /** Longer than the fake store takes to notice that its open reads are to be lost. */
 const POLL_TURN_MS = 20;
 
@@ -162,3 +166,35 @@
 		Array.from({length: 20}, () => 2),
 	);
 });
+
+// Guards against nodes that wait for one another after the loss of all, while the one that reads the store is not up yet.
+[200, 450, 800].forEach(spreadMs => {
+	test(`nodes that come up over ${spreadMs} ms after the loss of all are ready soon`, async t => {
+		const ids = Array.from({length: 16}, (_, index) => `node-${index}`);
+		const start = async (seed: number): Promise<boolean> => {
+			const random = createSeededRandom(seed);
+			const {clock, nodes, stop} = createRegistryFleet({
+				nodeCount: ids.length,
+				startDelayMs: () => random.fraction() * spreadMs,
+				storeDelayMs: 40,
+				fillStore(store) {
+					store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(1, [buildHostRoute()]));
+					store.write(core.RegistryTopic.Targets, 'a', buildTarget({targetId: 'a'}));
+					ids.forEach(nodeId => {
+						store.write(core.RegistryTopic.Nodes, nodeId, buildNode(nodeId, {incarnationId: `${nodeId}#0`}));
+					});
+				},
+			});
+			await clock.advance(spreadMs + SOON_MS);
+			stop();
+			return ids.every(nodeId => nodes.get(nodeId)?.isReady());
+		};
+
+		const seeds = Array.from({length: 60}, (_, seed) => seed);
+		const results = await Promise.all(seeds.map(async seed => start(seed)));
+		t.deepEqual(
+			seeds.filter(seed => !results[seed]),
+			[],
+		);
+	});
+});
--- a/packages/fakes/src/fake-registry-store.ts
+++ b/packages/fakes/src/fake-registry-store.ts
@@ -20,8 +20,8 @@
 		key: string,
 		value: core.RegistryValues[Topic] | undefined,
 	): void;
-	/** The store as the node sees it. */
-	openFor(nodeId: string): core.RegistryStore;
+	/** The store as the node sees it, whose answers take `delayMs` on their way. */
+	openFor(nodeId: string, delayMs?: number): core.RegistryStore;
 };
 
 const POLL_MS = 10;
@@ -57,7 +57,7 @@
 		},
 	};
 
-	const openFor = (nodeId: string): core.RegistryStore => {
+	const openFor = (nodeId: string, delayMs = 0): core.RegistryStore => {
 		const answer = async <Value>(read: () => Value): Promise<neverthrow.Result<Value, core.RegistryError>> => {
 			store.callCount++;
 			if (store.isSilent) {
@@ -65,7 +65,7 @@
 				return fail('no answer in time');
 			}
 
-			await clock.sleep(ANSWER_MS);
+			await clock.sleep(ANSWER_MS + delayMs);
 			return store.isDown || store.refusedNodeIds.has(nodeId) ? fail('refused') : neverthrow.ok(read());
 		};
 
--- a/packages/fakes/src/registry-fleet.ts
+++ b/packages/fakes/src/registry-fleet.ts
@@ -16,9 +16,13 @@
 
 export type RegistryFleetOptions = {
 	readonly nodeCount: number;
+	/** When each node starts, in ms; all at once by default. */
+	readonly startDelayMs?: (index: number) => number;
 	readonly clock?: VirtualClock;
 	/** Replies arrive at once by default. */
 	readonly carryReply?: CarryReply;
+	/** Time that each call of the store takes on its way, in ms. */
+	readonly storeDelayMs?: number;
 	/** Changes the store as a node sees it, for example to limit its link. */
 	readonly wrapStore?: (store: core.RegistryStore) => core.RegistryStore;
 	/** Fills the store before the nodes start. */
@@ -37,8 +41,10 @@
 	const {
 		clock = createVirtualClock(),
 		carryReply = async (_senderId, _kind, reply) => reply,
+		storeDelayMs = 0,
 		wrapStore = store => store,
 		fillStore = fillWithDefaults,
+		startDelayMs,
 	} = options;
 	const store = createFakeRegistryStore(clock);
 	const logger = createSilentLogger();
@@ -65,7 +71,7 @@
 				random: createSeededRandom(seed),
 				logger,
 				metrics,
-				store: wrapStore(store.openFor(nodeId)),
+				store: wrapStore(store.openFor(nodeId, storeDelayMs)),
 				peerClient: createPeerClient(nodeId),
 				targetClient: {
 					send: async () => neverthrow.err({kind: core.AttemptErrorKind.Unreachable, detail: 'no target'}),
@@ -80,7 +86,18 @@
 	};
 
 	fillStore(store);
-	Array.from({length: options.nodeCount}, (_, index) => `node-${index}`).forEach(startNode);
+	const startLater = async (index: number): Promise<void> => {
+		if (startDelayMs) {
+			await clock.sleep(startDelayMs(index));
+		}
+
+		startNode(`node-${index}`, index);
+	};
+
+	const indexes = Array.from({length: options.nodeCount}, (_, index) => index);
+	indexes.forEach(index => {
+		void startLater(index);
+	});
 	return {
 		clock,
 		store,
