perf(registry): in a small region a node reads the store when its reader knows nothing yet

Change: in a region without relays such a node reads the store itself, as it did before. In a large region that would be too many copies at once.

--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -198,9 +198,18 @@
 		return isLost;
 	};
 
-	/** Learns who the others are, from the store or else from the seeds. Only the readers read the rest from the store. */
+	/**
+	 * Learns who the others are, from the store or else from the seeds. In a small region a node whose reader knows nothing yet
+	 * reads the rest from the store as well; in a large one that would be too many copies at once.
+	 */
 	const start = async (): Promise<void> => {
 		if (await options.storeReader.readNodes(signal)) {
+			const [reader] = listReaders();
+			const isFollower = reader !== undefined && reader.nodeId !== self.nodeId && !hasRelays();
+			if (isFollower && !(await pullFrom(reader.address, READER_PULL))) {
+				await options.storeReader.readOnce(signal);
+			}
+
 			return;
 		}
 
