fix(fleet): a stop waits for requests whose bodies are still arriving

Cause: the stop counted calls, and a request becomes a call when its body has been read ahead.

Change: the listener counts requests from their heads until their answers have left, and the stop waits for these.

--- a/packages/adapters/src/http/http-listener.ts
+++ b/packages/adapters/src/http/http-listener.ts
@@ -41,6 +41,8 @@
 	close(): Promise<void>;
 	/** Destroys all connections. */
 	destroy(): void;
+	/** Requests that have begun to arrive and whose answers have not left yet. */
+	countRequests(): number;
 	/** Changes how long idle connections are kept, in ms. */
 	setKeepAlive(keepAliveMs: number): void;
 };
@@ -70,6 +72,13 @@
 		},
 	}) as http.Server;
 	server.maxConnections = options.connectionLimit;
+	let requestCount = 0;
+	server.prependListener('request', (_incoming, outgoing) => {
+		requestCount++;
+		outgoing.once('close', () => {
+			requestCount--;
+		});
+	});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(options.port, options.host, resolve);
@@ -86,6 +95,7 @@
 		destroy() {
 			server.closeAllConnections();
 		},
+		countRequests: () => requestCount,
 		setKeepAlive(keepAliveMs) {
 			server.keepAliveTimeout = keepAliveMs;
 		},
