--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -1,10 +1,10 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
-import {rankByRendezvous} from '../routing/rendezvous-ranking.js';
 import {createBackOff} from '../shared/back-off.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
 import type {PeerStanding} from './peer-standing.js';
+import {createRegistrySources, SOURCE_COUNT} from './registry-sources.js';
 import type {Registry} from './registry.js';
 import type {StoreReader} from './store-reader.js';
 import {NEVER_READ_AGE_MS} from './topic-ages.js';
@@ -22,19 +22,6 @@
 	readonly logger: ports.Logger;
 };
 
-/** Nodes of a region that a follower asks before it looks for others. */
-const READER_COUNT = 3;
-
-/**
- * Followers of one node. In larger regions the nodes that rank after the reader relay what they learn: a small node's link of
- * 10 Mbit/s carries 30 copies of a catalogue of a thousand routes a second, besides the calls.
- */
-const DIRECT_FOLLOWER_COUNT = 24;
-const RELAY_COUNT = 8;
-
-/** Nodes of a region that may read the store for the others; the store may refuse a third of all nodes at once. */
-const CANDIDATE_COUNT = 6;
-
 /** How long a source that was stale or silent is passed over, so that the next of the ranking reads in its place. */
 const ABSENCE_MS = 1000;
 
@@ -90,43 +77,14 @@
 	const ownReadBackOff = createBackOff({random: options.random, ...OWN_READ_BACK_OFF});
 	const staleBackOff = createBackOff({random: options.random, ...STALE_BACK_OFF});
 	const lostBackOff = createBackOff({random: options.random, ...LOST_STORE_BACK_OFF});
+	const sources = createRegistrySources({self, registry, clock});
 	let stay = {address: '', untilMs: 0};
 	let nextOwnReadAtMs = 0;
 	let lastSource = '';
 
-	const passedOverUntilMs = new Map<string, number>();
-	let lostUntilMs = 0;
-
 	/** Whether the node has never known the catalogue or the targets. */
 	const isUnread = (): boolean => registry.ageMs() >= NEVER_READ_AGE_MS;
 
-	const isPassedOver = (address: string): boolean => clock.monotonicMs() < (passedOverUntilMs.get(address) ?? 0);
-
-	/** Nodes that read the store or are about to, best first, without those that just turned out to be stale. */
-	const listReaders = (): readonly domain.RegisteredNode[] => {
-		const nowMs = clock.monotonicMs();
-		return registry
-			.rankReaders(CANDIDATE_COUNT)
-			.filter(({nodeId, address}) => (nodeId === self.nodeId ? nowMs >= lostUntilMs : !isPassedOver(address)))
-			.slice(0, READER_COUNT);
-	};
-
-	const hasRelays = (): boolean => registry.nodesOf(self.region).length > DIRECT_FOLLOWER_COUNT + 1;
-
-	/** The relays from which this node learns, best first; none when it is one of them or follows the reader itself. */
-	const listRelays = (): readonly domain.RegisteredNode[] => {
-		const relays = registry.rankReaders(RELAY_COUNT + 1).slice(1);
-		if (!hasRelays() || [...listReaders(), ...relays].some(({nodeId}) => nodeId === self.nodeId)) {
-			return [];
-		}
-
-		return rankByRendezvous(self.nodeId, relays, RELAY_COUNT).filter(({address}) => !isPassedOver(address));
-	};
-
-	const passOver = (address: string, durationMs: number): void => {
-		passedOverUntilMs.set(address, clock.monotonicMs() + durationMs);
-	};
-
 	const noteSource = (source: string): void => {
 		if (source !== lastSource) {
 			const topicAgesMs = registry.topicAgesMs();
@@ -160,7 +118,7 @@
 		if (timed.isTimedOut || timed.value.isErr()) {
 			peerStanding.recordFailure(address);
 			registry.setSourceLost(true);
-			passOver(address, silentAbsenceMs);
+			sources.passOver(address, silentAbsenceMs);
 			return false;
 		}
 
@@ -169,9 +127,9 @@
 		registry.apply(topics, topicAgesMs);
 		registry.setSourceLost(isStale);
 		if (isStale) {
-			passOver(address, staleAbsenceMs);
+			sources.passOver(address, staleAbsenceMs);
 		} else {
-			passedOverUntilMs.delete(address);
+			sources.readmit(address);
 			noteSource(address);
 		}
 
@@ -204,8 +162,8 @@
 	 */
 	const start = async (): Promise<void> => {
 		if (await options.storeReader.readNodes(signal)) {
-			const [reader] = listReaders();
-			const isFollower = reader !== undefined && reader.nodeId !== self.nodeId && !hasRelays();
+			const [reader] = sources.listReaders();
+			const isFollower = reader !== undefined && reader.nodeId !== self.nodeId && !sources.hasRelays();
 			if (isFollower && !(await pullFrom(reader.address, READER_PULL))) {
 				await options.storeReader.readOnce(signal);
 			}
@@ -224,21 +182,19 @@
 			return;
 		}
 
-		lostUntilMs = clock.monotonicMs() + lostBackOff.nextMs();
+		sources.passOver(self.address, lostBackOff.nextMs());
 	};
 
 	/** Sources in the order in which they are asked: the one that was fresh a moment ago, then by rank. */
-	const orderSources = (readers: readonly domain.RegisteredNode[]): readonly domain.RegisteredNode[] => {
+	const orderByStay = (nodes: readonly domain.RegisteredNode[]): readonly domain.RegisteredNode[] => {
 		const isStaying = clock.monotonicMs() < stay.untilMs;
 		return isStaying
-			? readers.toSorted(
-					(left, right) => Number(right.address === stay.address) - Number(left.address === stay.address),
-				)
-			: readers;
+			? nodes.toSorted((left, right) => Number(right.address === stay.address) - Number(left.address === stay.address))
+			: nodes;
 	};
 
-	const pullFromAny = async (sources: readonly domain.RegisteredNode[], request: PullOptions): Promise<boolean> => {
-		for (const {address} of sources) {
+	const pullFromAny = async (nodes: readonly domain.RegisteredNode[], request: PullOptions): Promise<boolean> => {
+		for (const {address} of nodes) {
 			if (await pullFrom(address, request)) {
 				const isNew = stay.address !== address || clock.monotonicMs() >= stay.untilMs;
 				stay = isNew ? {address, untilMs: clock.monotonicMs() + SOURCE_STAY_MS} : stay;
@@ -251,14 +207,14 @@
 
 	/** Pulls from the relays, or from the readers when there are none. True when one was fresh. */
 	const pullOnce = async (): Promise<boolean> => {
-		const relays = listRelays();
+		const relays = sources.listRelays();
 		if (relays.length > 0) {
 			// Relays that are stale or know nothing yet are no reason to ask the reader, which all nodes of the region would do.
-			return pullFromAny(orderSources(relays.slice(0, READER_COUNT)), RELAY_PULL);
+			return pullFromAny(orderByStay(relays.slice(0, SOURCE_COUNT)), RELAY_PULL);
 		}
 
-		const readers = listReaders().filter(({nodeId}) => nodeId !== self.nodeId);
-		return pullFromAny(orderSources(readers), hasRelays() ? READER_PULL_OF_RELAY : READER_PULL);
+		const readers = sources.listReaders().filter(({nodeId}) => nodeId !== self.nodeId);
+		return pullFromAny(orderByStay(readers), sources.hasRelays() ? READER_PULL_OF_RELAY : READER_PULL);
 	};
 
 	/** One round of a node that does not read for others: learns from peers, or reads for itself. */
@@ -270,12 +226,12 @@
 			return;
 		}
 
-		if (listRelays().length > 0) {
+		if (sources.listRelays().length > 0) {
 			await clock.sleep(isUnread() ? 0 : staleBackOff.nextMs(), signal);
 			return;
 		}
 
-		if (listReaders().length > 0) {
+		if (sources.listReaders().length > 0) {
 			// The next of the ranking reads now, or this node does.
 			return;
 		}
@@ -291,7 +247,7 @@
 
 	await start();
 	while (!signal.aborted) {
-		const isFirst = (): boolean => listReaders()[0]?.nodeId === self.nodeId;
+		const isFirst = (): boolean => sources.listReaders()[0]?.nodeId === self.nodeId;
 		if (isFirst()) {
 			logger.info('reading the store for the region', {event: ports.LogEvent.ReaderStarted});
 			noteSource(STORE_SOURCE);
--- a/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
@@ -5,6 +5,9 @@
 import {send, startFleet, waitUntil} from './fleet-harness.js';
 import {TargetBehaviour, type StandInTarget} from './stand-in-target.js';
 
+/** Time after which an answer without end is surely streamed. */
+const STREAM_START_MS = 300;
+
 const countRuns = (targets: readonly StandInTarget[], requestId: string): number =>
 	targets.flatMap(({runIds}) => runIds).filter(id => id === requestId).length;
 
@@ -64,7 +67,7 @@
 	const leave = new AbortController();
 	const leaving = send(nodes[0]!, 'leaving', {deadlineMs: 60_000, signal: leave.signal});
 	await waitUntil(() => targets[0]!.runIds.includes('leaving'));
-	await timersPromises.setTimeout(300);
+	await timersPromises.setTimeout(STREAM_START_MS);
 	leave.abort(new Error('the caller left'));
 	await t.throwsAsync(leaving);
 	await waitUntil(async () => (await targets[0]!.countConnections()) === 0);
