feat(observability): who grants, why a peer is lost, and every repeat

- Event dispatcher-changed: the node that a node gets a group's slots from.
- peer-lost carries the error.
- Ends of attempts after the first are logged at info level whatever the result; the retry budget bounds their number.

--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -1,5 +1,6 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import {readPeerReply} from '../registry/peer-reply.js';
 import type {PeerStanding} from '../registry/peer-standing.js';
 import {buildGroupId, type Registry} from '../registry/registry.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
@@ -63,6 +64,23 @@
 
 export const createGrantClient = (parts: GrantClientParts): GrantClient => {
 	const {self, registry, dispatchers, peerStanding, metrics} = parts;
+	/** Dispatcher that answered last for each group. */
+	const lastDispatchers = new Map<string, string>();
+
+	const noteDispatcher = (groupId: string, {nodeId}: domain.RegisteredNode): void => {
+		const previous = lastDispatchers.get(groupId);
+		if (previous === nodeId) {
+			return;
+		}
+
+		lastDispatchers.set(groupId, nodeId);
+		parts.logger.info('dispatcher changed', {
+			event: ports.LogEvent.DispatcherChanged,
+			groupId,
+			dispatcher: nodeId,
+			previous,
+		});
+	};
 
 	const rankDispatchers = (service: string, region: string): readonly domain.RegisteredNode[] =>
 		registry.rankNodes(buildGroupId(service, region), region, RANKING_COUNT);
@@ -80,14 +98,15 @@
 			return undefined;
 		}
 
-		if (timed.isTimedOut || timed.value.isErr()) {
-			peerStanding.recordFailure(dispatcher.address);
+		const reply = readPeerReply(timed);
+		if (reply.isErr()) {
+			peerStanding.recordFailure(dispatcher.address, reply.error.detail);
 			metrics.increment(ports.CounterName.PeerMessages, {kind: ports.FleetMessageKind.AcquireGrant, result: 'failed'});
 			return undefined;
 		}
 
 		peerStanding.recordSuccess(dispatcher.address);
-		return timed.value.value;
+		return reply.value;
 	};
 
 	const askRegion = async (
@@ -97,8 +116,11 @@
 	): Promise<GrantAnswer> => {
 		const request = {...wish, ...step, nodeId: self.nodeId, availabilityZone: self.availabilityZone};
 		const ranking = rankDispatchers(wish.service, step.region);
-		const hold = (reply: ports.AcquireGrantReply, dispatcher: domain.RegisteredNode): GrantAnswer =>
-			reply.isGranted ? {...reply, routeId: wish.routeId, region: step.region, dispatcher} : reply;
+		const hold = (reply: ports.AcquireGrantReply, dispatcher: domain.RegisteredNode): GrantAnswer => {
+			noteDispatcher(buildGroupId(wish.service, step.region), dispatcher);
+			return reply.isGranted ? {...reply, routeId: wish.routeId, region: step.region, dispatcher} : reply;
+		};
+
 		for (const dispatcher of ranking.filter(({nodeId}) => nodeId !== self.nodeId)) {
 			if (ranking[0]?.nodeId === self.nodeId || signal.aborted) {
 				break;
@@ -140,7 +162,7 @@
 			{clock: parts.clock, timeoutMs: REPORT_TIMEOUT_MS, signal: reportSignal},
 			async signal => parts.peerClient.request(node.address, ports.FleetMessageKind.ReportResult, request, {signal}),
 		);
-		if (timed.isTimedOut || timed.value.isErr()) {
+		if (readPeerReply(timed).isErr()) {
 			// The grant expires by itself; only the evidence on the target is missing.
 			metrics.increment(ports.CounterName.PeerMessages, {kind: ports.FleetMessageKind.ReportResult, result: 'failed'});
 			parts.logger.debug('report lost', {
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -10,6 +10,8 @@
 	CallHandlingFailed = 'call-handling-failed',
 	/** A new catalogue is in force on this node. */
 	CatalogueInForce = 'catalogue-in-force',
+	/** This node asks another dispatcher than before for a group's slots. */
+	DispatcherChanged = 'dispatcher-changed',
 	/** Lines were dropped because their reader was slow. */
 	LogLinesDropped = 'log-lines-dropped',
 	/** The store did not take the node's record. */
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -96,7 +96,9 @@
 		result: ports.GrantResult,
 		fields: Record<string, unknown>,
 	): void => {
-		const isNotable = result !== ports.GrantResult.Success && result !== ports.GrantResult.Cancelled;
+		// Repeats are logged whatever their result, so that each can be traced to the dispatcher whose budget it took from.
+		const isPlain = result === ports.GrantResult.Success || result === ports.GrantResult.Cancelled;
+		const isNotable = !isPlain || state.sentCount > 0;
 		(isNotable ? logger.info : logger.debug)('attempt ended', {
 			event: ports.LogEvent.AttemptEnded,
 			requestId: state.call.requestId,
--- a/packages/core/src/registry/peer-standing.ts
+++ b/packages/core/src/registry/peer-standing.ts
@@ -10,7 +10,7 @@
 export type PeerStanding = {
 	isUsable(address: string): boolean;
 	recordSuccess(address: string): void;
-	recordFailure(address: string): void;
+	recordFailure(address: string, detail: string): void;
 };
 
 export const createPeerStanding = (options: {clock: ports.Clock; logger: ports.Logger}): PeerStanding => {
@@ -22,12 +22,17 @@
 				options.logger.info('peer regained', {event: ports.LogEvent.PeerRegained, peer: address});
 			}
 		},
-		recordFailure(address) {
+		recordFailure(address, detail) {
 			const last = absences.get(address);
 			const durationMs = last ? Math.min(last.durationMs * 2, ABSENCE_LIMIT_MS) : FIRST_ABSENCE_MS;
 			absences.set(address, {untilMs: options.clock.monotonicMs() + durationMs, durationMs});
 			if (!last) {
-				options.logger.warn('peer lost', {event: ports.LogEvent.PeerLost, peer: address, passedOverMs: durationMs});
+				options.logger.warn('peer lost', {
+					event: ports.LogEvent.PeerLost,
+					peer: address,
+					detail,
+					passedOverMs: durationMs,
+				});
 			}
 		},
 	};
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -3,6 +3,7 @@
 import {createBackOff} from '../shared/back-off.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
+import {readPeerReply} from './peer-reply.js';
 import type {PeerStanding} from './peer-standing.js';
 import {createRegistrySources, SOURCE_COUNT} from './registry-sources.js';
 import type {Registry} from './registry.js';
@@ -115,15 +116,16 @@
 			return false;
 		}
 
-		if (timed.isTimedOut || timed.value.isErr()) {
-			peerStanding.recordFailure(address);
+		const reply = readPeerReply(timed);
+		if (reply.isErr()) {
+			peerStanding.recordFailure(address, reply.error.detail);
 			registry.setSourceLost(true);
 			sources.passOver(address, silentAbsenceMs);
 			return false;
 		}
 
 		peerStanding.recordSuccess(address);
-		const {topics, isStale, topicAgesMs} = timed.value.value;
+		const {topics, isStale, topicAgesMs} = reply.value;
 		registry.apply(topics, topicAgesMs);
 		registry.setSourceLost(isStale);
 		if (isStale) {
--- a/packages/fakes/src/__tests__/registry-replica.test.ts
+++ b/packages/fakes/src/__tests__/registry-replica.test.ts
@@ -120,7 +120,7 @@
 	registry.apply({[Nodes]: changes([{key: 'peer', offset: 0, value: peer}], 1)});
 	const rank = () => registry.rankNodes('key', 'pwani', 2).map(({nodeId}) => nodeId);
 	t.is(rank().length, 2);
-	peerStanding.recordFailure(peer.address);
+	peerStanding.recordFailure(peer.address, 'cut');
 	t.deepEqual(rank(), ['self']);
 	await clock.advance(600);
 	t.is(rank().length, 2);
@@ -144,7 +144,7 @@
 		.slice(0, 30)
 		.filter(({nodeId}) => nodeId !== 'self')
 		.forEach(({address}) => {
-			peerStanding.recordFailure(address);
+			peerStanding.recordFailure(address, 'cut');
 		});
 	const rest = whole.filter(({nodeId}, index) => index >= 30 || nodeId === 'self');
 	t.deepEqual(rank(2), rest.slice(0, 2));
