--- a/packages/fakes/src/__tests__/group-dispatcher.test.ts
+++ b/packages/fakes/src/__tests__/group-dispatcher.test.ts
@@ -213,6 +213,19 @@
 	t.true(retryCount >= 20, `${retryCount} retries`);
 });
 
+// Guards against retries that all pass the same check of the budget and then wait for a slot.
+test('retries that wait for a slot stay within the budget', async t => {
+	const {clock, acquire, acquireGrant, report} = createHarness(buildPool(8), {retryRatio: 0.1, retryBurstCount: 3});
+	const held = await Promise.all(Array.from({length: 32}, async () => acquireGrant()));
+	const retries = Promise.all(Array.from({length: 30}, async () => acquire({attemptIndex: 1, waitLimitMs: 800})));
+	held.forEach(grant => {
+		report(grant, core.GrantResult.Success);
+	});
+	const replies = await clock.runUntilSettled(retries, 2000);
+	const retryCount = replies.filter(({isGranted}) => isGranted).length;
+	t.true(retryCount <= 4, `${retryCount} retries`);
+});
+
 test('a call that cannot end in time is refused at once', async t => {
 	const {acquire, acquireGrant, report} = createHarness(buildPool(1));
 	report(await acquireGrant(), core.GrantResult.Success);
--- a/packages/fakes/src/registry-fleet.ts
+++ b/packages/fakes/src/registry-fleet.ts
@@ -27,10 +27,16 @@
 	readonly wrapStore?: (store: core.RegistryStore) => core.RegistryStore;
 	/** Fills the store before the nodes start. */
 	readonly fillStore?: (store: FakeRegistryStore) => void;
+	/** No target answers by default. */
+	readonly targetClient?: core.FleetTargetClient;
 };
 
 const NETWORK_MS = 1;
 
+const UNREACHABLE_TARGETS: core.FleetTargetClient = {
+	send: async () => neverthrow.err({kind: core.AttemptErrorKind.Unreachable, detail: 'no target'}),
+};
+
 const fillWithDefaults = (store: FakeRegistryStore): void => {
 	store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(1, [buildHostRoute()]));
 	store.write(core.RegistryTopic.Targets, 'a', buildTarget({targetId: 'a'}));
@@ -45,13 +51,15 @@
 		wrapStore = store => store,
 		fillStore = fillWithDefaults,
 		startDelayMs,
+		targetClient = UNREACHABLE_TARGETS,
 	} = options;
 	const store = createFakeRegistryStore(clock);
 	const logger = createSilentLogger();
 	const metrics = createFakeMetrics();
 	const cutNodeIds = new Set<string>();
 	const nodes = new Map<string, core.FleetNode>();
-	const controllers: AbortController[] = [];
+	const controllers = new Map<string, AbortController>();
+	let startCount = 0;
 	const createPeerClient = (senderId: string): core.FleetPeerClient => ({
 		async request(address, kind, request, {signal, noteProgress}) {
 			await clock.sleep(NETWORK_MS, signal);
@@ -73,15 +81,18 @@
 				metrics,
 				store: wrapStore(store.openFor(nodeId, storeDelayMs)),
 				peerClient: createPeerClient(nodeId),
-				targetClient: {
-					send: async () => neverthrow.err({kind: core.AttemptErrorKind.Unreachable, detail: 'no target'}),
-				},
+				targetClient,
+			},
+			settings: {
+				self: buildNode(nodeId, nodes.has(nodeId) ? {incarnationId: `${nodeId}#restarted-${startCount}`} : {}),
+				seedAddresses: [buildNode('node-0').address],
 			},
-			settings: {self: buildNode(nodeId), seedAddresses: [buildNode('node-0').address]},
 		});
+		startCount++;
 		nodes.set(nodeId, node);
 		const controller = new AbortController();
-		controllers.push(controller);
+		controllers.get(nodeId)?.abort();
+		controllers.set(nodeId, controller);
 		void node.run(controller.signal);
 	};
 
