fix(grants): retries that wait are charged when they get their slot

What callers saw: nothing; targets got more repeats than the budget allows while a service had no free slot.

Cause: a dispatcher checked the budget when a retry asked and charged it when the retry got its slot. All retries that waited passed the check on the same saved retry, and the budget went below zero.

The check and the charge are one step of the grant, so a retry that finds the budget used up while it waits gets no slot.

--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -72,7 +72,23 @@
 	});
 	const listLedgers = ledgers.listReady;
 
+	const isWithinBudget = ({attemptIndex}: ports.AcquireGrantRequest): boolean =>
+		attemptIndex === 0 || budget.hasRetry();
+
+	const chargeBudget = ({attemptIndex}: ports.AcquireGrantRequest): void => {
+		if (attemptIndex === 0) {
+			budget.recordFirstAttempt();
+		} else {
+			budget.takeRetry();
+		}
+	};
+
+	/** Grants a target at once, if there is one. Retries that wait are charged here, since others may have used the budget up. */
 	const tryGrant = (request: ports.AcquireGrantRequest): ports.Grant | undefined => {
+		if (!isWithinBudget(request)) {
+			return undefined;
+		}
+
 		const pick = pickTarget(request, {
 			ledgers: listLedgers(),
 			options,
@@ -88,6 +104,7 @@
 
 		const grantId = `${request.requestId}.${request.attemptIndex}.${order++}`;
 		const standing = ledger.standingFor(request.nodeId);
+		chargeBudget(request);
 		ledger.open(grantId, request, {ttlMs: request.remainingMs + options.grantSlackMs, isForFloor});
 		return {
 			isGranted: true,
@@ -148,11 +165,7 @@
 			return deny(ports.GrantRefusal.TooLate, 0);
 		}
 
-		if (request.attemptIndex === 0) {
-			return undefined;
-		}
-
-		return budget.hasRetry() ? undefined : deny(ports.GrantRefusal.NoBudget, 0);
+		return isWithinBudget(request) ? undefined : deny(ports.GrantRefusal.NoBudget, 0);
 	};
 
 	const waitForGrant = async (
@@ -187,15 +200,6 @@
 		return outcome.grant;
 	};
 
-	const recordGrant = (request: ports.AcquireGrantRequest): void => {
-		if (request.attemptIndex === 0) {
-			budget.recordFirstAttempt();
-			return;
-		}
-
-		budget.takeRetry();
-	};
-
 	const countStandings = (): ReadonlyMap<GrantStanding, number> => {
 		const counts = new Map<GrantStanding, number>();
 		listLedgers().forEach(ledger => {
@@ -219,7 +223,6 @@
 		serveWaiting();
 		const grant = tryGrant(request);
 		if (grant) {
-			recordGrant(request);
 			return grant;
 		}
 
@@ -233,12 +236,7 @@
 		}
 
 		const awaited = await waitForGrant(request, signal);
-		if (!awaited) {
-			return deny(ports.GrantRefusal.Busy, predictWaitMs(request.priority));
-		}
-
-		recordGrant(request);
-		return awaited;
+		return awaited ?? deny(ports.GrantRefusal.Busy, predictWaitMs(request.priority));
 	};
 
 	/** Counts a decision; the wait is that of calls which were not refused at once. */
