fix(grants): the retry budget grows with calls only, however many nodes grant

What callers saw: a service that shed got more repeats than the fleet's budget allows (BUDGET), which kept it overloaded.

Cause: a share of the platform's slack was given to each dispatcher, as retries to start with and as a refill with time, on the assumption of one dispatcher for each region. Besides, a call counted as a first attempt at each dispatcher that was asked for it. The class: a bound on the fleet that is handed out as an allowance for each holder, where nothing bounds the number of holders.

Change: a dispatcher's budget starts empty and grows with the calls that the entry node announces to it. Each call is announced once, with the first request for it, so the sum over all dispatchers is at most the ratio of the calls, whoever grants them. Retries of the last second may be saved up, or a single one. The platform's slack is no longer handed out; it covers what is saved.

Tests: the old test of burst and refill is replaced by one with a lower bound (10 retries for 100 calls instead of 23). Tests of what follows a failure give their dispatchers a higher ratio, since the first calls no longer find saved retries; their assertions are unchanged.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -89,6 +89,7 @@
 	priority: zod.number(),
 	repeatability: zod.enum(domain.Repeatability),
 	attemptIndex: zod.int().nonnegative(),
+	isNewCall: zod.boolean(),
 	remainingMs: zod.number(),
 	objectiveLeftMs: zod.number(),
 	waitLimitMs: zod.number(),
--- a/packages/core/src/grants/dispatcher-options.ts
+++ b/packages/core/src/grants/dispatcher-options.ts
@@ -1,11 +1,9 @@
 /** Settings of a group's dispatcher. */
 export type DispatcherOptions = {
-	/** Retries allowed as a fraction of first attempts. */
+	/** Retries allowed as a fraction of calls. */
 	readonly retryRatio: number;
-	/** Retries that may be saved up, and that a new dispatcher starts with. */
-	readonly retryBurstCount: number;
-	/** Retries that are allowed whatever the traffic, a second. */
-	readonly retryRefillPerSecond: number;
+	/** Time whose calls' retries may be saved up, in ms. */
+	readonly retrySavingMs: number;
 	/** Share of a target's calls that fails while it is gray, as the judgement assumes it. */
 	readonly grayFailureRatio: number;
 	/** Share of targets that is gray at a time, as the judgement assumes it before it has seen anything. */
@@ -35,9 +33,8 @@
 export const DEFAULT_DISPATCHER_OPTIONS: DispatcherOptions = {
 	// The platform allows 0.2 over the whole fleet; the rest covers requests that are counted in another window.
 	retryRatio: 0.17,
-	// The platform allows a slack of about 60 in 10 s over two regions, which takeovers share.
-	retryBurstCount: 10,
-	retryRefillPerSecond: 1,
+	// A tenth of the window over which the platform counts, so that saved retries add a tenth to those of the window.
+	retrySavingMs: 1000,
 	grayFailureRatio: 0.5,
 	grayPrior: 0.05,
 	usualPhaseMs: 6000,
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -114,25 +114,32 @@
 		step: Step,
 		signal: AbortSignal,
 	): Promise<GrantAnswer> => {
-		const request = {...wish, ...step, nodeId: self.nodeId, availabilityZone: self.availabilityZone};
 		const ranking = rankDispatchers(wish.service, step.region);
+		const peers = ranking[0]?.nodeId === self.nodeId ? [] : ranking.filter(({nodeId}) => nodeId !== self.nodeId);
+		const buildRequest = (askedCount: number): ports.AcquireGrantRequest => ({
+			...wish,
+			...step,
+			isNewCall: wish.isNewCall && askedCount === 0,
+			nodeId: self.nodeId,
+			availabilityZone: self.availabilityZone,
+		});
 		const hold = (reply: ports.AcquireGrantReply, dispatcher: domain.RegisteredNode): GrantAnswer => {
 			noteDispatcher(buildGroupId(wish.service, step.region), dispatcher);
 			return reply.isGranted ? {...reply, routeId: wish.routeId, region: step.region, dispatcher} : reply;
 		};
 
-		for (const dispatcher of ranking.filter(({nodeId}) => nodeId !== self.nodeId)) {
-			if (ranking[0]?.nodeId === self.nodeId || signal.aborted) {
+		for (const [index, dispatcher] of peers.entries()) {
+			if (signal.aborted) {
 				break;
 			}
 
-			const reply = await askPeer(dispatcher, request, signal);
+			const reply = await askPeer(dispatcher, buildRequest(index), signal);
 			if (reply) {
 				return hold(reply, dispatcher);
 			}
 		}
 
-		const reply = await dispatchers.get(wish.service, step.region).acquire(request, signal);
+		const reply = await dispatchers.get(wish.service, step.region).acquire(buildRequest(peers.length), signal);
 		return hold(reply, self);
 	};
 
@@ -176,6 +183,7 @@
 	return {
 		async acquire(wish, signal) {
 			const steps = planSteps(wish);
+			const furtherWish = {...wish, isNewCall: false};
 			const denials: Array<{step: Step; denial: ports.GrantDenial}> = [];
 			for (const step of steps) {
 				if (wish.isBulk && denials.some(({denial}) => denial.refusal !== ports.GrantRefusal.NoTarget)) {
@@ -184,7 +192,7 @@
 					break;
 				}
 
-				const answer = await askRegion(wish, step, signal);
+				const answer = await askRegion(denials.length === 0 ? wish : furtherWish, step, signal);
 				if (answer.isGranted) {
 					return answer;
 				}
@@ -202,7 +210,7 @@
 				return nearest.denial;
 			}
 
-			return askRegion(wish, {region: nearest.step.region, waitLimitMs: 0, isLastResort: true}, signal);
+			return askRegion(furtherWish, {region: nearest.step.region, waitLimitMs: 0, isLastResort: true}, signal);
 		},
 		report(grant, result, durationMs) {
 			const {service} = grant.target;
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -75,14 +75,6 @@
 	const isWithinBudget = ({attemptIndex}: ports.AcquireGrantRequest): boolean =>
 		attemptIndex === 0 || budget.hasRetry();
 
-	const chargeBudget = ({attemptIndex}: ports.AcquireGrantRequest): void => {
-		if (attemptIndex === 0) {
-			budget.recordFirstAttempt();
-		} else {
-			budget.takeRetry();
-		}
-	};
-
 	/** Grants a target at once, if there is one. Retries that wait are charged here, since others may have used the budget up. */
 	const tryGrant = (request: ports.AcquireGrantRequest): ports.Grant | undefined => {
 		if (!isWithinBudget(request)) {
@@ -104,7 +96,10 @@
 
 		const grantId = `${request.requestId}.${request.attemptIndex}.${order++}`;
 		const standing = ledger.standingFor(request.nodeId);
-		chargeBudget(request);
+		if (request.attemptIndex > 0) {
+			budget.takeRetry();
+		}
+
 		ledger.open(grantId, request, {ttlMs: request.remainingMs + options.grantSlackMs, isForFloor});
 		return {
 			isGranted: true,
@@ -214,6 +209,10 @@
 			lastRepeatableAtMs = clock.monotonicMs();
 		}
 
+		if (request.isNewCall) {
+			budget.recordCall();
+		}
+
 		const refused = checkAdmission(request);
 		if (refused) {
 			return refused;
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -43,6 +43,11 @@
 	readonly repeatability: domain.Repeatability;
 	/** 0 for the first attempt of a call. */
 	readonly attemptIndex: number;
+	/**
+	 * Whether this is the first request for the call that any dispatcher gets. A call counts towards the retry budget once,
+	 * also when the reply is lost and the next dispatcher is asked.
+	 */
+	readonly isNewCall: boolean;
 	/** Time left until the call's deadline, in ms. */
 	readonly remainingMs: number;
 	/** Time left until the answer loses its full value, in ms; negative when it has. */
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -67,9 +67,12 @@
 			Math.max(options.retryAfterMinimumMs, predictedWaitMs) * (1 + parts.random.fraction()),
 		);
 
-	const acquire = async (state: CallState, signal: AbortSignal): Promise<GrantAnswer> =>
-		grants.acquire(
+	const acquire = async (state: CallState, signal: AbortSignal): Promise<GrantAnswer> => {
+		const isNewCall = !state.isKnown;
+		state.isKnown = true;
+		return grants.acquire(
 			{
+				isNewCall,
 				requestId: state.call.requestId,
 				routeId: state.route.routeId,
 				service: state.service,
@@ -83,6 +86,7 @@
 			},
 			signal,
 		);
+	};
 
 	/** Whether another attempt may follow one that may have run. */
 	const mayRepeat = (state: CallState): boolean =>
@@ -289,6 +293,7 @@
 			callerSignal: signal,
 			deadlineAtMs: call.receivedAtMs + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
 			excludedTargetIds: [],
+			isKnown: false,
 			sentCount: 0,
 			unreachableCount: 0,
 			mayHaveRun: false,
--- a/packages/core/src/proxy/call-state.ts
+++ b/packages/core/src/proxy/call-state.ts
@@ -12,6 +12,8 @@
 	/** Monotonic time at which the caller must have an ending, in ms. */
 	readonly deadlineAtMs: number;
 	readonly excludedTargetIds: string[];
+	/** Whether a dispatcher has been asked for the call. */
+	isKnown: boolean;
 	sentCount: number;
 	unreachableCount: number;
 	/** Whether a target may have run the call. */
--- a/packages/daemon/src/fleet/__tests__/fleet-harness.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -84,7 +84,8 @@
 		listen: {front, ready, control: addresses.control},
 		internal_ports: [1],
 		seeds: addresses.seeds,
-		bounds: ['grace_s=6'],
+		// Each call brings budget for a retry, so that the first ones of a test are repeated too.
+		bounds: ['grace_s=6', 'retry_budget_ratio=1.2'],
 		platform: {address: addresses.storeAddress},
 	};
 	// JSON is valid YAML.
--- a/packages/fakes/src/__tests__/call-proxy.test.ts
+++ b/packages/fakes/src/__tests__/call-proxy.test.ts
@@ -37,12 +37,19 @@
 	return {client, sent};
 };
 
+/** Budget for the retries of each call from the first one on. */
+const RETRIES = {retryRatio: 3};
+
 const createHarness = (steps: readonly Step[], route: Partial<domain.HostRoute> = {}) => {
 	const peerClient: core.FleetPeerClient = {
 		request: async () => neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'no peers'}),
 	};
 	const targets = ['a', 'b', 'c', 'd'].map(targetId => buildTarget({targetId}));
-	const {clock, logger, metrics, random, registry, grants} = buildGrantParts({targets, peerClient});
+	const {clock, logger, metrics, random, registry, grants} = buildGrantParts({
+		targets,
+		peerClient,
+		dispatcher: RETRIES,
+	});
 	const publish = (version: number): void => {
 		const value = buildFleetCatalogue(version, [buildHostRoute(route)]);
 		const records = [{key: 'config', offset: version, value}];
--- a/packages/fakes/src/__tests__/group-dispatcher.test.ts
+++ b/packages/fakes/src/__tests__/group-dispatcher.test.ts
@@ -98,7 +98,7 @@
 });
 
 test('a return is tried with work that may be repeated, and two successes end the trial', async t => {
-	const {clock, acquireGrant, report, dispatcher, events} = createHarness(buildPool(3));
+	const {clock, acquireGrant, report, dispatcher, events} = createHarness(buildPool(3), {retryRatio: 1});
 	const failed = await acquireGrant();
 	report(failed, core.GrantResult.Failure);
 	await clock.advance(FIRST_ABSENCE_MS);
@@ -115,7 +115,7 @@
 });
 
 test('a failed return doubles the absence', async t => {
-	const {clock, acquireGrant, report, dispatcher} = createHarness(buildPool(3));
+	const {clock, acquireGrant, report, dispatcher} = createHarness(buildPool(3), {retryRatio: 1});
 	const failed = await acquireGrant();
 	report(failed, core.GrantResult.Failure);
 	await clock.advance(FIRST_ABSENCE_MS);
@@ -189,12 +189,8 @@
 	t.true((await harness.acquire()).isGranted);
 });
 
-test('retries stay within the ratio of first attempts, the burst and the refill', async t => {
-	const {clock, acquire, report} = createHarness(buildPool(8), {
-		retryRatio: 0.1,
-		retryBurstCount: 3,
-		retryRefillPerSecond: 1,
-	});
+test('retries stay within the ratio of calls from the first one on', async t => {
+	const {clock, acquire, report} = createHarness(buildPool(8), {retryRatio: 0.1});
 	let retryCount = 0;
 	for (let index = 0; index < 100; index++) {
 		const first = await acquire();
@@ -208,14 +204,35 @@
 		await clock.advance(100);
 	}
 
-	// 100 first attempts at 0.1, the burst of 3, and 10 s at one a second.
-	t.true(retryCount <= 23, `${retryCount} retries`);
-	t.true(retryCount >= 20, `${retryCount} retries`);
+	t.true(retryCount <= 10, `${retryCount} retries`);
+	t.true(retryCount >= 9, `${retryCount} retries`);
+});
+
+// Guards against a call that counts once for each dispatcher that is asked for it.
+test('only calls that no dispatcher has counted add to the retry budget', async t => {
+	const {acquire, acquireGrant, report} = createHarness(buildPool(8), {retryRatio: 0.5});
+	for (let index = 0; index < 20; index++) {
+		report(await acquireGrant({isNewCall: false}), core.GrantResult.Success);
+	}
+
+	t.like(await acquire({attemptIndex: 1}), {isGranted: false, refusal: core.GrantRefusal.NoBudget});
+});
+
+// Guards against retries of a calm time that are all made in one window with those of its own calls.
+test('retries that calls allowed long ago are forgotten but for one', async t => {
+	const {clock, acquire, acquireGrant, report} = createHarness(buildPool(8), {retryRatio: 0.5});
+	for (let index = 0; index < 20; index++) {
+		report(await acquireGrant(), core.GrantResult.Success);
+	}
+
+	await clock.advance(10_000);
+	t.true((await acquire({attemptIndex: 1})).isGranted);
+	t.false((await acquire({attemptIndex: 1})).isGranted);
 });
 
 // Guards against retries that all pass the same check of the budget and then wait for a slot.
 test('retries that wait for a slot stay within the budget', async t => {
-	const {clock, acquire, acquireGrant, report} = createHarness(buildPool(8), {retryRatio: 0.1, retryBurstCount: 3});
+	const {clock, acquire, acquireGrant, report} = createHarness(buildPool(8), {retryRatio: 0.1});
 	const held = await Promise.all(Array.from({length: 32}, async () => acquireGrant()));
 	const retries = Promise.all(Array.from({length: 30}, async () => acquire({attemptIndex: 1, waitLimitMs: 800})));
 	held.forEach(grant => {
--- a/packages/fakes/src/build-fleet.ts
+++ b/packages/fakes/src/build-fleet.ts
@@ -60,6 +60,7 @@
 	priority: 1,
 	repeatability: domain.Repeatability.Single,
 	attemptIndex: 0,
+	isNewCall: (given.attemptIndex ?? 0) === 0,
 	remainingMs: 2000,
 	objectiveLeftMs: 1200,
 	waitLimitMs: 0,
--- a/packages/fakes/src/build-grants.ts
+++ b/packages/fakes/src/build-grants.ts
@@ -10,6 +10,7 @@
 	/** Other nodes that are registered. */
 	readonly nodes?: readonly domain.RegisteredNode[];
 	readonly peerClient: core.FleetPeerClient;
+	readonly dispatcher?: Partial<core.DispatcherOptions>;
 };
 
 /** A node's registry with the given records, its dispatchers and its client for grants, under a virtual clock. */
@@ -27,7 +28,14 @@
 		[core.RegistryTopic.Targets]: buildWhole(targets, targets.length),
 		[core.RegistryTopic.Nodes]: buildWhole(nodes, nodes.length),
 	});
-	const dispatchers = core.createDispatcherTable({registry, clock, random, logger, metrics});
+	const dispatchers = core.createDispatcherTable({
+		registry,
+		options: options.dispatcher,
+		clock,
+		random,
+		logger,
+		metrics,
+	});
 	const {peerClient} = options;
 	const grants = core.createGrantClient({
 		self,
