fix(platform): odd entries of another writer name no target

What callers saw: connections that ended without an answer, for the calls that were granted a target whose entry has a port beyond 65535.

Cause: the address was checked by a pattern that takes ports up to 99999 and numbers up to 999, and the client of the targets threw on it, so that the call had no ending and its slot was never given back. The class: a value that is checked for its form and not for its range.

--- a/packages/adapters/src/__tests__/fleet-target-client.test.ts
+++ b/packages/adapters/src/__tests__/fleet-target-client.test.ts
@@ -93,6 +93,15 @@
 });
 
 // Guards against a connection whose answers are one behind and fail every later call.
+// Guards against an address that ends the call without an answer and leaves its slot in use.
+['127.0.0.1:65536', '127.0.0.256:80', 'nowhere:x'].forEach(address => {
+	test(`a target at ${address} is unreachable`, async t => {
+		const send = startClient(t);
+		const result = await send(address, 'request');
+		t.is(result._unsafeUnwrapErr().kind, core.AttemptErrorKind.Unreachable);
+	});
+});
+
 test('a connection that brought the answer to another call is not used again', async t => {
 	const target = await startRawTarget(t, async ({socket, requestCount, requestId}) => {
 		if (requestCount === 1 && requestId === 'first') {
--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -69,15 +69,23 @@
 		void pool?.close();
 	};
 
-	const openPool = (address: string, connectionLimit: number): undici.Dispatcher => {
-		const pool = pools.get(address) ?? createWholeAnswerPool(address, {...options, connectionLimit});
-		void pools.set(address, pool)?.close();
-		return pool;
-	};
+	/** Opens the pool of an address. An address that no connection can be opened to makes the target unreachable. */
+	const openPool = neverthrow.fromThrowable(
+		(address: string, connectionLimit: number): undici.Dispatcher => {
+			const pool = pools.get(address) ?? createWholeAnswerPool(address, {...options, connectionLimit});
+			void pools.set(address, pool)?.close();
+			return pool;
+		},
+		(error): core.AttemptError => ({kind: core.AttemptErrorKind.Unreachable, detail: String(error)}),
+	);
 
-	const exchange = async (attempt: core.FleetAttempt, signal: AbortSignal): Promise<AttemptResult> =>
+	const exchange = async (
+		pool: undici.Dispatcher,
+		attempt: core.FleetAttempt,
+		signal: AbortSignal,
+	): Promise<AttemptResult> =>
 		new Promise(resolve => {
-			const {call, target} = attempt;
+			const {call} = attempt;
 			const end = (result: AttemptResult): void => {
 				clearTimeout(connectTimer);
 				signal.removeEventListener('abort', cancel);
@@ -111,7 +119,7 @@
 				}
 			}, options.connectTimeoutMs);
 			signal.addEventListener('abort', cancel, {once: true});
-			openPool(target.address, attempt.connectionLimit).dispatch(
+			pool.dispatch(
 				{
 					method: call.method,
 					path: call.pathAndQuery,
@@ -127,7 +135,12 @@
 
 	return {
 		async send(attempt, signal) {
-			const result = await exchange(attempt, signal);
+			const pool = openPool(attempt.target.address, attempt.connectionLimit);
+			if (pool.isErr()) {
+				return neverthrow.err(pool.error);
+			}
+
+			const result = await exchange(pool.value, attempt, signal);
 			// After the answer to another call, each later one on the connection would be that to the call before.
 			const isForeign = result.isOk() && result.value.meaning === core.AnswerMeaning.Foreign;
 			if ((result.isErr() && !signal.aborted) || isForeign) {
--- a/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-path.test.ts
@@ -8,6 +8,9 @@
 /** Time after which an answer without end is surely streamed. */
 const STREAM_START_MS = 300;
 
+/** Time within which all nodes know a change of the targets. */
+const FOLLOW_MS = 2500;
+
 const countRuns = (targets: readonly StandInTarget[], requestId: string): number =>
 	targets.flatMap(({runIds}) => runIds).filter(id => id === requestId).length;
 
@@ -95,6 +98,42 @@
 	t.pass();
 });
 
+/** Status of the answer; 0 when the connection ends without one. */
+const sendForStatus = async (...call: Parameters<typeof send>): Promise<number> => {
+	try {
+		return (await send(...call)).status;
+	} catch {
+		return 0;
+	}
+};
+
+// Guards against one odd entry that ends the nodes, stops those that follow, or costs the calls that it is given.
+test('nodes serve and follow the store beside odd entries of another writer', async t => {
+	const {nodes, store, configure} = await startFleet(t, {nodes: 3, targets: 2});
+	platformStandIn.UNUSABLE_SERVER_TEXTS.forEach(({name, text}) => {
+		store.writeText(platformStandIn.SERVERS_TOPIC, name, text);
+	});
+	configure(2, ['malipo', 'picha']);
+	await Promise.all(
+		nodes.map(async (node, index) =>
+			waitUntil(async () => (await send(node, `probe-${index}`, {host: 'picha.example'})).status !== 404),
+		),
+	);
+	await timersPromises.setTimeout(FOLLOW_MS);
+	const replies = await Promise.all(
+		Array.from({length: 30}, async (_, index) => sendForStatus(nodes[index % 3]!, `odd-${index}`)),
+	);
+	t.deepEqual(
+		replies,
+		replies.map(() => 200),
+	);
+	t.deepEqual(
+		nodes.flatMap(({lines}) => lines).filter(line => /malformed|call-handling-failed/.test(line)),
+		[],
+	);
+	t.true(nodes.every(({process: {exitCode}}) => exitCode === null));
+});
+
 test('nodes go on serving while the store is down', async t => {
 	const {nodes, store} = await startFleet(t, {nodes: 2, targets: 2});
 	store.fault = platformStandIn.StoreFault.Silent;
