fix(adapters): the client of the targets closes while calls are under way

What was seen: a process that stopped with a call under way ended in an unhandled rejection (ClientDestroyedError), before its last log lines were written.

Cause: the call that failed because its pool was destroyed closed the same pool, as after a fault of the target, and a destroyed pool cannot be closed.

Evidence: the new test ended in the rejection before. The pools are forgotten before they are destroyed, so a failing call finds none.

--- a/packages/adapters/src/__tests__/fleet-target-client.test.ts
+++ b/packages/adapters/src/__tests__/fleet-target-client.test.ts
@@ -92,7 +92,6 @@
 	});
 });
 
-// Guards against a connection whose answers are one behind and fail every later call.
 // Guards against an address that ends the call without an answer and leaves its slot in use.
 ['127.0.0.1:65536', '127.0.0.256:80', 'nowhere:x'].forEach(address => {
 	test(`a target at ${address} is unreachable`, async t => {
@@ -102,6 +101,17 @@
 	});
 });
 
+// Guards against a rejection that nobody handles, which ends a stopping process before its last log lines are written.
+test('a client that is closed during a call ends the call', async t => {
+	const client = createFleetTargetClient({dialect: DIALECT});
+	const target = await startRawTarget(t, () => undefined);
+	const sent = client.send(buildAttempt(target.address, 'request'), new AbortController().signal);
+	await timersPromises.setTimeout(READ_DELAY_MS);
+	await client.close();
+	t.true((await sent).isErr());
+});
+
+// Guards against a connection whose answers are one behind and fail every later call.
 test('a connection that brought the answer to another call is not used again', async t => {
 	const target = await startRawTarget(t, async ({socket, requestCount, requestId}) => {
 		if (requestCount === 1 && requestId === 'first') {
--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -150,7 +150,8 @@
 			return result;
 		},
 		async close() {
-			await Promise.all(pools.values().map(async pool => pool.destroy()));
+			// Calls that fail because of the end must not find their pools, since a destroyed pool cannot be closed.
+			await Promise.all(pools.takeAll().map(async pool => pool.destroy()));
 		},
 	};
 };
--- a/packages/core/src/shared/__tests__/recent-map.test.ts
+++ b/packages/core/src/shared/__tests__/recent-map.test.ts
@@ -9,7 +9,10 @@
 	t.is(map.set('a', 3), undefined);
 	t.is(map.set('c', 4), 2);
 	t.is(map.get('b'), undefined);
-	t.deepEqual(map.values(), [3, 4]);
+	t.is(map.get('a'), 3);
+	t.is(map.get('c'), 4);
 	map.delete('a');
 	t.is(map.set('d', 5), undefined);
+	t.deepEqual(map.takeAll(), [4, 5]);
+	t.is(map.get('c'), undefined);
 });
--- a/packages/core/src/shared/recent-map.ts
+++ b/packages/core/src/shared/recent-map.ts
@@ -4,7 +4,8 @@
 	/** Sets a value as the newest. Returns the oldest one when it had to go. */
 	set(key: Key, value: Value): Value | undefined;
 	delete(key: Key): void;
-	values(): readonly Value[];
+	/** Removes all values and returns them. */
+	takeAll(): readonly Value[];
 };
 
 export const createRecentMap = <Key, Value>(limitCount: number): RecentMap<Key, Value> => {
@@ -26,6 +27,10 @@
 		delete(key) {
 			entries.delete(key);
 		},
-		values: () => [...entries.values()],
+		takeAll() {
+			const values = [...entries.values()];
+			entries.clear();
+			return values;
+		},
 	};
 };
