fix(grants): requests of earlier versions are taken as calls that are counted

A node of this version would refuse the requests for grants of one of the version before, and a rolling update would leave each of them to its own dispatcher.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -89,7 +89,8 @@
 	priority: zod.number(),
 	repeatability: zod.enum(domain.Repeatability),
 	attemptIndex: zod.int().nonnegative(),
-	isNewCall: zod.boolean(),
+	// Nodes of earlier versions do not send it; without the default, a rolling update would split the fleet.
+	isNewCall: zod.boolean().default(false),
 	remainingMs: zod.number(),
 	objectiveLeftMs: zod.number(),
 	waitLimitMs: zod.number(),
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -80,8 +80,8 @@
 		);
 
 	const acquire = async (state: CallState, signal: AbortSignal): Promise<GrantAnswer> => {
-		const isNewCall = !state.isKnown;
-		state.isKnown = true;
+		const isNewCall = !state.isAnnounced;
+		state.isAnnounced = true;
 		return grants.acquire(
 			{
 				isNewCall,
@@ -314,7 +314,7 @@
 			callerSignal: signal,
 			deadlineAtMs: call.receivedAtMs + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
 			excludedTargetIds: [],
-			isKnown: false,
+			isAnnounced: false,
 			sentCount: 0,
 			unreachableCount: 0,
 			mayHaveRun: false,
--- a/packages/core/src/proxy/call-state.ts
+++ b/packages/core/src/proxy/call-state.ts
@@ -13,7 +13,7 @@
 	readonly deadlineAtMs: number;
 	readonly excludedTargetIds: string[];
 	/** Whether a dispatcher has been asked for the call. */
-	isKnown: boolean;
+	isAnnounced: boolean;
 	sentCount: number;
 	unreachableCount: number;
 	/** Whether a target may have run the call. */
