--- a/packages/core/src/grants/fleet-retry-budget.ts
+++ b/packages/core/src/grants/fleet-retry-budget.ts
@@ -17,7 +17,10 @@
 /** Retries that a dispatcher with few calls may save up; with less it would never have one. */
 const SAVED_MINIMUM = 1;
 
-export const createFleetRetryBudget = (options: FleetRetryBudgetOptions, clock: ports.Clock): FleetRetryBudget => {
+export const createFleetRetryBudget = (
+	options: FleetRetryBudgetOptions,
+	clock: Pick<ports.Clock, 'monotonicMs'>,
+): FleetRetryBudget => {
 	let leftCount = 0;
 	/** Retries that recent calls allow; it bounds what is left, so that those of a calm time do not pile up. */
 	let recentCount = 0;
