fix(proxy): a stopping node does not break off a slow attempt without another

What callers saw: nothing yet; found while the change of the stop was read again. A slow attempt at repeatable work was stopped for its successor, which was then refused because the node was about to end.

Evidence: the new test got 'failed' before and gets the target's answer now. The grant of a successor that may not start is given back, and the attempt goes on.

--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -104,7 +104,7 @@
 	const mayRepeat = (state: CallState): boolean =>
 		state.route.repeatability === domain.Repeatability.Repeatable && state.sentCount < state.route.attemptLimit;
 
-	const replaceSlowAttempt = createSlowAttemptReplacer({clock, grants, options, acquire, mayRepeat});
+	const replaceSlowAttempt = createSlowAttemptReplacer({clock, grants, options, acquire, mayRepeat, mayStartNow});
 
 	const logAttempt = (
 		state: CallState,
--- a/packages/core/src/proxy/replace-slow-attempt.ts
+++ b/packages/core/src/proxy/replace-slow-attempt.ts
@@ -11,6 +11,8 @@
 	readonly acquire: (state: CallState, signal: AbortSignal) => Promise<GrantAnswer>;
 	/** Whether another attempt may follow one that may have run. */
 	readonly mayRepeat: (state: CallState) => boolean;
+	/** Whether an attempt may start now. */
+	readonly mayStartNow: (state: CallState) => boolean;
 };
 
 /** Waits beside an attempt, and stops it once it is slow and there is a grant for the next one. */
@@ -58,7 +60,7 @@
 			return;
 		}
 
-		if (ended.aborted) {
+		if (ended.aborted || !parts.mayStartNow(state)) {
 			grants.report(next, ports.GrantResult.Cancelled, 0);
 			return;
 		}
--- a/packages/fakes/src/__tests__/call-proxy.test.ts
+++ b/packages/fakes/src/__tests__/call-proxy.test.ts
@@ -326,3 +326,16 @@
 	await clock.advance(100);
 	t.deepEqual([...reported].toSorted(), [...granted].toSorted());
 });
+
+// Guards against a stopping node that breaks off an attempt without having another one.
+test('a slow attempt goes on when it is too late in a stop for another', async t => {
+	const slow = {...answer(core.AnswerMeaning.Completed, 200), delayMs: 1800};
+	const steps = [answer(core.AnswerMeaning.Completed, 200), slow];
+	const {clock, publish, call, sent} = createHarness(steps, {...REPEATABLE, timeoutMs: 10_000}, 5000);
+	publish(1);
+	await call();
+	await clock.advance(2800);
+	const ending = await call({requestId: 'second', deadlineMs: 8000});
+	t.is(ending.outcome, Answered);
+	t.is(sent.length, 2);
+});
