--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -230,12 +230,14 @@
 
 	const runAttempts = async (state: CallState, signal: AbortSignal): Promise<domain.ProxyEnding> => {
 		while (canTryAgain(state)) {
-			if (!mayStartNow(state)) {
+			// An attempt that was stopped for this grant is over already.
+			const successorGrant = state.nextGrant;
+			state.nextGrant = undefined;
+			if (!successorGrant && !mayStartNow(state)) {
 				return giveUp(state, domain.RefusalReason.Draining, 0);
 			}
 
-			const grant = state.nextGrant ?? (await acquire(state, signal));
-			state.nextGrant = undefined;
+			const grant = successorGrant ?? (await acquire(state, signal));
 			if (signal.aborted) {
 				if (grant.isGranted) {
 					grants.report(grant, ports.GrantResult.Cancelled, 0);
@@ -248,7 +250,7 @@
 				return giveUp(state, GRANT_REFUSAL_REASONS[grant.refusal], grant.predictedWaitMs);
 			}
 
-			if (!mayStartNow(state)) {
+			if (!successorGrant && !mayStartNow(state)) {
 				grants.report(grant, ports.GrantResult.Cancelled, 0);
 				return giveUp(state, domain.RefusalReason.Draining, 0);
 			}
