--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -230,7 +230,7 @@
 
 	const runAttempts = async (state: CallState, signal: AbortSignal): Promise<domain.ProxyEnding> => {
 		while (canTryAgain(state)) {
-			// An attempt that was stopped for this grant is over already.
+			// The attempt before was stopped for this grant, so its successor starts whatever the time.
 			const successorGrant = state.nextGrant;
 			state.nextGrant = undefined;
 			if (!successorGrant && !mayStartNow(state)) {
