--- a/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
+++ b/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
@@ -23,6 +23,7 @@
 			priority: 1,
 		},
 	],
+	unreadableRoutes: [],
 	services: [{service: 'malipo', healthPath: '/health', connectionLimit: 390}],
 	limits: {headerLimitBytes: 16_384, bodyLimitBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
 };
@@ -75,3 +76,54 @@
 		t.false(transfer({...reply, topics}).success);
 	});
 });
+
+// Guards against a record of another version that makes a node refuse the whole reply of its peer.
+test('a record of another version is marked, and the other records of the reply are read', t => {
+	const encoded = FLEET_REPLY_ENCODERS[PullRegistry](buildReply(CATALOGUE)) as {topics: Record<string, unknown>};
+	const node = {nodeId: 'n', incarnationId: 'n#1', address: '10.0.0.1:1', region: 'pwani', availabilityZone: 'temeke'};
+	const records = [
+		{key: 'n', offset: 0, value: node},
+		{key: 'newer', offset: 1, value: {...node, address: {ip: '10.0.0.2', port: 1}}},
+		{key: 'removed', offset: 2},
+	];
+	const topics = {...encoded.topics, [core.RegistryTopic.Nodes]: {records, nextOffset: 3, isWhole: true}};
+	const received = transfer({...encoded, topics}).data!;
+	t.deepEqual(
+		received.topics.nodes.records.map(({key, value, isUnreadable}) => [key, value?.nodeId, isUnreadable]),
+		[
+			['n', 'n', undefined],
+			['newer', undefined, true],
+			['removed', undefined, undefined],
+		],
+	);
+	t.is(received.topics.catalogue.records[0]?.value?.version, 7);
+});
+
+const ROUTES_OF_OTHER_VERSIONS = [
+	{
+		name: 'an unknown repeatability',
+		change: {repeatability: 'twice'},
+		routes: [{...CATALOGUE.routes[0]!, repeatability: domain.Repeatability.Single}],
+		unreadableRoutes: [],
+	},
+	{name: 'an unknown field', change: {mirror: 'other'}, routes: CATALOGUE.routes, unreadableRoutes: []},
+	{
+		name: 'a timeout of another type',
+		change: {timeoutMs: '2 s'},
+		routes: [],
+		unreadableRoutes: [{routeId: 'route', host: 'malipo.example', pathPrefix: '/clearances/'}],
+	},
+];
+
+ROUTES_OF_OTHER_VERSIONS.forEach(({name, change, routes, unreadableRoutes}) => {
+	test(`a route with ${name} does not affect the rest of the catalogue`, t => {
+		const other = {...CATALOGUE.routes[0]!, routeId: 'other', pathPrefix: '/other/'};
+		const {unreadableRoutes: _omitted, ...older} = CATALOGUE;
+		const text = encodeText({...older, routes: [{...CATALOGUE.routes[0]!, ...change}, other]});
+		const reply = buildReply(CATALOGUE);
+		const records = [{key: 'config', offset: 0, value: text}];
+		const topics = {...reply.topics, [core.RegistryTopic.Catalogue]: {records, nextOffset: 1, isWhole: true}};
+		const catalogue = transfer({...reply, topics}).data?.topics.catalogue.records[0]?.value;
+		t.deepEqual(catalogue, {...CATALOGUE, routes: [...routes, other], unreadableRoutes});
+	});
+});
--- a/packages/adapters/src/front/refusal-statuses.ts
+++ b/packages/adapters/src/front/refusal-statuses.ts
@@ -3,6 +3,7 @@
 /** HTTP status that a caller receives for each refusal reason. */
 export const REFUSAL_STATUSES: Record<domain.RefusalReason, number> = {
 	[domain.RefusalReason.UnknownRoute]: 404,
+	[domain.RefusalReason.UnreadableRoute]: 503,
 	[domain.RefusalReason.MethodNotAllowed]: 405,
 	[domain.RefusalReason.BadRequest]: 400,
 	[domain.RefusalReason.BodyTooLarge]: 413,
--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -47,6 +47,11 @@
 		help: "Requests for slots that this node's dispatchers decided, by standing of the target or by refusal",
 		labelNames: ['service', 'result'],
 	},
+	[core.CounterName.UnreadableRecords]: {
+		name: 'unreadable_records_total',
+		help: 'Records of the store, or parts of them, that cannot be read, by what follows',
+		labelNames: ['topic', 'effect'],
+	},
 };
 
 const GAUGES: Record<core.GaugeName, MetricDefinition> = {
--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -3,6 +3,7 @@
 import * as neverthrow from 'neverthrow';
 import * as zod from 'zod';
 import {decodeCatalogue, encodeCatalogue, cacheCatalogueText} from './catalogue-text.js';
+import {withFallback} from './with-fallback.js';
 
 const targetSchema = zod.object({
 	targetId: zod.string(),
@@ -24,22 +25,48 @@
 	availabilityZone: zod.string(),
 });
 
+/** Nodes of other versions may know more kinds of calls. A call that this node knows nothing of runs at most once. */
+const repeatabilitySchema = withFallback(zod.enum(domain.Repeatability), domain.Repeatability.Single);
+
+const routeSchema = zod.object({
+	routeId: zod.string(),
+	host: zod.string(),
+	pathPrefix: zod.string(),
+	shares: zod.array(zod.object({service: zod.string(), weight: zod.number()})).min(1),
+	repeatability: repeatabilitySchema,
+	isBulk: zod.boolean(),
+	timeoutMs: zod.number(),
+	latencyObjectiveMs: zod.number(),
+	attemptLimit: zod.int().positive(),
+	priority: zod.number(),
+});
+
+const optionalTextSchema = withFallback(zod.string().optional(), undefined);
+
+const unreadableRouteSchema = zod.object({
+	routeId: optionalTextSchema,
+	host: optionalTextSchema,
+	pathPrefix: optionalTextSchema,
+});
+
+type ParsedRoutes = Pick<domain.FleetCatalogue, 'routes' | 'unreadableRoutes'>;
+
+/** Parses each route by itself, so that one of another version does not take the others out of force. */
+const parseRoutes = (given: readonly unknown[]): ParsedRoutes => {
+	const parsed = given.map(route => ({route, result: routeSchema.safeParse(route)}));
+	return {
+		routes: parsed.flatMap(({result}) => (result.success ? [result.data] : [])),
+		unreadableRoutes: parsed.flatMap(({route, result}) =>
+			result.success ? [] : [unreadableRouteSchema.safeParse(route).data ?? {}],
+		),
+	};
+};
+
 const catalogueSchema = zod.object({
 	version: zod.number(),
-	routes: zod.array(
-		zod.object({
-			routeId: zod.string(),
-			host: zod.string(),
-			pathPrefix: zod.string(),
-			shares: zod.array(zod.object({service: zod.string(), weight: zod.number()})).min(1),
-			repeatability: zod.enum(domain.Repeatability),
-			isBulk: zod.boolean(),
-			timeoutMs: zod.number(),
-			latencyObjectiveMs: zod.number(),
-			attemptLimit: zod.int().positive(),
-			priority: zod.number(),
-		}),
-	),
+	routes: zod.array(zod.unknown()).transform(parseRoutes),
+	// Nodes of earlier versions omit this field.
+	unreadableRoutes: zod.array(unreadableRouteSchema).default([]),
 	services: zod.array(zod.object({service: zod.string(), healthPath: zod.string(), connectionLimit: zod.number()})),
 	limits: zod.object({
 		headerLimitBytes: zod.number(),
@@ -49,11 +76,20 @@
 	}),
 });
 
+const joinRoutes = ({
+	routes: {routes, unreadableRoutes},
+	...catalogue
+}: zod.output<typeof catalogueSchema>): domain.FleetCatalogue => ({
+	...catalogue,
+	routes,
+	unreadableRoutes: [...catalogue.unreadableRoutes, ...unreadableRoutes],
+});
+
 /** Catalogues are sent compressed, because the complete catalogue goes to each node of a region. */
 const catalogueTextSchema = zod.string().transform((text, context): domain.FleetCatalogue => {
 	const parsed = decodeCatalogue(text).andThen(value => {
 		const checked = catalogueSchema.safeParse(value);
-		return checked.success ? neverthrow.ok(checked.data) : neverthrow.err(checked.error.message);
+		return checked.success ? neverthrow.ok(joinRoutes(checked.data)) : neverthrow.err(checked.error.message);
 	});
 	if (parsed.isErr()) {
 		context.addIssue({code: 'custom', message: parsed.error});
@@ -64,16 +100,24 @@
 	return parsed.value;
 });
 
-const buildTopicChangesSchema = <Value extends zod.ZodType>(value: Value) =>
+const buildRecordSchema = <Value extends zod.ZodType>(value: Value) =>
 	zod.object({
-		records: zod.array(
-			zod.object({
-				key: zod.string(),
-				offset: zod.int(),
-				value: value.optional(),
-				isProvisional: zod.boolean().optional(),
-			}),
-		),
+		key: zod.string(),
+		offset: zod.int(),
+		value: value.optional(),
+		isProvisional: zod.boolean().optional(),
+	});
+
+/** Accepts records of other versions. One that cannot be read is marked, so that the other records of a reply stay in use. */
+const buildTolerantRecordSchema = <Value extends zod.ZodType>(value: Value) =>
+	buildRecordSchema(zod.unknown()).transform(record => {
+		const parsed = value.optional().safeParse(record.value);
+		return {...record, value: parsed.data, ...(!parsed.success && {isUnreadable: true})};
+	});
+
+const buildTopicChangesSchema = <RecordSchema extends zod.ZodType>(record: RecordSchema) =>
+	zod.object({
+		records: zod.array(record),
 		nextOffset: zod.int(),
 		isWhole: zod.boolean(),
 		isProvisional: zod.boolean().optional(),
@@ -87,7 +131,7 @@
 	service: zod.string(),
 	region: zod.string(),
 	priority: zod.number(),
-	repeatability: zod.enum(domain.Repeatability),
+	repeatability: repeatabilitySchema,
 	attemptIndex: zod.int().nonnegative(),
 	// Nodes of earlier versions omit this field. Without the default, newer nodes would refuse their requests during a
 	// rolling update.
@@ -109,7 +153,7 @@
 	}),
 	zod.object({
 		isGranted: zod.literal(false),
-		refusal: zod.enum(core.GrantRefusal),
+		refusal: withFallback(zod.enum(core.GrantRefusal), core.GrantRefusal.Busy),
 		predictedWaitMs: zod.number(),
 	}),
 ]);
@@ -132,7 +176,8 @@
 			service: zod.string(),
 			region: zod.string(),
 			targetId: zod.string(),
-			result: zod.enum(core.GrantResult),
+			// The result of a newer version says nothing about the target here, but it frees the slot.
+			result: withFallback(zod.enum(core.GrantResult), core.GrantResult.Cancelled),
 			durationMs: zod.number(),
 		}),
 		reply: zod.object({}),
@@ -144,9 +189,9 @@
 		}),
 		reply: zod.object({
 			topics: zod.object({
-				[core.RegistryTopic.Catalogue]: buildTopicChangesSchema(catalogueTextSchema),
-				[core.RegistryTopic.Targets]: buildTopicChangesSchema(targetSchema),
-				[core.RegistryTopic.Nodes]: buildTopicChangesSchema(nodeSchema),
+				[core.RegistryTopic.Catalogue]: buildTopicChangesSchema(buildRecordSchema(catalogueTextSchema)),
+				[core.RegistryTopic.Targets]: buildTopicChangesSchema(buildTolerantRecordSchema(targetSchema)),
+				[core.RegistryTopic.Nodes]: buildTopicChangesSchema(buildTolerantRecordSchema(nodeSchema)),
 			}),
 			isStale: zod.boolean(),
 			topicAgesMs: zod.record(zod.enum(core.RegistryTopic), zod.number()),
--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -151,7 +151,18 @@
 		isReady: () =>
 			!stopping.signal.aborted && registry.catalogue() !== undefined && registry.replicas.targets.nextOffset() >= 0,
 		async run(signal) {
-			const sync = {self, seedAddresses, registry, storeReader, peerClient, peerReachability, clock, random, logger};
+			const sync = {
+				self,
+				seedAddresses,
+				registry,
+				storeReader,
+				peerClient,
+				peerReachability,
+				clock,
+				random,
+				logger,
+				metrics,
+			};
 			await Promise.all([runRegistrySync(sync, signal), registerNode(signal)]);
 		},
 		async leave(endsAtMs) {
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -11,6 +11,7 @@
 	PeerMessages = 'peerMessages',
 	StoreCalls = 'storeCalls',
 	Grants = 'grants',
+	UnreadableRecords = 'unreadableRecords',
 }
 
 export enum GaugeName {
--- a/packages/core/src/ports/registry-store.ts
+++ b/packages/core/src/ports/registry-store.ts
@@ -15,6 +15,30 @@
 	[RegistryTopic.Nodes]: domain.RegisteredNode;
 };
 
+/** What follows from a record, or a part of one, that cannot be read. */
+export enum UnreadableEffect {
+	/** The rule's last readable version stays in force; without one, its calls are refused. */
+	RouteLeftOut = 'route-left-out',
+	/** The rule is used, and its calls run at most once. */
+	RunsOnce = 'runs-once',
+	/** The service's entry is left out. */
+	ServiceLeftOut = 'service-left-out',
+	/** A default takes the place of the value. */
+	DefaultUsed = 'default-used',
+	/** The last readable record of the key stays in force. */
+	LastRecordKept = 'last-record-kept',
+	/** The record names no target. */
+	NoTarget = 'no-target',
+}
+
+/** What follows from a record that cannot be read as a whole. */
+export const UNREADABLE_RECORD_EFFECTS: Record<RegistryTopic, UnreadableEffect> = {
+	[RegistryTopic.Catalogue]: UnreadableEffect.LastRecordKept,
+	// Such a record may come from another writer, and the platform says that it names no target.
+	[RegistryTopic.Targets]: UnreadableEffect.NoTarget,
+	[RegistryTopic.Nodes]: UnreadableEffect.LastRecordKept,
+};
+
 /** The newest record of a key. */
 export type RegistryRecord<Topic extends RegistryTopic> = {
 	readonly key: string;
@@ -22,6 +46,8 @@
 	readonly offset: number;
 	/** Absent when the record was removed or cannot be used. */
 	readonly value: RegistryValues[Topic] | undefined;
+	/** True if the key has a record, but this version of the program cannot read it. */
+	readonly isUnreadable?: boolean;
 	/**
 	 * True for a removal read shortly after an outage of the store. Registrations expire during an outage and are
 	 * renewed shortly after it, so such a removal takes effect only after a delay.
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -7,7 +7,7 @@
 import {limitAnswerTime} from './limit-answer-time.js';
 import {ANSWER_VERDICTS, ERROR_VERDICTS, GRANT_REFUSAL_REASONS} from './attempt-verdicts.js';
 import type {CallState} from './call-state.js';
-import {createHostRoutes, type HostRoutes} from './host-routes.js';
+import {createHostRoutes, RouteMatchKind, type HostRoutes} from './host-routes.js';
 import {pickService} from './pick-service.js';
 import {DEFAULT_PROXY_OPTIONS, type ProxyOptions} from './proxy-options.js';
 import {createEndingRecorder} from './record-ending.js';
@@ -48,6 +48,18 @@
 	retryAfterMs,
 });
 
+/** Shortest `Retry-After` of calls whose rule cannot be read: the operator has to write it again. */
+const UNREADABLE_ROUTE_RETRY_MS = 1000;
+
+/** Refusals of calls without a route. */
+const UNROUTED_REFUSALS: Record<
+	Exclude<RouteMatchKind, RouteMatchKind.Readable>,
+	(retryAfterMs: number) => domain.RefusedEnding
+> = {
+	[RouteMatchKind.None]: () => refuse(domain.RefusalReason.UnknownRoute),
+	[RouteMatchKind.Unreadable]: retryAfterMs => refuse(domain.RefusalReason.UnreadableRoute, retryAfterMs),
+};
+
 export const createCallProxy = (parts: CallProxyParts): CallProxy => {
 	const {registry, grants, clock, logger, metrics} = parts;
 	const options = {...DEFAULT_PROXY_OPTIONS, ...parts.options};
@@ -56,7 +68,10 @@
 
 	const indexRoutes = (catalogue: domain.FleetCatalogue): HostRoutes => {
 		if (cachedIndex?.version !== catalogue.version) {
-			cachedIndex = {version: catalogue.version, routes: createHostRoutes(catalogue.routes)};
+			cachedIndex = {
+				version: catalogue.version,
+				routes: createHostRoutes(catalogue.routes, catalogue.unreadableRoutes),
+			};
 		}
 
 		return cachedIndex.routes;
@@ -308,11 +323,13 @@
 			return refuseUnrouted(refuse(domain.RefusalReason.NoCatalogue, computeRetryAfterMs(NO_CATALOGUE_RETRY_MS)));
 		}
 
-		const route = indexRoutes(catalogue).find(call.host, call.pathAndQuery.split('?', 1)[0]!);
-		if (!route) {
-			return refuseUnrouted(refuse(domain.RefusalReason.UnknownRoute));
+		const match = indexRoutes(catalogue).find(call.host, call.pathAndQuery.split('?', 1)[0]!);
+		if (match.kind !== RouteMatchKind.Readable) {
+			return refuseUnrouted(UNROUTED_REFUSALS[match.kind](computeRetryAfterMs(UNREADABLE_ROUTE_RETRY_MS)));
 		}
 
+		const {route} = match;
+
 		const state: CallState = {
 			call,
 			route,
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -21,6 +21,7 @@
 	readonly clock: ports.Clock;
 	readonly random: ports.Random;
 	readonly logger: ports.Logger;
+	readonly metrics: ports.Metrics;
 };
 
 /** How long a source that was stale or did not answer is excluded, so that the next in the ranking reads in its place. */
@@ -101,6 +102,26 @@
 		}
 	};
 
+	/** Logs and counts the records of a peer that cannot be read, such as those of a newer version of the program. */
+	const reportUnreadable = (peer: string, topics: ports.PullRegistryReply['topics']): void => {
+		Object.values(ports.RegistryTopic).forEach(topic => {
+			const effect = ports.UNREADABLE_RECORD_EFFECTS[topic];
+			(topics[topic].records as ReadonlyArray<ports.RegistryRecord<ports.RegistryTopic>>)
+				.filter(({isUnreadable}) => isUnreadable)
+				.forEach(({key, offset}) => {
+					options.metrics.increment(ports.CounterName.UnreadableRecords, {topic, effect});
+					logger.warn('record of a peer cannot be read', {
+						event: ports.LogEvent.RecordUnusable,
+						topic,
+						key,
+						offset,
+						effect,
+						peer,
+					});
+				});
+		});
+	};
+
 	/** Pulls changes from a peer and applies them. True if the peer answered and is not stale. */
 	const pullFrom = async (address: string, pullOptions: PullOptions): Promise<boolean> => {
 		const {waitMs, staleExclusionMs, noAnswerExclusionMs} = hasNeverRead() ? BOOTSTRAP_PULL : pullOptions;
@@ -133,6 +154,7 @@
 
 		peerReachability.recordSuccess(address);
 		const {topics, isStale, topicAgesMs} = reply.value;
+		reportUnreadable(address, topics);
 		registry.apply(topics, topicAgesMs);
 		registry.setSourceLost(isStale);
 		if (isStale) {
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -2,6 +2,7 @@
 import * as ports from '../ports/index.js';
 import {createChangeNotifier} from '../shared/change-notifier.js';
 import {groupBy} from '../shared/group-by.js';
+import {carryOverRoutes} from './carry-over-routes.js';
 import {createNodeRanking} from './node-ranking.js';
 import type {PeerReachability} from './peer-reachability.js';
 import {createReplica, type Replica} from './replica.js';
@@ -151,6 +152,7 @@
 				version: newest.version,
 				previousVersion: catalogue?.version,
 				routeCount: newest.routes.length,
+				unreadableRouteCount: newest.unreadableRoutes.length,
 				registryAgeMs: Math.round(topicAges.oldestMs()),
 				topicAgesMs: topicAges.list(),
 			});
@@ -165,6 +167,18 @@
 		changes: ports.TopicChanges<Topic> | undefined,
 	): boolean => changes !== undefined && (replicas[topic] as unknown as Replica<Topic>).apply(changes);
 
+	/** Completes new catalogues before they are stored, so that followers get the rules that are in force here. */
+	const completeCatalogues = (
+		changes: ports.TopicChanges<ports.RegistryTopic.Catalogue> | undefined,
+	): ports.TopicChanges<ports.RegistryTopic.Catalogue> | undefined =>
+		changes && {
+			...changes,
+			records: changes.records.map(record => ({
+				...record,
+				value: record.value && carryOverRoutes(catalogue, record.value),
+			})),
+		};
+
 	const confirmTopic = (topic: ports.RegistryTopic, confirmedAgeMs: number): void => {
 		metrics.set(ports.GaugeName.RegistryAgeSeconds, {topic}, topicAges.ageMs(topic) / MS_PER_SECOND);
 		topicAges.confirm(topic, confirmedAgeMs);
@@ -182,7 +196,8 @@
 		nodesOf,
 		rankNodes: ranking.rank,
 		rankReaders: limitCount => readerRanking.rank(READER_KEY, self.region, limitCount),
-		apply(topics, topicAgesMs = {}) {
+		apply(given, topicAgesMs = {}) {
+			const topics = {...given, [ports.RegistryTopic.Catalogue]: completeCatalogues(given.catalogue)};
 			const changedTopics = TOPICS.filter(topic => applyTopic(topic, topics[topic] as never));
 			TOPICS.filter(topic => topics[topic] !== undefined).forEach(topic => {
 				confirmTopic(topic, topicAgesMs[topic] ?? 0);
--- a/packages/core/src/registry/replica.ts
+++ b/packages/core/src/registry/replica.ts
@@ -46,13 +46,16 @@
 		left.incarnationId === right.incarnationId && left.address === right.address,
 };
 
-/** Whether the last valid value of a key stays in use when its record is removed or malformed. */
-const KEEPS_LAST_VALUE: Record<ports.RegistryTopic, boolean> = {
+/** Whether the last readable value of a key stays in use when its record is removed. */
+const KEEPS_REMOVED_VALUE: Record<ports.RegistryTopic, boolean> = {
 	[ports.RegistryTopic.Catalogue]: true,
 	[ports.RegistryTopic.Targets]: false,
 	[ports.RegistryTopic.Nodes]: false,
 };
 
+const keepsUnreadableValue = (topic: ports.RegistryTopic): boolean =>
+	ports.UNREADABLE_RECORD_EFFECTS[topic] === ports.UnreadableEffect.LastRecordKept;
+
 export const createReplica = <Topic extends ports.RegistryTopic>(topic: Topic, clock: ports.Clock): Replica<Topic> => {
 	const entries = new Map<string, ReplicaEntry<Topic>>();
 	let nextOffset = -1;
@@ -63,7 +66,8 @@
 	const isUnchanged = (existing: ReplicaEntry<Topic> | undefined, record: ports.RegistryRecord<Topic>): boolean => {
 		const value = existing?.record.value;
 		if (record.value === undefined) {
-			return value === undefined || KEEPS_LAST_VALUE[topic];
+			const isKept = record.isUnreadable ? keepsUnreadableValue(topic) : KEEPS_REMOVED_VALUE[topic];
+			return value === undefined || isKept;
 		}
 
 		return value !== undefined && VALUE_COMPARATORS[topic](value, record.value);
--- a/packages/domain/src/fleet-catalogue.ts
+++ b/packages/domain/src/fleet-catalogue.ts
@@ -28,6 +28,17 @@
 	readonly priority: number;
 };
 
+/**
+ * A rule of the catalogue that this version of the program cannot read. It covers the calls that it may be meant for: a missing
+ * host stands for every host, and a missing prefix for every path.
+ */
+export type UnreadableRoute = {
+	readonly routeId?: string;
+	readonly host?: string;
+	/** Begins and ends with a slash. */
+	readonly pathPrefix?: string;
+};
+
 /** A service, with the settings common to its targets. */
 export type FleetService = {
 	readonly service: string;
@@ -50,6 +61,8 @@
 	/** Rises with each edit. */
 	readonly version: number;
 	readonly routes: readonly HostRoute[];
+	/** Rules that cannot be read. Their calls are refused, since the catalogue allows them but does not say how to serve them. */
+	readonly unreadableRoutes: readonly UnreadableRoute[];
 	readonly services: readonly FleetService[];
 	readonly limits: CallerLimits;
 };
--- a/packages/domain/src/refusal-reason.ts
+++ b/packages/domain/src/refusal-reason.ts
@@ -1,6 +1,7 @@
 /** Why a call ended without a target's answer. Each reason has a counter. */
 export enum RefusalReason {
 	UnknownRoute = 'unknown-route',
+	UnreadableRoute = 'unreadable-route',
 	MethodNotAllowed = 'method-not-allowed',
 	BadRequest = 'bad-request',
 	BodyTooLarge = 'body-too-large',
--- a/packages/fakes/src/build-fleet.ts
+++ b/packages/fakes/src/build-fleet.ts
@@ -42,6 +42,7 @@
 export const buildFleetCatalogue = (version: number, routes: readonly domain.HostRoute[]): domain.FleetCatalogue => ({
 	version,
 	routes,
+	unreadableRoutes: [],
 	services: [{service: 'malipo', healthPath: '/health', connectionLimit: 390}],
 	limits: {headerLimitBytes: 16_384, bodyLimitBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000},
 });
