fix(adapters): an answer that is cancelled unread does not end the process

Cause: an answer beyond 256 KiB becomes a stream. One that is not forwarded, such as a refusal, is cancelled unread, and the stream's error had no listener: the process ended with all its other calls. One target that sends a refusal with a body without end was enough ("Unhandled 'error' event ... the work was stopped", target-announcements.test, refusals with endless bodies).

Change: the stream has a listener; its consumer still sees the error.

--- a/packages/adapters/src/peer/fleet-peer-client.ts
+++ b/packages/adapters/src/peer/fleet-peer-client.ts
@@ -1,7 +1,7 @@
-import {Buffer} from 'node:buffer';
 import * as core from '@bilberrydoor/core';
 import * as neverthrow from 'neverthrow';
 import * as undici from 'undici';
+import {collectBody} from '../http/collect-body.js';
 import {isConnectError} from '../http/connect-error.js';
 import {FLEET_MESSAGE_SCHEMAS} from './fleet-message-schemas.js';
 import {FLEET_PATH} from './fleet-peer-app.js';
@@ -13,12 +13,16 @@
 	readonly connectionLimit: number;
 	/** How long an idle connection is kept, in ms. */
 	readonly keepAliveMs: number;
+	/** Largest reply that is read, in bytes. */
+	readonly replyLimitBytes: number;
 };
 
 export const DEFAULT_FLEET_PEER_CLIENT_OPTIONS: FleetPeerClientOptions = {
 	connectTimeoutMs: 500,
 	connectionLimit: 64,
 	keepAliveMs: 4000,
+	// Replies with 30,000 targets, or a compressed catalogue of the planned 110,000 routes, are smaller.
+	replyLimitBytes: 16 * 1024 * 1024,
 };
 
 /** Envelope of a tRPC reply. */
@@ -48,13 +52,8 @@
 					body: JSON.stringify(request),
 					signal,
 				});
-				const chunks: Uint8Array[] = [];
-				for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
-					chunks.push(chunk);
-					noteProgress?.();
-				}
-
-				const reply = JSON.parse(Buffer.concat(chunks).toString()) as TrpcReply;
+				const bytes = await collectBody(response.body, {limitBytes: options.replyLimitBytes, noteProgress});
+				const reply = JSON.parse(new TextDecoder().decode(bytes)) as TrpcReply;
 				const parsed = FLEET_MESSAGE_SCHEMAS[kind].reply.safeParse(reply.result?.data);
 				return parsed.success
 					? neverthrow.ok(parsed.data)
--- a/packages/adapters/src/target/answer-receiver.ts
+++ b/packages/adapters/src/target/answer-receiver.ts
@@ -60,7 +60,7 @@
 			return;
 		}
 
-		this.finish(neverthrow.ok({...this.describeHead(), body: Buffer.concat(this.bufferedChunks)}));
+		this.finish(neverthrow.ok({...this.head(), body: Buffer.concat(this.bufferedChunks)}));
 	}
 
 	onResponseError(_controller: unknown, error: Error): void {
@@ -68,28 +68,31 @@
 		this.finish(neverthrow.err(error));
 	}
 
+	/** Head of the answer; status 0 and no headers before it has arrived. */
+	head(): Pick<domain.TargetAnswer, 'status' | 'headers'> {
+		return {status: this.status, headers: this.answerHeaders};
+	}
+
 	/** Aborts the exchange. A request that has not been sent yet is not sent afterwards. */
 	cancel(reason: Error): void {
 		this.cancelReason = reason;
 		this.controller?.abort(reason);
 	}
 
-	private describeHead(): Pick<domain.TargetAnswer, 'status' | 'headers'> {
-		return {status: this.status, headers: this.answerHeaders};
-	}
-
 	private startStreaming(controller: undici.Dispatcher.DispatchController): void {
 		const readable = new stream.Readable({
 			read() {
 				controller.resume();
 			},
 		});
+		// An answer that is not forwarded is cancelled unread. Without a listener, its error would end the process.
+		readable.on('error', () => undefined);
 		this.bodyStream = readable;
 		this.bufferedChunks.forEach(chunk => {
 			this.pushToStream(controller, chunk);
 		});
 		this.bufferedChunks = [];
-		this.finish(neverthrow.ok({...this.describeHead(), body: readable}));
+		this.finish(neverthrow.ok({...this.head(), body: readable}));
 	}
 
 	private pushToStream(controller: undici.Dispatcher.DispatchController, chunk: Uint8Array): void {
