feat(registry): large groups are dispatched by nodes that are large enough

Cause: nodes rank for a group whatever their size.

Change: a node's record carries its processor capacity. Nodes of equal capacity rank as before. Readers and relays rank in the same way.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -23,6 +23,7 @@
 	address: zod.string(),
 	region: zod.string(),
 	availabilityZone: zod.string(),
+	capacityCores: zod.number().positive().default(domain.DEFAULT_CAPACITY_CORES),
 });
 
 /** Nodes of other versions may know more kinds of calls. A call that this node knows nothing of runs at most once. */
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -23,7 +23,7 @@
 	/** Known nodes of a region, including this one in its own region. */
 	nodesOf(region: string): readonly domain.RegisteredNode[];
 	/**
-	 * Reachable nodes of the region, best first for the key. Ranks by incarnation, so that a restarted node, whose in-memory
+	 * Reachable nodes of the region, best first for the key, which is the id of a group. Ranks by incarnation, so that a restarted node, whose in-memory
 	 * state is lost, rarely gets its former rank.
 	 */
 	rankNodes(key: string, region: string, limitCount: number): readonly domain.RegisteredNode[];
@@ -71,6 +71,12 @@
 /** Key under which the nodes of a region are ranked for reading the store. */
 const READER_KEY = 'registry-reader';
 
+/** A slot serves two or three calls a second, and each call takes its dispatcher 0.8 ms. */
+const DISPATCHER_CORES_PER_SLOT = 0.002;
+
+/** Readers and relays answer one pull a second of each follower, and send every change to all of them. */
+const READER_CORES_PER_NODE = 0.002;
+
 const TOPICS = Object.values(ports.RegistryTopic);
 
 /** Age at which the target index is rebuilt, since after a store outage targets expire without a new record. */
@@ -81,6 +87,7 @@
 	readonly revision: number;
 	readonly byId: ReadonlyMap<string, domain.RegisteredTarget>;
 	readonly byGroup: ReadonlyMap<string, readonly domain.RegisteredTarget[]>;
+	readonly slotCountByGroup: ReadonlyMap<string, number>;
 	readonly regionsByService: ReadonlyMap<string, readonly string[]>;
 };
 
@@ -94,6 +101,9 @@
 
 		const byId = replica.values();
 		const byGroup = groupBy(byId.values(), ({service, region}) => buildGroupId(service, region));
+		const slotCountByGroup = new Map(
+			[...byGroup].map(([groupId, targets]) => [groupId, targets.reduce((sum, {slotCount}) => sum + slotCount, 0)]),
+		);
 		const oneTargetPerGroup = [...byGroup.values()].map(([target]) => target!);
 		const regionsByService = new Map(
 			[...groupBy(oneTargetPerGroup, ({service}) => service)].map(([service, targets]) => [
@@ -101,7 +111,7 @@
 				targets.map(({region}) => region),
 			]),
 		);
-		index = {builtAtMs: nowMs, revision: replica.revision(), byId, byGroup, regionsByService};
+		index = {builtAtMs: nowMs, revision: replica.revision(), byId, byGroup, slotCountByGroup, regionsByService};
 		return index;
 	};
 };
@@ -133,8 +143,16 @@
 		isUsable: ({nodeId, address}: domain.RegisteredNode) =>
 			nodeId === self.nodeId || options.peerReachability.isUsable(address),
 	};
-	const ranking = createNodeRanking({...rankingOptions, readRankingId: ({incarnationId}) => incarnationId});
-	const readerRanking = createNodeRanking({...rankingOptions, readRankingId: ({nodeId}) => nodeId});
+	const ranking = createNodeRanking({
+		...rankingOptions,
+		readRankingId: ({incarnationId}) => incarnationId,
+		readNeededCores: groupId => (readTargetIndex().slotCountByGroup.get(groupId) ?? 0) * DISPATCHER_CORES_PER_SLOT,
+	});
+	const readerRanking = createNodeRanking({
+		...rankingOptions,
+		readRankingId: ({nodeId}) => nodeId,
+		readNeededCores: (_key, region) => nodesOf(region).length * READER_CORES_PER_NODE,
+	});
 
 	const isStale = (): boolean => isSourceMarkedLost || topicAges.isStale();
 
--- a/packages/core/src/routing/rendezvous-ranking.ts
+++ b/packages/core/src/routing/rendezvous-ranking.ts
@@ -60,6 +60,26 @@
 	return ranking;
 };
 
+/** Number of 32-bit hashes. */
+const HASH_COUNT = 2 ** 32;
+
+/**
+ * Ranks candidates for a key by weighted rendezvous hashing: each ranks first for a share of the keys in proportion to its
+ * weight. With equal weights the order is that of {@link rankByRendezvous}.
+ */
+export const rankByWeightedRendezvous = <T extends {readonly address: string; readonly weight: number}>(
+	key: string,
+	candidates: readonly T[],
+	limitCount: number,
+): T[] => {
+	let ranking: ReadonlyArray<RankedCandidate<T>> = [];
+	candidates.forEach(candidate => {
+		const fraction = (scoreRendezvous(key, candidate.address) + 0.5) / HASH_COUNT;
+		ranking = insertRanked(ranking, {candidate, score: -candidate.weight / Math.log(fraction)}, limitCount);
+	});
+	return ranking.map(({candidate}) => candidate);
+};
+
 /**
  * Ranks candidates for a key by rendezvous hashing. Removing a candidate reassigns only the keys for which it ranked
  * first.
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -33,6 +33,7 @@
 	address: settings.peerAddress,
 	region: settings.region,
 	availabilityZone: settings.availabilityZone,
+	capacityCores: settings.capacityCores,
 });
 
 /** Runs a fleet node on the platform until SIGTERM or SIGINT, then drains it and ends its tasks. */
--- a/packages/domain/src/registered-target.ts
+++ b/packages/domain/src/registered-target.ts
@@ -28,4 +28,9 @@
 	readonly address: string;
 	readonly region: string;
 	readonly availabilityZone: string;
+	/** Processor cores that the node may use. */
+	readonly capacityCores: number;
 };
+
+/** Capacity assumed for nodes of earlier versions, whose records have none. */
+export const DEFAULT_CAPACITY_CORES = 0.5;
--- a/packages/fakes/src/build-fleet.ts
+++ b/packages/fakes/src/build-fleet.ts
@@ -21,6 +21,7 @@
 	address: `${nodeId}:1`,
 	region: 'pwani',
 	availabilityZone: 'kinondoni',
+	capacityCores: 0.5,
 	...given,
 });
 
