feat(grants): every node that uses a group knows its leaving targets

Cause: a dispatcher that was restarted, and became the dispatcher again, knew of no leaving target until a node that had received the announcement asked it. restarts.test: a leaving target got 2 calls instead of 1 after the restart of its dispatcher.

Change: the reply to a request carries the leaving targets of the group that the requesting node has not been told of, once. Each node tells them to the next dispatcher with its first request. Pauses are short and stay with the dispatcher.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -162,11 +162,13 @@
 		target: targetSchema,
 		standing: zod.string(),
 		usualDurationMs: zod.number().optional(),
+		targetNotices: zod.array(targetNoticeSchema).optional(),
 	}),
 	zod.object({
 		isGranted: zod.literal(false),
 		refusal: withFallback(zod.enum(core.GrantRefusal), core.GrantRefusal.Busy),
 		predictedWaitMs: zod.number(),
+		targetNotices: zod.array(targetNoticeSchema).optional(),
 	}),
 ]);
 
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -151,6 +151,9 @@
 			const reply = await requestFromPeer(dispatcher, {...buildRequest(triedCount), targetNotices}, signal);
 			if (reply) {
 				markTold();
+				reply.targetNotices?.forEach(notice => {
+					notices.record(notice, dispatcher.nodeId);
+				});
 			}
 
 			return reply;
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -1,5 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import {createRecentMap} from '../shared/recent-map.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
@@ -48,6 +49,9 @@
 	readonly listTargets: () => readonly domain.RegisteredTarget[];
 };
 
+/** Requesting nodes for which it is kept which notices they have. */
+const TOLD_NODE_LIMIT_COUNT = 4096;
+
 /** Id of no node. A target's standing for it does not depend on the paths that single nodes have lost. */
 const NO_NODE_ID = '';
 
@@ -62,6 +66,8 @@
 	const phases = createGrayPhaseEstimator(options);
 	const budget = createFleetRetryBudget(options, clock);
 	const unservedRatio = createUnservedRatio(clock);
+	/** Revision of the notices that each requesting node has received. */
+	const toldRevisions = createRecentMap<string, number>(TOLD_NODE_LIMIT_COUNT);
 	/** Makes grant ids unique and orders the waiting calls by arrival. */
 	let sequenceNumber = 0;
 	let waitingCallsCheckedAtMs = -WAITING_CALLS_CHECK_MS;
@@ -170,6 +176,13 @@
 		return shortestPauseMs + (durationMs * (waitingCalls.countBefore(priority) + 1)) / Math.max(1, slotCount);
 	};
 
+	/** Leaving targets of which a requesting node has not been told. Pauses are short, and this dispatcher sees to them. */
+	const listUntoldNotices = (nodeId: string): readonly ports.TargetNotice[] => {
+		const toldRevision = toldRevisions.get(nodeId) ?? 0;
+		toldRevisions.set(nodeId, notices.revision());
+		return notices.list(parts.listTargets(), toldRevision).filter(({isLeaving}) => isLeaving);
+	};
+
 	const recordNotices = ({
 		targetNotices,
 		nodeId,
@@ -304,7 +317,9 @@
 				unservedRatio.record(false);
 			}
 
-			return reply;
+			// Every node that uses the group knows its notices, and tells them to the next dispatcher.
+			const targetNotices = listUntoldNotices(request.nodeId);
+			return targetNotices.length === 0 ? reply : {...reply, targetNotices};
 		},
 		report(request) {
 			recordNotices(request);
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -102,7 +102,10 @@
 	readonly predictedWaitMs: number;
 };
 
-export type AcquireGrantReply = Grant | GrantDenial;
+export type AcquireGrantReply = (Grant | GrantDenial) & {
+	/** Announcements of the group's targets that the requesting node may not know of. */
+	readonly targetNotices?: readonly TargetNotice[];
+};
 
 export type ReportResultRequest = {
 	readonly grantId: string;
