perf(grants): a decision reads each target's standing and the time once

Cause: for each grant the dispatcher listed its targets four times, read each target's standing up to five times, and the clock with each of them.

Change: the list of ready targets is kept until the registry returns another one; targets are grouped by standing once; the clock stands still during a decision; open grants are scanned only when one may have expired. Decisions are the same.

--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -2,6 +2,7 @@
 import * as ports from '../ports/index.js';
 import {createRecentMap} from '../shared/recent-map.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
+import {createDecisionClock} from './decision-clock.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
 import {createGrayPhaseEstimator} from './gray-phase-estimator.js';
@@ -60,6 +61,7 @@
 
 export const createGroupDispatcher = (parts: GroupDispatcherParts): GroupDispatcher => {
 	const {options, clock, logger, metrics, notices, groupId} = parts;
+	const decisionClock = createDecisionClock(clock);
 	const failureRatio = createUsualFailureRatio();
 	const durations = createUsualDurations();
 	const waitingCalls = createWaitingCalls();
@@ -82,7 +84,15 @@
 		listTargets: parts.listTargets,
 		notices,
 		createLedger: target =>
-			createTargetLedger(target, {options, clock, failureRatio, durations, phases, notices, readTrialRepeatability}),
+			createTargetLedger(target, {
+				options,
+				clock: decisionClock,
+				failureRatio,
+				durations,
+				phases,
+				notices,
+				readTrialRepeatability,
+			}),
 	});
 	const listReadyLedgers = ledgers.listReady;
 
@@ -98,13 +108,15 @@
 			return undefined;
 		}
 
-		const pick = pickTarget(request, {
-			ledgers: listReadyLedgers(),
-			options,
-			random: parts.random,
-			isFloorEnforced: unservedRatio.read() >= options.floorUnservedRatio,
-			hasRetry: budget.hasRetry,
-		});
+		const pick = decisionClock.decide(() =>
+			pickTarget(request, {
+				ledgers: listReadyLedgers(),
+				options,
+				random: parts.random,
+				isFloorEnforced: unservedRatio.read() >= options.floorUnservedRatio,
+				hasRetry: budget.hasRetry,
+			}),
+		);
 		if (!pick) {
 			return undefined;
 		}
--- a/packages/core/src/grants/ledger-table.ts
+++ b/packages/core/src/grants/ledger-table.ts
@@ -19,6 +19,12 @@
 
 export const createLedgerTable = (parts: LedgerTableParts): LedgerTable => {
 	const ledgers = new Map<string, TargetLedger>();
+	/** Result of the last call of `listReady`. The registry returns the same list until a record changes or 250 ms passed. */
+	let lastReady: {
+		readonly targets: readonly domain.RegisteredTarget[];
+		readonly noticeRevision: number;
+		readonly ready: readonly TargetLedger[];
+	} = {targets: [], noticeRevision: 0, ready: []};
 
 	const removeUnregistered = (targets: readonly domain.RegisteredTarget[]): void => {
 		const registeredIds = new Set(targets.map(({targetId}) => targetId));
@@ -45,11 +51,18 @@
 		get: targetId => ledgers.get(targetId),
 		listReady() {
 			const targets = parts.listTargets();
+			const noticeRevision = parts.notices.revision();
+			if (targets === lastReady.targets && noticeRevision === lastReady.noticeRevision) {
+				return lastReady.ready;
+			}
+
 			removeUnregistered(targets);
-			return targets
+			const ready = targets
 				.map(updateOrCreateLedger)
 				.filter(ledger => ledger.target().readiness === domain.TargetReadiness.Ready)
 				.filter(ledger => !parts.notices.isLeaving(ledger.target()));
+			lastReady = {targets, noticeRevision, ready};
+			return ready;
 		},
 	};
 };
--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -1,6 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
+import {groupBy} from '../shared/group-by.js';
 import {pickUnusedTarget} from './pick-unused-target.js';
 import {GrantStanding, type GrantRequester, type TargetLedger} from './target-ledger.js';
 
@@ -60,8 +61,8 @@
 	const {random} = input;
 	const excluded = new Set(request.excludedTargetIds);
 	const usable = input.ledgers.filter(ledger => !excluded.has(ledger.target().targetId));
-	const listByStanding = (standing: GrantStanding): TargetLedger[] =>
-		usable.filter(ledger => ledger.standingFor(request.nodeId) === standing);
+	const byStanding = groupBy(usable, ledger => ledger.standingFor(request.nodeId));
+	const listByStanding = (standing: GrantStanding): readonly TargetLedger[] => byStanding.get(standing) ?? [];
 	const sound = listByStanding(GrantStanding.Sound);
 	const onTrial = listByStanding(GrantStanding.OnTrial).filter(ledger => ledger.openCount() === 0);
 	if (onTrial.length > 0 && isTrialDue(request, sound, input)) {
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -77,7 +77,7 @@
 
 export type LedgerParts = {
 	readonly options: DispatcherOptions;
-	readonly clock: ports.Clock;
+	readonly clock: Pick<ports.Clock, 'monotonicMs'>;
 	readonly failureRatio: UsualFailureRatio;
 	readonly durations: UsualDurations;
 	readonly phases: GrayPhaseEstimator;
@@ -120,6 +120,8 @@
 	const {options, clock, failureRatio, durations, phases} = parts;
 	const priorLogOdds = Math.log(options.grayPrior / (1 - options.grayPrior));
 	const openGrants = new Map<string, OpenGrant>();
+	/** No open grant expires before this time. */
+	let firstExpiryMs = Number.POSITIVE_INFINITY;
 	const pathLostUntilMs = new Map<string, number>();
 	const lastUseByNode = new Map<string, number>();
 	const createdAtMs = clock.monotonicMs();
@@ -144,11 +146,16 @@
 
 	const removeExpiredGrants = (): void => {
 		const nowMs = clock.monotonicMs();
+		if (nowMs < firstExpiryMs) {
+			return;
+		}
+
 		[...openGrants]
 			.filter(([, grant]) => grant.expiresAtMs <= nowMs)
 			.forEach(([grantId]) => {
 				openGrants.delete(grantId);
 			});
+		firstExpiryMs = Math.min(...[...openGrants.values()].map(({expiresAtMs}) => expiresAtMs));
 	};
 
 	const slotCount = (): number => target.slotCount;
@@ -320,6 +327,7 @@
 		open(grantId, {nodeId, routeId, repeatability}, {ttlMs, isForFloor}) {
 			const nowMs = clock.monotonicMs();
 			openGrants.set(grantId, {routeId, repeatability, isForFloor, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
+			firstExpiryMs = Math.min(firstExpiryMs, nowMs + ttlMs);
 			lastUseByNode.set(nodeId, nowMs);
 			lastGrantAtMs = nowMs;
 		},
