--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -1,7 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
-import type {DispatcherOptions} from './dispatcher-options.js';
 import {groupBy} from '../shared/group-by.js';
+import type {DispatcherOptions} from './dispatcher-options.js';
 import {pickUnusedTarget} from './pick-unused-target.js';
 import {GrantStanding, type GrantRequester, type TargetLedger} from './target-ledger.js';
 
