--- a/packages/fakes/src/__tests__/node-ranking.test.ts
+++ b/packages/fakes/src/__tests__/node-ranking.test.ts
@@ -70,7 +70,8 @@
 
 test('small changes of the work do not change the ranks', t => {
 	let neededCores = 0.3;
-	const {rank} = createRanking(buildNodes(12, 133), () => neededCores);
+	const middle = Array.from({length: 20}, (_, index) => buildNode(`middle-${index}`, {capacityCores: 0.4}));
+	const {rank} = createRanking([...buildNodes(12, 133), ...middle], () => neededCores);
 	const before = KEYS.slice(0, 100).map(key => rank(key));
 	neededCores = 0.45;
 	t.deepEqual(
--- a/packages/fakes/src/__tests__/target-notices.test.ts
+++ b/packages/fakes/src/__tests__/target-notices.test.ts
@@ -9,6 +9,9 @@
 const REGION = 'pwani';
 const PAUSE_MS = 3000;
 
+/** Time after which a target without calls counts as unused. */
+const UNUSED_AFTER_MS = 1800;
+
 /** Longer than the platform's time after which a leaving target must get no calls. */
 const LONG_AFTER_MS = 120_000;
 
@@ -29,7 +32,14 @@
 };
 
 /** Creates a node with two targets. Its peers answer with `reply`; without one they cannot be reached. */
-const createHarness = (given: {nodeIds?: readonly string[]; slotCount?: number; startedAtMs?: number} = {}) => {
+const createHarness = (
+	given: {
+		nodeIds?: readonly string[];
+		targetIds?: readonly string[];
+		slotCount?: number;
+		startedAtMs?: number;
+	} = {},
+) => {
 	const messages: Message[] = [];
 	const peers: {reply?: core.AcquireGrantReply} = {};
 	const peerClient: core.FleetPeerClient = {
@@ -40,8 +50,8 @@
 				: neverthrow.ok(peers.reply as never);
 		},
 	};
-	const {slotCount = 1, startedAtMs = 1} = given;
-	const targets = ['a', 'b'].map(targetId => buildTarget({targetId, slotCount, startedAtMs}));
+	const {slotCount = 1, startedAtMs = 1, targetIds = ['a', 'b']} = given;
+	const targets = targetIds.map(targetId => buildTarget({targetId, slotCount, startedAtMs}));
 	const nodes = (given.nodeIds ?? []).map(nodeId => buildNode(nodeId));
 	const parts = buildGrantParts({targets, nodes, peerClient});
 	const {clock, grants, registry, dispatchers} = parts;
@@ -257,3 +267,36 @@
 	t.is(dispatcher.countStandings().get(core.GrantStanding.SetAside), undefined);
 	t.is(dispatcher.countStandings().get(core.GrantStanding.Paused), 1);
 });
+
+// Guards against calls to gray targets in place of the paused ones, which would not serve their callers either.
+test('paused targets do not count among those that are unused by choice', async t => {
+	const targetIds = Array.from({length: 10}, (_, index) => `target-${index}`);
+	const {clock, dispatcher, notices} = createHarness({targetIds});
+	const {signal} = new AbortController();
+	const [paused, gray, sound] = [targetIds.slice(0, 3), targetIds.slice(3, 5), targetIds.slice(5)];
+	paused.forEach(targetId => {
+		notices.record({targetId, startedAtMs: 1, isLeaving: false, pauseLeftMs: 60_000}, 'entry-1');
+	});
+	const acquireOnly = async (allowedIds: readonly string[]): Promise<core.AcquireGrantReply> => {
+		const excludedTargetIds = targetIds.filter(targetId => !allowedIds.includes(targetId));
+		return dispatcher.acquire(buildGrantRequest('request', {excludedTargetIds}), signal);
+	};
+
+	for (const targetId of [...gray, ...gray, ...gray]) {
+		const reply = await acquireOnly([targetId]);
+		if (reply.isGranted) {
+			const result = core.GrantResult.Failure;
+			const report = {...buildGrantRequest('request'), grantId: reply.grantId, targetId, result, durationMs: 100};
+			dispatcher.report(report);
+		}
+	}
+
+	t.is(dispatcher.countStandings().get(core.GrantStanding.SetAside), gray.length);
+	await clock.advance(UNUSED_AFTER_MS);
+	for (const targetId of sound) {
+		t.true((await acquireOnly([targetId])).isGranted);
+	}
+
+	// Two of the seven targets that do not pause may be without calls.
+	t.false((await acquireOnly(targetIds)).isGranted);
+});
