--- a/packages/fakes/src/__tests__/target-notices.test.ts
+++ b/packages/fakes/src/__tests__/target-notices.test.ts
@@ -297,6 +297,8 @@
 		t.true((await acquireOnly([targetId])).isGranted);
 	}
 
-	// Two of the seven targets that do not pause may be without calls.
-	t.false((await acquireOnly(targetIds)).isGranted);
+	// Two of the seven targets that do not pause may be without calls. The first refusals enforce the floor.
+	for (let index = 0; index < 8; index++) {
+		t.false((await acquireOnly(targetIds)).isGranted);
+	}
 });
