fix(http): a planned stop sends its answers completely

Cause: `http.Server#close` closes the connections that it takes for idle, and an answer counts as done once `end` was called on it. What was not sent by then was cut off.

Change: the listener tracks its connections itself and closes each one after its answers have been handed over to the operating system. A connection on which a request is arriving stays open, as before.

--- /dev/null
+++ b/packages/adapters/src/http/connection-closer.ts
@@ -0,0 +1,60 @@
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+
+/** Closes the connections of a stopping server as they become idle. */
+export type ConnectionCloser = {
+	/** Requests whose head has arrived and whose answer has not been sent completely. */
+	countRequests(): number;
+	/** Closes idle connections, and from now on every other one once its answers have been sent. */
+	closeWhenIdle(): void;
+};
+
+type ConnectionState = {
+	requestCount: number;
+	/** Bytes received when the last answer was sent. More bytes since then belong to a request that is arriving. */
+	handledBytes: number;
+};
+
+/**
+ * Tracks a server's connections. `http.Server#closeIdleConnections`, which `http.Server#close` calls too, is not used: for it a
+ * connection is idle as soon as its answer has been ended, and what is not sent by then is cut off.
+ */
+export const createConnectionCloser = (server: http.Server): ConnectionCloser => {
+	const connections = new Map<net.Socket, ConnectionState>();
+	let isClosing = false;
+
+	const closeIfIdle = (socket: net.Socket): void => {
+		const state = connections.get(socket);
+		if (isClosing && state?.requestCount === 0 && socket.bytesRead === state.handledBytes) {
+			socket.destroy();
+		}
+	};
+
+	server.on('connection', socket => {
+		connections.set(socket, {requestCount: 0, handledBytes: 0});
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
+	server.prependListener('request', ({socket}, outgoing) => {
+		const state = connections.get(socket);
+		if (!state) {
+			return;
+		}
+
+		state.requestCount++;
+		// The answer is closed once it has been handed over to the operating system, or its connection has ended.
+		outgoing.once('close', () => {
+			state.requestCount--;
+			state.handledBytes = socket.bytesRead;
+			closeIfIdle(socket);
+		});
+	});
+	return {
+		countRequests: () => [...connections.values()].reduce((sum, {requestCount}) => sum + requestCount, 0),
+		closeWhenIdle() {
+			isClosing = true;
+			[...connections.keys()].forEach(closeIfIdle);
+		},
+	};
+};
--- a/packages/adapters/src/http/http-listener.ts
+++ b/packages/adapters/src/http/http-listener.ts
@@ -1,7 +1,8 @@
 import type * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as nodeServer from '@hono/node-server';
 import type * as hono from 'hono';
+import {createConnectionCloser} from './connection-closer.js';
 
 /** Bindings that give handlers the Node.js request and response, so that bodies stream without copies. */
 export type NodeBindings = {Bindings: nodeServer.HttpBindings};
@@ -37,7 +38,9 @@
 export type HttpListener = {
 	/** IP and port. */
 	readonly address: string;
-	/** Closes idle connections and refuses new ones. Resolves when all connections are closed. */
+	/**
+	 * Refuses new connections, and closes each one once its answers have been sent. Resolves when all connections are closed.
+	 */
 	close(): Promise<void>;
 	/** Destroys all connections. */
 	destroy(): void;
@@ -72,13 +75,7 @@
 		},
 	}) as http.Server;
 	server.maxConnections = options.connectionLimit;
-	let requestCount = 0;
-	server.prependListener('request', (_incoming, outgoing) => {
-		requestCount++;
-		outgoing.once('close', () => {
-			requestCount--;
-		});
-	});
+	const connectionCloser = createConnectionCloser(server);
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(options.port, options.host, resolve);
@@ -87,15 +84,16 @@
 	return {
 		address: `${bound.address}:${bound.port}`,
 		async close() {
-			await new Promise(resolve => {
-				server.close(resolve);
-				server.closeIdleConnections();
+			const closed = new Promise(resolve => {
+				net.Server.prototype.close.call(server, resolve);
 			});
+			connectionCloser.closeWhenIdle();
+			await closed;
 		},
 		destroy() {
 			server.closeAllConnections();
 		},
-		countRequests: () => requestCount,
+		countRequests: connectionCloser.countRequests,
 		setKeepAlive(keepAliveMs) {
 			server.keepAliveTimeout = keepAliveMs;
 		},
