refactor(grants): one record of which notices a node has been told

The dispatcher and the entry node kept the same map of revisions, in two places; told-notices serves both.

--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -1,6 +1,5 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
-import {createRecentMap} from '../shared/recent-map.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
 import {createDecisionClock} from './decision-clock.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
@@ -10,6 +9,7 @@
 import {hasFreeSlot, pickTarget} from './pick-target.js';
 import {createTargetLedger, GrantStanding} from './target-ledger.js';
 import type {TargetNotices} from './target-notices.js';
+import {createToldNotices} from './told-notices.js';
 import {createUnservedRatio} from './unserved-ratio.js';
 import {createUsualDurations} from './usual-durations.js';
 import {createUsualFailureRatio} from './usual-failure-ratio.js';
@@ -68,8 +68,7 @@
 	const phases = createGrayPhaseEstimator(options);
 	const budget = createFleetRetryBudget(options, clock);
 	const unservedRatio = createUnservedRatio(clock);
-	/** Revision of the notices that each requesting node has received. */
-	const toldRevisions = createRecentMap<string, number>(TOLD_NODE_LIMIT_COUNT);
+	const toldNotices = createToldNotices(notices, TOLD_NODE_LIMIT_COUNT);
 	/** Makes grant ids unique and orders the waiting calls by arrival. */
 	let sequenceNumber = 0;
 	let waitingCallsCheckedAtMs = -WAITING_CALLS_CHECK_MS;
@@ -189,10 +188,10 @@
 	};
 
 	/** Leaving targets of which a requesting node has not been told. Pauses are short, and this dispatcher sees to them. */
-	const listUntoldNotices = (nodeId: string): readonly ports.TargetNotice[] => {
-		const toldRevision = toldRevisions.get(nodeId) ?? 0;
-		toldRevisions.set(nodeId, notices.revision());
-		return notices.list(parts.listTargets(), toldRevision).filter(({isLeaving}) => isLeaving);
+	const tellLeavingTargets = (nodeId: string): readonly ports.TargetNotice[] => {
+		const {targetNotices, markTold} = toldNotices.listUntold(nodeId, parts.listTargets());
+		markTold();
+		return targetNotices.filter(({isLeaving}) => isLeaving);
 	};
 
 	const recordNotices = ({
@@ -330,7 +329,7 @@
 			}
 
 			// Every node that uses the group knows its notices, and tells them to the next dispatcher.
-			const targetNotices = listUntoldNotices(request.nodeId);
+			const targetNotices = tellLeavingTargets(request.nodeId);
 			return targetNotices.length === 0 ? reply : {...reply, targetNotices};
 		},
 		report(request) {
--- a/packages/core/src/grants/notice-exchange.ts
+++ b/packages/core/src/grants/notice-exchange.ts
@@ -1,9 +1,9 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
 import {buildGroupId, type Registry} from '../registry/registry.js';
-import {createRecentMap} from '../shared/recent-map.js';
 import {boundPause} from './bound-pause.js';
 import type {TargetNotices} from './target-notices.js';
+import {createToldNotices, type UntoldNotices} from './told-notices.js';
 
 /** Dispatchers for which it is kept which notices they have. Each group has a few. */
 const TOLD_DISPATCHER_LIMIT_COUNT = 1024;
@@ -15,13 +15,6 @@
 	readonly logger: ports.Logger;
 };
 
-/** Notices that a dispatcher lacks. */
-export type UntoldNotices = {
-	readonly targetNotices: readonly ports.TargetNotice[];
-	/** Records that the dispatcher has received them. */
-	markTold(): void;
-};
-
 /** Takes in what targets announce to this node, and passes it on to dispatchers. */
 export type NoticeExchange = {
 	/** Records the announcement of an answer, and returns it as a notice for the dispatchers. */
@@ -34,8 +27,7 @@
 };
 
 export const createNoticeExchange = ({self, registry, notices, logger}: NoticeExchangeParts): NoticeExchange => {
-	/** Revision of the notices that each dispatcher has, so that each notice is sent to it once. */
-	const toldRevisions = createRecentMap<string, number>(TOLD_DISPATCHER_LIMIT_COUNT);
+	const toldNotices = createToldNotices(notices, TOLD_DISPATCHER_LIMIT_COUNT);
 	return {
 		recordAnnouncement({targetId, startedAtMs}, announcement) {
 			if (!announcement) {
@@ -57,15 +49,7 @@
 			notices.record(notice, self.nodeId);
 			return [notice];
 		},
-		listUntold(dispatcher, service, region) {
-			const key = `${buildGroupId(service, region)}/${dispatcher.incarnationId}`;
-			const revision = notices.revision();
-			return {
-				targetNotices: notices.list(registry.targetsOf(service, region), toldRevisions.get(key) ?? 0),
-				markTold() {
-					toldRevisions.set(key, revision);
-				},
-			};
-		},
+		listUntold: ({incarnationId}, service, region) =>
+			toldNotices.listUntold(`${buildGroupId(service, region)}/${incarnationId}`, registry.targetsOf(service, region)),
 	};
 };
