--- a/packages/adapters/src/peer/fleet-peer-client.ts
+++ b/packages/adapters/src/peer/fleet-peer-client.ts
@@ -21,7 +21,7 @@
 	connectTimeoutMs: 500,
 	connectionLimit: 64,
 	keepAliveMs: 4000,
-	// Replies with 30,000 targets, or a compressed catalogue of the planned 110,000 routes, are smaller.
+	// Leaves a node of 250 MB enough memory for its calls.
 	replyLimitBytes: 16 * 1024 * 1024,
 };
 
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -71,10 +71,10 @@
 /** Key under which the nodes of a region are ranked for reading the store. */
 const READER_KEY = 'registry-reader';
 
-/** A slot serves two or three calls a second, and each call takes its dispatcher 0.8 ms. */
+/** Estimate: a slot serves two or three calls a second, and a call takes its dispatcher a little less than 1 ms. */
 const DISPATCHER_CORES_PER_SLOT = 0.002;
 
-/** Readers and relays answer one pull a second of each follower, and send every change to all of them. */
+/** Estimate: readers and relays answer one pull a second of each follower, and send every change to all of them. */
 const READER_CORES_PER_NODE = 0.002;
 
 const TOPICS = Object.values(ports.RegistryTopic);
