--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -137,6 +137,7 @@
 			service: state.service,
 			targetId: grant.target.targetId,
 			targetStartedAtMs: grant.target.startedAtMs,
+			address: grant.target.address,
 			standing: grant.standing,
 			dispatcher: grant.dispatcher.nodeId,
 			attempt: state.sentCount,
@@ -153,6 +154,8 @@
 	): Promise<domain.TargetAnswer | undefined> => {
 		const startedAtMs = clock.monotonicMs();
 		const timeoutMs = remainingMs(state);
+		const {address} = grant.target;
+		const earlierSendCount = state.usedAddresses.filter(usedAddress => usedAddress === address).length;
 		const controller = new AbortController();
 		const abort = (): void => {
 			controller.abort(signal.reason);
@@ -190,11 +193,16 @@
 		const {announcement} = result.isOk() ? result.value : result.error;
 		grants.report(grant, grantResult, durationMs, announcement);
 		logAttempt(state, grant, grantResult, {
+			earlierSendCount,
 			durationMs: Math.round(durationMs),
 			timeoutMs: Math.round(timeoutMs),
 			status: result.isOk() ? result.value.answer.status : undefined,
 			detail: result.isErr() ? result.error.detail : undefined,
 		});
+		if (verdict.isSent) {
+			state.usedAddresses.push(address);
+		}
+
 		state.sentCount += verdict.isSent ? 1 : 0;
 		state.unreachableCount += verdict.isSent ? 0 : 1;
 		state.mayHaveRun ||= verdict.mayHaveRun;
@@ -339,6 +347,7 @@
 			callerSignal: signal,
 			deadlineAtMs: call.receivedAtMs + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
 			excludedTargetIds: [],
+			usedAddresses: [],
 			isGrantRequested: false,
 			sentCount: 0,
 			unreachableCount: 0,
--- a/packages/core/src/proxy/call-state.ts
+++ b/packages/core/src/proxy/call-state.ts
@@ -12,6 +12,8 @@
 	/** Monotonic time by which the call must end, in ms. */
 	readonly deadlineAtMs: number;
 	readonly excludedTargetIds: string[];
+	/** Addresses to which the call was sent, once for each attempt. */
+	readonly usedAddresses: string[];
 	/** Whether a grant has already been requested for the call. */
 	isGrantRequested: boolean;
 	/** Attempts that were sent to a target. */
