test(fleet): a refusal that a target sends twice, for its predecessor and for itself

A target ends, and a new process with a new id listens at its address. A call granted for the old id gets 421 from the new process. The call is then granted for the new id and goes out on the same connection, where the copy of the 421 arrives first, with the same request id. The caller gets 503 while the target runs the call.

--- a/packages/daemon/src/fleet/__tests__/stand-in-target.ts
+++ b/packages/daemon/src/fleet/__tests__/stand-in-target.ts
@@ -39,6 +39,8 @@
 	Leave = 'leave',
 	/** Refuses the request without running it, and asks for a pause of 5 s. */
 	Pause = 'pause',
+	/** Sends the refusal of a misdirected request again, when the next request arrives on its connection. */
+	RepeatRefusal = 'repeat-refusal',
 }
 
 const SLOW_MS = 800;
@@ -61,6 +63,9 @@
 		'',
 	].join('\r\n');
 
+const buildRawRefusal = (requestId: string): string =>
+	`HTTP/1.1 421 Misdirected Request\r\n${dialect.requestIdHeader}: ${requestId}\r\ncontent-length: 0\r\n\r\n`;
+
 /** Writes as long as the connection is open, and pauses while the receiver does not read. */
 const writeEndlessly = async (socket: net.Socket, repeated: string): Promise<void> => {
 	while (!socket.destroyed) {
@@ -136,6 +141,10 @@
 		await timersPromises.setTimeout(RECEIVER_READ_MS);
 		outgoing.socket?.resetAndDestroy();
 	},
+	async [TargetBehaviour.RepeatRefusal](outgoing, requestId) {
+		await timersPromises.setTimeout(RECEIVER_READ_MS);
+		answerOk(outgoing, requestId);
+	},
 	[TargetBehaviour.WrongRequestId](outgoing) {
 		answerOk(outgoing, 'another-request');
 	},
@@ -163,6 +172,8 @@
 export const startTarget = async (t: ExecutionContext, targetId: string): Promise<StandInTarget> => {
 	const runIds: string[] = [];
 	const arrivedIds: string[] = [];
+	/** Refusals that are sent again on their connections. */
+	const refusalsToRepeat = new WeakMap<net.Socket, string>();
 	const target = {
 		targetId,
 		address: '',
@@ -184,7 +195,17 @@
 	const server = http.createServer(async (incoming, outgoing) => {
 		const requestId = String(incoming.headers[dialect.requestIdHeader]);
 		incoming.resume();
+		const repeated = refusalsToRepeat.get(incoming.socket);
+		if (repeated !== undefined) {
+			refusalsToRepeat.delete(incoming.socket);
+			incoming.socket.write(repeated);
+		}
+
 		if (incoming.headers[dialect.expectedTargetHeader] !== targetId) {
+			if (target.behaviour === TargetBehaviour.RepeatRefusal) {
+				refusalsToRepeat.set(incoming.socket, buildRawRefusal(requestId));
+			}
+
 			outgoing.writeHead(421, {[dialect.requestIdHeader]: requestId}).end();
 			return;
 		}
