fix(proxy): a second attempt at the same address uses a new connection

What callers saw: a call that may run at most once was answered 503, which promises that it has not run and never will, and ran.

Cause: answers name the call (X-Request-Id) and not the attempt, so on one connection the late copy of a refusal cannot be told from the answer to the next attempt of the same call. A call excludes the targets that it has tried, by their ids, while connections are pooled by address. A process that takes over an address refuses calls for its predecessor with 421, registers under its own id, and may get the same call on the same connection. The class: an answer is matched to a request by what two exchanges have in common.

A new connection has carried no earlier attempt, so its first answer is the one to this attempt. This does not depend on which targets a dispatcher excludes.

The harness of call-proxy.test moved to a file of its own, with one options object.

--- a/packages/adapters/src/__tests__/build-attempt.ts
+++ b/packages/adapters/src/__tests__/build-attempt.ts
@@ -38,4 +38,5 @@
 	},
 	remainingMs: 1000,
 	connectionLimit: 1,
+	needsNewConnection: false,
 });
--- a/packages/adapters/src/__tests__/fleet-target-client.test.ts
+++ b/packages/adapters/src/__tests__/fleet-target-client.test.ts
@@ -14,8 +14,12 @@
 const createSender = (t: ExecutionContext) => {
 	const client = createFleetTargetClient({dialect: DIALECT});
 	t.teardown(async () => client.close());
-	return async (address: string, requestId: string, signal = new AbortController().signal) =>
-		client.send(buildAttempt(address, requestId), signal);
+	return async (
+		address: string,
+		requestId: string,
+		signal = new AbortController().signal,
+		given: Partial<core.FleetAttempt> = {},
+	) => client.send({...buildAttempt(address, requestId), ...given}, signal);
 };
 
 const buildAnswer = (requestId: string | undefined, extra: {status?: string; lines?: string[]; body?: string} = {}) =>
@@ -59,6 +63,31 @@
 	});
 });
 
+const RETRIED_ANSWERS = [
+	{name: 'a refusal', first: NOT_RUN_RESPONSE, meaning: core.AnswerMeaning.NotRun},
+	{name: 'a misdirected request', first: MISDIRECTED_RESPONSE, meaning: core.AnswerMeaning.Replaced},
+	{name: 'a failure', first: {status: '500 Failed'}, meaning: core.AnswerMeaning.Failed},
+];
+
+// Guards against a running attempt that counts as ended by an earlier answer to the same call, which has the same request id.
+RETRIED_ANSWERS.forEach(({name, first, meaning}) => {
+	test(`${name} that is sent again is not accepted as the answer to the next attempt of the same call`, async t => {
+		const target = await startRawTarget(t, async ({socket, requestCount, requestId}) => {
+			if (requestCount > 1) {
+				socket.write(buildAnswer(requestId, first));
+				await timersPromises.setTimeout(READ_DELAY_MS);
+			}
+
+			socket.write(buildAnswer(requestId, target.connectionCount() === 1 ? first : {}));
+		});
+		const send = createSender(t);
+		t.is((await send(target.address, 'call'))._unsafeUnwrap().meaning, meaning);
+		await timersPromises.setTimeout(READ_DELAY_MS);
+		const second = await send(target.address, 'call', undefined, {needsNewConnection: true});
+		t.is(second._unsafeUnwrap().meaning, core.AnswerMeaning.Completed);
+	});
+});
+
 // Guards against an invalid address that makes the call throw without an answer and leaves its slot in use.
 ['127.0.0.1:65536', '127.0.0.256:80', 'nowhere:x'].forEach(address => {
 	test(`a target at ${address} is unreachable`, async t => {
--- a/packages/adapters/src/__tests__/raw-target.ts
+++ b/packages/adapters/src/__tests__/raw-target.ts
@@ -12,6 +12,8 @@
 
 export type RawTarget = {
 	readonly address: string;
+	/** Connections that were accepted so far. */
+	connectionCount(): number;
 	/** Resolves when all open connections are closed. */
 	waitUntilClosed(): Promise<void>;
 };
@@ -27,9 +29,11 @@
 	answer: (connection: RawConnection) => Promise<void> | void,
 ): Promise<RawTarget> => {
 	const sockets = new Set<net.Socket>();
+	let connectionCount = 0;
 	const server = net.createServer(socket => {
 		let received = '';
 		let requestCount = 0;
+		connectionCount++;
 		sockets.add(socket);
 		socket.on('error', () => undefined);
 		socket.on('close', () => {
@@ -57,6 +61,7 @@
 	});
 	return {
 		address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+		connectionCount: () => connectionCount,
 		async waitUntilClosed() {
 			await Promise.all(
 				[...sockets].map(
--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -66,7 +66,7 @@
 	const options = {...DEFAULT_FLEET_TARGET_CLIENT_OPTIONS, ...given};
 	const pools = core.createRecentMap<string, undici.Dispatcher>(options.poolLimitCount);
 
-	/** Removes the pool of an address after a fault, because its other connections may not respond either. */
+	/** Removes the pool of an address, so that later calls open new connections. Calls in progress finish on the old ones. */
 	const discardPool = (address: string): void => {
 		const pool = pools.get(address);
 		pools.delete(address);
@@ -147,13 +147,18 @@
 
 	return {
 		async send(attempt, signal) {
+			if (attempt.needsNewConnection) {
+				discardPool(attempt.target.address);
+			}
+
 			const pool = getOrCreatePool(attempt.target.address, attempt.connectionLimit);
 			if (pool.isErr()) {
 				return neverthrow.err(pool.error);
 			}
 
 			const result = await exchange(pool.value, attempt, signal);
-			// Once a connection has delivered the answer to another call, each later answer on it is one call behind.
+			// Other connections may not respond after a fault either. Once a connection has delivered the answer to another call, each
+			// later answer on it is one call behind.
 			const isMismatched = result.isOk() && result.value.meaning === core.AnswerMeaning.Mismatched;
 			if ((result.isErr() && !signal.aborted) || isMismatched) {
 				discardPool(attempt.target.address);
--- a/packages/core/src/ports/fleet-target-client.ts
+++ b/packages/core/src/ports/fleet-target-client.ts
@@ -59,6 +59,11 @@
 	readonly remainingMs: number;
 	/** Connections that this node may open to the target. */
 	readonly connectionLimit: number;
+	/**
+	 * Whether the attempt needs a connection that has carried no earlier attempt of this call. Answers name the call and not the
+	 * attempt, so a late copy of an earlier answer could not be told from the answer to this attempt.
+	 */
+	readonly needsNewConnection: boolean;
 };
 
 /** Sends calls to targets. */
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -180,6 +180,7 @@
 				target: grant.target,
 				remainingMs: timeoutMs,
 				connectionLimit: options.connectionsPerTarget,
+				needsNewConnection: earlierSendCount > 0,
 			},
 			controller.signal,
 		);
--- a/packages/fakes/src/__tests__/call-proxy.test.ts
+++ b/packages/fakes/src/__tests__/call-proxy.test.ts
@@ -1,120 +1,8 @@
 import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
 import test from 'ava';
-import * as neverthrow from 'neverthrow';
-import {buildFleetCatalogue, buildHostRoute, buildTarget} from '../build-fleet.js';
-import {buildGrantParts} from '../build-grants.js';
 import {createSeededRandom} from '../seeded-random.js';
-import type {VirtualClock} from '../virtual-clock.js';
-
-/** Scripted result of one attempt at a target. */
-type ScriptedStep = {
-	readonly delayMs?: number;
-	/** True if the attempt still ends with its result after it was cancelled, like an answer that is already in transit. */
-	readonly shouldIgnoreCancellation?: boolean;
-	readonly result: neverthrow.Result<core.AttemptAnswer, core.AttemptError>;
-};
-
-const answerWith = (meaning: core.AnswerMeaning, status: number): ScriptedStep => ({
-	delayMs: 100,
-	result: neverthrow.ok({meaning, answer: {status, headers: [], body: new Uint8Array(0)}}),
-});
-const failWith = (kind: core.AttemptErrorKind): ScriptedStep => ({result: neverthrow.err({kind, detail: 'scripted'})});
-const UNANSWERED: ScriptedStep = {
-	delayMs: 60_000,
-	result: neverthrow.err({kind: core.AttemptErrorKind.CancelledSent, detail: ''}),
-};
-
-const createScriptedClient = (clock: VirtualClock, steps: readonly ScriptedStep[]) => {
-	const sent: core.FleetAttempt[] = [];
-	const client: core.FleetTargetClient = {
-		async send(attempt, signal) {
-			const step = steps[sent.length] ?? answerWith(core.AnswerMeaning.Completed, 200);
-			sent.push(attempt);
-			await clock.sleep(step.delayMs ?? 0, signal);
-			return signal.aborted && !step.shouldIgnoreCancellation
-				? neverthrow.err({kind: core.AttemptErrorKind.CancelledSent, detail: 'cancelled'})
-				: step.result;
-		},
-	};
-	return {client, sent};
-};
-
-/** A retry budget that covers the retries of every call, including the first one. */
-const DISPATCHER_OPTIONS = {retryRatio: 3};
-
-const createHarness = (
-	steps: readonly ScriptedStep[],
-	route: Partial<domain.HostRoute> = {},
-	stopsAtMs?: number,
-	unreadableRoutes: readonly domain.UnreadableRoute[] = [],
-) => {
-	const peerClient: core.FleetPeerClient = {
-		request: async () => neverthrow.err({kind: core.PeerErrorKind.Unreachable, detail: 'no peers'}),
-	};
-	const targets = ['a', 'b', 'c', 'd'].map(targetId => buildTarget({targetId}));
-	const {clock, logger, metrics, random, registry, grants} = buildGrantParts({
-		targets,
-		peerClient,
-		dispatcher: DISPATCHER_OPTIONS,
-	});
-	const publish = (version: number): void => {
-		const value = {...buildFleetCatalogue(version, [buildHostRoute(route)]), unreadableRoutes};
-		const records = [{key: 'config', offset: version, value}];
-		registry.apply({[core.RegistryTopic.Catalogue]: {records, nextOffset: version + 1, isWhole: false}});
-	};
-
-	const {client, sent} = createScriptedClient(clock, steps);
-	const stopPlan = stopsAtMs === undefined ? undefined : core.planStop(clock.monotonicMs(), stopsAtMs);
-	const proxy = core.createCallProxy({
-		registry,
-		grants,
-		targetClient: client,
-		clock,
-		random,
-		logger,
-		metrics,
-		readStopPlan: () => stopPlan,
-	});
-	const caller = new AbortController();
-	const start = async (given: Partial<domain.ProxiedCall> = {}): Promise<domain.ProxyEnding> =>
-		proxy.handle(
-			{
-				requestId: 'request',
-				host: 'gateway.example',
-				method: 'POST',
-				pathAndQuery: '/clearances/17?ward=3',
-				headers: [],
-				body: undefined,
-				bodyLengthBytes: undefined,
-				deadlineMs: 4000,
-				receivedAtMs: clock.monotonicMs(),
-				...given,
-			},
-			caller.signal,
-		);
-	const call = async (given: Partial<domain.ProxiedCall> = {}): Promise<domain.ProxyEnding> =>
-		clock.runUntilSettled(start(given), 10_000);
-	/** Ids of the grants whose results were reported. */
-	const reportedGrantIds = new Set<string>();
-	const acquiredGrantIds = new Set<string>();
-	const {acquire, report} = grants;
-	grants.acquire = async (callRequest, signal) => {
-		const reply = await acquire(callRequest, signal);
-		if (reply.isGranted) {
-			acquiredGrantIds.add(reply.grantId);
-		}
-
-		return reply;
-	};
-
-	grants.report = (grant, result, durationMs) => {
-		reportedGrantIds.add(grant.grantId);
-		report(grant, result, durationMs);
-	};
-
-	return {clock, caller, publish, start, call, sent, acquiredGrantIds, reportedGrantIds};
-};
+import {answerWith, createCallProxyHarness, failWith, UNANSWERED, type ScriptedStep} from './call-proxy-harness.js';
 
 const REPEATABLE = {repeatability: domain.Repeatability.Repeatable};
 
@@ -207,7 +95,7 @@
 
 CASES.forEach(({name, steps, route, expected, status, sentCount}) => {
 	test(name, async t => {
-		const {publish, call, sent} = createHarness(steps, route);
+		const {publish, call, sent} = createCallProxyHarness({steps, route});
 		publish(1);
 		const ending = await call();
 		t.like(ending, expected);
@@ -221,7 +109,7 @@
 });
 
 test("a call ends at the route's timeout, and the target receives the remaining time", async t => {
-	const {clock, publish, call, sent} = createHarness([UNANSWERED], {timeoutMs: 1500});
+	const {clock, publish, call, sent} = createCallProxyHarness({steps: [UNANSWERED], route: {timeoutMs: 1500}});
 	publish(1);
 	await call({deadlineMs: 4000});
 	t.is(clock.monotonicMs(), 1500);
@@ -229,16 +117,17 @@
 });
 
 test('without a catalogue a call is refused with a retry delay and not with an unknown route', async t => {
-	const {call} = createHarness([]);
+	const {call} = createCallProxyHarness({steps: []});
 	const ending = await call();
 	t.like(ending, {outcome: Refused, reason: domain.RefusalReason.NoCatalogue});
 	t.true(ending.outcome === Refused && ending.retryAfterMs! > 0);
 });
 
 test('a call to an unreadable rule is refused as not run, with a time to retry', async t => {
-	const {call, publish, sent} = createHarness([], {}, undefined, [
-		{host: 'gateway.example', pathPrefix: '/clearances/17/'},
-	]);
+	const {call, publish, sent} = createCallProxyHarness({
+		steps: [],
+		unreadableRoutes: [{host: 'gateway.example', pathPrefix: '/clearances/17/'}],
+	});
 	publish(1);
 	const ending = await call({pathAndQuery: '/clearances/17/photos?ward=3'});
 	t.like(ending, {outcome: Refused, reason: domain.RefusalReason.UnreadableRoute});
@@ -247,7 +136,10 @@
 });
 
 test('a slow attempt at repeatable work is replaced by another one', async t => {
-	const {publish, call, sent} = createHarness([answerWith(core.AnswerMeaning.Completed, 200), UNANSWERED], REPEATABLE);
+	const {publish, call, sent} = createCallProxyHarness({
+		steps: [answerWith(core.AnswerMeaning.Completed, 200), UNANSWERED],
+		route: REPEATABLE,
+	});
 	publish(1);
 	await call();
 	const ending = await call({requestId: 'second'});
@@ -258,9 +150,12 @@
 test('a grant for the replacement of a slow attempt is released when the slow attempt completes first', async t => {
 	const late = {...answerWith(core.AnswerMeaning.Completed, 200), delayMs: 5000, shouldIgnoreCancellation: true};
 	const steps = [answerWith(core.AnswerMeaning.Completed, 200), late];
-	const {publish, call, sent, acquiredGrantIds, reportedGrantIds} = createHarness(steps, {
-		...REPEATABLE,
-		attemptLimit: 3,
+	const {publish, call, sent, acquiredGrantIds, reportedGrantIds} = createCallProxyHarness({
+		steps,
+		route: {
+			...REPEATABLE,
+			attemptLimit: 3,
+		},
 	});
 	publish(1);
 	await call();
@@ -271,7 +166,7 @@
 });
 
 test('a call whose caller disconnects is abandoned without another attempt', async t => {
-	const {clock, caller, publish, start, sent} = createHarness([UNANSWERED], REPEATABLE);
+	const {clock, caller, publish, start, sent} = createCallProxyHarness({steps: [UNANSWERED], route: REPEATABLE});
 	publish(1);
 	const ended = start();
 	await clock.advance(10);
@@ -312,7 +207,11 @@
 // Guards against a node that forwards a request late in its shutdown and then cuts it off without an answer.
 STOP_CASES.forEach(({name, atMs, deadlineMs, outcome, sentCount}) => {
 	test(`a call that arrives ${name}`, async t => {
-		const {clock, publish, call, sent} = createHarness([], {timeoutMs: 10_000}, 5000);
+		const {clock, publish, call, sent} = createCallProxyHarness({
+			steps: [],
+			route: {timeoutMs: 10_000},
+			stopsAtMs: 5000,
+		});
 		publish(1);
 		await clock.advance(atMs);
 		const ending = await call({deadlineMs});
@@ -324,7 +223,11 @@
 test('a call that gets its grant late in a shutdown is refused, and the grant is released', async t => {
 	const busy = Array.from({length: 16}, () => ({...answerWith(core.AnswerMeaning.Completed, 200), delayMs: 3200}));
 	const route = {timeoutMs: 10_000, isBulk: true};
-	const {clock, publish, start, call, sent, acquiredGrantIds, reportedGrantIds} = createHarness(busy, route, 5000);
+	const {clock, publish, start, call, sent, acquiredGrantIds, reportedGrantIds} = createCallProxyHarness({
+		steps: busy,
+		route,
+		stopsAtMs: 5000,
+	});
 	publish(1);
 	const deadlineMs = 8000;
 	busy.forEach((_, index) => {
@@ -342,7 +245,11 @@
 test('a slow attempt continues when it is too late in a shutdown to start another one', async t => {
 	const slow = {...answerWith(core.AnswerMeaning.Completed, 200), delayMs: 1800};
 	const steps = [answerWith(core.AnswerMeaning.Completed, 200), slow];
-	const {clock, publish, call, sent} = createHarness(steps, {...REPEATABLE, timeoutMs: 10_000}, 5000);
+	const {clock, publish, call, sent} = createCallProxyHarness({
+		steps,
+		route: {...REPEATABLE, timeoutMs: 10_000},
+		stopsAtMs: 5000,
+	});
 	publish(1);
 	await call();
 	await clock.advance(2800);
