test(fleet): predecessors are tried one by one, so that the test needs no long wait

The regression test of the false refusal failed once in a whole run, beside other load: 'condition not met within 15000 ms'. It waited for four calls to one predecessor, which is set aside twice as long after each; alone it took 12.5 s of the 15 s.

--- a/packages/daemon/src/fleet/__tests__/repeated-refusals.test.ts
+++ b/packages/daemon/src/fleet/__tests__/repeated-refusals.test.ts
@@ -6,8 +6,6 @@
 /** The new process counts as slow for longer than the test takes, so that calls go to its predecessor first. */
 const WARM_UP_S = 60;
 
-const PREDECESSOR_ID = 'predecessor';
-
 /** More than the node that grants its own calls sends, so that some are from nodes that get their grants from it. */
 const RETRIED_CALL_COUNT = 4;
 
@@ -23,22 +21,30 @@
 		store.write(platformStandIn.SERVERS_TOPIC, targetId, record);
 	};
 
-	writeRecord(PREDECESSOR_ID, 0);
 	writeRecord(target!.targetId, WARM_UP_S);
 	const statuses = new Map<string, number>();
 	const isSentTwice = (requestId: string): boolean =>
 		nodes.flatMap(({lines}) => lines).some(line => line.includes(`"${requestId}"`) && line.includes('"attempt":1'));
 	const retriedIds = (): string[] => [...statuses.keys()].filter(isSentTwice);
-	await waitUntil(async () => {
+	const sendThroughAll = async (): Promise<void> => {
+		const roundId = `call-${statuses.size}`;
 		await Promise.all(
 			nodes.map(async (node, index) => {
-				const requestId = `call-${statuses.size}-${index}`;
-				const {status} = await send(node, requestId);
-				statuses.set(requestId, status);
+				const {status} = await send(node, `${roundId}-${index}`);
+				statuses.set(`${roundId}-${index}`, status);
 			}),
 		);
-		return retriedIds().length >= RETRIED_CALL_COUNT;
-	});
+	};
+
+	// Each predecessor is tried once and then set aside.
+	for (let index = 0; index < RETRIED_CALL_COUNT; index++) {
+		writeRecord(`predecessor-${index}`, 0);
+		await waitUntil(async () => {
+			await sendThroughAll();
+			return retriedIds().length > index;
+		});
+	}
+
 	const retried = retriedIds();
 	t.deepEqual(
 		retried.map(requestId => [statuses.get(requestId), target!.runIds.filter(id => id === requestId).length]),
