test(scheduling): extra answers of a target on a connection of bilberryd

Callers of `bilberryd` can get the answer to another call, or `not-run` for work that the target is running, when a target sends an answer twice and the copy arrives while the next request on the connection waits.

Cause: the target client matches answers to requests by their position on the connection, and the scheduler recognises a refusal by its status alone. The next call gets the copy of a success or of a failure as its own answer; a copy of a refusal ends the next call, or the third attempt of the refused call, as `not-run target-refused` although the target received and ran it.

--- /dev/null
+++ b/packages/stand-ins/src/__tests__/extra-answers.test.ts
@@ -0,0 +1,139 @@
+import * as net from 'node:net';
+import * as adapters from '@bilberrydoor/adapters';
+import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
+import * as fakes from '@bilberrydoor/fakes';
+import test, {type ExecutionContext} from 'ava';
+
+/** Request as a target receives it, with functions that write to its connection. */
+type ReceivedRequest = {
+	readonly path: string;
+	/** Writes an answer to this request. */
+	answer(status: number): void;
+	/** Writes the previous answer on the connection once more, byte for byte. */
+	repeatPrevious(): void;
+};
+
+const REQUEST_LINE_PATTERN = /^\S+ (\S+) /;
+const ATTEMPT_ID_PATTERN = /^(bilberrydoor-attempt-id: .*)$/im;
+
+/** Starts a target that repeats attempt ids and can send answers twice. Requests have no bodies. */
+const startTarget = async (t: ExecutionContext, handle: (request: ReceivedRequest) => void): Promise<string> => {
+	const server = net.createServer(socket => {
+		let previous = '';
+		socket.on('error', () => undefined);
+		t.teardown(() => socket.destroy());
+		socket.on('data', chunk => {
+			const head = chunk.toString('latin1');
+			const path = REQUEST_LINE_PATTERN.exec(head)![1]!;
+			const attemptLine = ATTEMPT_ID_PATTERN.exec(head)?.[1];
+			const before = previous;
+			handle({
+				path,
+				answer(status) {
+					const lines = [`HTTP/1.1 ${status} Status`, ...(attemptLine === undefined ? [] : [attemptLine])];
+					previous = [...lines, `content-length: ${path.length}`, '', path].join('\r\n');
+					socket.write(previous);
+				},
+				repeatPrevious() {
+					socket.write(before);
+				},
+			});
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await new Promise(resolve => {
+		server.once('listening', resolve);
+	});
+	t.teardown(() => server.close());
+	return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+};
+
+/** Schedules calls on targets over real connections, one connection and one slot for each target. */
+const startScheduler = (t: ExecutionContext, addresses: readonly string[]) => {
+	const clock = adapters.createSystemClock();
+	const place = {region: 'pwani', availabilityZone: 'kinondoni'};
+	const targets = fakes
+		.buildTargets({service: 's', count: addresses.length, slotCount: 1, places: [place]})
+		.map((target, index) => ({...target, address: addresses[index]!, connectionLimit: 1}));
+	const entry = fakes.buildEntry({service: 's', targets, retryBudgetRatio: 1});
+	const targetClient = adapters.createUndiciTargetClient();
+	const scheduler = core.createGroupScheduler({
+		ports: {
+			clock,
+			targetClient,
+			metrics: fakes.createFakeMetrics(),
+			logger: fakes.createSilentLogger(),
+			random: adapters.createSystemRandom(),
+			nodeLoad: {eventLoopDelayMs: () => 0, residentBytes: () => 0},
+		} as unknown as core.NodePorts,
+		group: core.buildTargetGroups(entry)[0]!,
+		entry,
+	});
+	const controller = new AbortController();
+	void scheduler.run(controller.signal);
+	t.teardown(async () => {
+		controller.abort();
+		await targetClient.close();
+	});
+	return async (path: string, repeatability: domain.Repeatability): Promise<string> => {
+		const route = fakes.buildRoute({repeatability});
+		const call = fakes.buildCall({path});
+		const deadlineAtMs = clock.monotonicMs() + route.deadlineMs;
+		const ending = await scheduler.schedule({call, route, deadlineAtMs}, new AbortController().signal);
+		return ending.outcome === domain.Outcome.Completed
+			? `completed with the answer to ${await fakes.readText(ending.answer.body)}`
+			: `${ending.outcome} ${ending.reason}`;
+	};
+};
+
+const REPEATED_ANSWERS = [
+	{kind: 'a success', status: 200, firstEnding: 'completed with the answer to /first'},
+	{kind: 'a failure', status: 500, firstEnding: 'completed with the answer to /first'},
+	{kind: 'a refusal', status: 503, firstEnding: 'not-run target-refused'},
+];
+
+// Guards against the answer to another call, and against `not-run` for work that the target is running.
+REPEATED_ANSWERS.forEach(({kind, status, firstEnding}) => {
+	test(`a late copy of ${kind} is not taken for the answer to the next call`, async t => {
+		const runPaths: string[] = [];
+		const address = await startTarget(t, request => {
+			if (request.path === '/first') {
+				request.answer(status);
+				return;
+			}
+
+			runPaths.push(request.path);
+			request.repeatPrevious();
+		});
+		const send = startScheduler(t, [address]);
+		t.is(await send('/first', domain.Repeatability.Single), firstEnding);
+		t.is(await send('/second', domain.Repeatability.Single), 'unknown target-lost');
+		t.deepEqual(runPaths, ['/second']);
+	});
+});
+
+// Guards against `not-run` for a call that was refused, tried again at the same target and is running there.
+test('a late copy of a refusal does not refuse a later attempt of the same call', async t => {
+	let runCount = 0;
+	const startRefusingTarget = async (): Promise<string> => {
+		let receivedCount = 0;
+		return startTarget(t, request => {
+			receivedCount += request.path === '/refused' ? 1 : 0;
+			if (receivedCount === 2) {
+				runCount++;
+				request.repeatPrevious();
+				return;
+			}
+
+			request.answer(request.path === '/refused' ? 503 : 200);
+		});
+	};
+
+	const send = startScheduler(t, [await startRefusingTarget(), await startRefusingTarget()]);
+	// The retry budget starts empty and saves one retry for each call.
+	t.is(await send('/saved', domain.Repeatability.Repeatable), 'completed with the answer to /saved');
+	const ending = await send('/refused', domain.Repeatability.Repeatable);
+	t.is(runCount, 1);
+	t.is(ending, 'unknown target-lost');
+});
