fix(scheduling): match answers of targets to attempts by an id

Callers of `bilberryd` got the answer to another call, or `not-run` for work that ran, when a target sent an answer twice and the copy arrived while the next request on the connection waited. A caller that is told `not-run` submits single work again under a new id, so it could run twice.

Cause: an answer was matched to a request by its position on the connection, and a refusal was recognised by its status alone. Both are the same for two exchanges. An id of the call would not help either, because a call can be tried twice on the same connection.

The test with health probes fails without `rejectMismatchedAnswers`, and the ones with targets that do not name attempts fail when each refusal counts as a proof.

Change: each attempt and each probe has an id of its own in `Bilberrydoor-Attempt-Id`, which targets repeat. An answer with another id belongs to another exchange: the attempt counts as lost after it was sent, and the connection is closed when the head arrives, because the following answers on it are late too. A refusal proves that the work did not run only if it names the attempt. Targets that do not repeat the id are served and retried as before, but their refusals end as `unknown`, since nothing tells them from a copy.

The stand-in target repeats the id. Metrics `mismatched_answers_total` and `unconfirmed_answers_total`.

--- a/packages/adapters/src/__tests__/undici-target-client.test.ts
+++ b/packages/adapters/src/__tests__/undici-target-client.test.ts
@@ -70,7 +70,7 @@
 		t.teardown(async () => client.close());
 		const result = await client.send(
 			buildTargetEntry(target.address),
-			{method: 'GET', pathAndQuery: '/', headers: [], remainingMs: 1000},
+			{attemptId: 'attempt', method: 'GET', pathAndQuery: '/', headers: [], remainingMs: 1000},
 			new AbortController().signal,
 		);
 		t.is(result.isErr(), place === 'head');
--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -22,6 +22,16 @@
 		help: 'Answers dropped because their call had ended',
 		labelNames: ['service'],
 	},
+	[core.CounterName.MismatchedAnswers]: {
+		name: 'mismatched_answers_total',
+		help: 'Answers dropped because they name another attempt than the one that waited',
+		labelNames: ['service'],
+	},
+	[core.CounterName.UnconfirmedAnswers]: {
+		name: 'unconfirmed_answers_total',
+		help: 'Answers of targets that do not name the attempt',
+		labelNames: ['service'],
+	},
 	[core.CounterName.LinkBytes]: {
 		name: 'link_bytes_total',
 		help: 'Body bytes sent across the region link',
--- a/packages/adapters/src/target/undici-target-client.ts
+++ b/packages/adapters/src/target/undici-target-client.ts
@@ -4,6 +4,12 @@
 import type * as undici from 'undici';
 import * as headers from '../http/headers.js';
 import {isConnectError} from '../http/connect-error.js';
+import {
+	ATTEMPT_ID_HEADER,
+	matchAnswerHeaders,
+	MismatchedAnswerError,
+	rejectMismatchedAnswers,
+} from './reject-mismatched-answers.js';
 import {createTargetConnectionPool} from './target-connection-pool.js';
 
 export type UndiciTargetClientOptions = {
@@ -20,6 +26,10 @@
 
 const classifyError = (error: unknown, signal: AbortSignal): core.TargetError => {
 	const detail = String(error);
+	if (error instanceof MismatchedAnswerError) {
+		return {kind: core.TargetErrorKind.Mismatched, detail};
+	}
+
 	if (isConnectError(error)) {
 		return {kind: core.TargetErrorKind.Unreachable, detail};
 	}
@@ -29,6 +39,7 @@
 
 const buildHeaders = (request: core.TargetRequest): Record<string, string | string[]> => ({
 	...headers.groupHeaders(request.headers),
+	[ATTEMPT_ID_HEADER]: request.attemptId,
 	'bilberrydoor-deadline-ms': String(Math.max(0, Math.floor(request.remainingMs))),
 	...(request.bodyLengthBytes !== undefined && {'content-length': String(request.bodyLengthBytes)}),
 });
@@ -46,7 +57,10 @@
 			return existing;
 		}
 
-		const pool = createTargetConnectionPool(target.address, {...options, connectionLimit: target.connectionLimit});
+		const {connectionLimit} = target;
+		const pool = createTargetConnectionPool(target.address, {...options, connectionLimit}).compose(
+			rejectMismatchedAnswers,
+		);
 		pools.set(target.address, pool);
 		return pool;
 	};
@@ -65,14 +79,20 @@
 					status: response.statusCode,
 					headers: headers.listGroupedHeaders(response.headers),
 					body: response.body,
+					isConfirmed: matchAnswerHeaders(request.attemptId, response.headers) === core.AnswerMatch.Confirmed,
 				});
 			} catch (error) {
 				return neverthrow.err(classifyError(error, signal));
 			}
 		},
-		async probe(target, signal) {
+		async probe(target, attemptId, signal) {
 			try {
-				const response = await getOrCreatePool(target).request({method: 'GET', path: '/healthz', signal});
+				const response = await getOrCreatePool(target).request({
+					method: 'GET',
+					path: '/healthz',
+					headers: {[ATTEMPT_ID_HEADER]: attemptId},
+					signal,
+				});
 				await response.body.dump();
 				return neverthrow.ok({
 					isReady: response.statusCode === 200,
--- a/packages/core/src/health/path-check.ts
+++ b/packages/core/src/health/path-check.ts
@@ -16,14 +16,14 @@
 
 /** Sends one health probe with a time limit. It shows that the target can be reached, not that it is healthy. */
 export const testTarget = async (
-	dependencies: {clock: ports.Clock; targetClient: ports.TargetClient; timeoutMs: number},
+	dependencies: Pick<ports.NodePorts, 'clock' | 'targetClient' | 'random'> & {timeoutMs: number},
 	target: domain.TargetEntry,
 	signal: AbortSignal,
 ): Promise<TargetTest> => {
-	const {clock, targetClient, timeoutMs} = dependencies;
+	const {clock, targetClient, random, timeoutMs} = dependencies;
 	const startedAtMs = clock.monotonicMs();
 	const probed = await runWithTimeout({clock, timeoutMs, signal}, async probeSignal =>
-		targetClient.probe(target, probeSignal),
+		targetClient.probe(target, random.token(), probeSignal),
 	);
 	return {isReached: !probed.isTimedOut && probed.value.isOk(), latencyMs: clock.monotonicMs() - startedAtMs};
 };
@@ -63,7 +63,7 @@
 	};
 
 	return async (target, signal) => {
-		const ownTest = await testTarget({clock, targetClient, timeoutMs}, target, signal);
+		const ownTest = await testTarget({clock, targetClient, random, timeoutMs}, target, signal);
 		if (ownTest.isReached) {
 			return PathVerdict.TargetAtFault;
 		}
--- a/packages/core/src/health/target-probes.ts
+++ b/packages/core/src/health/target-probes.ts
@@ -28,7 +28,7 @@
 
 	const probe = async (target: domain.TargetEntry, signal: AbortSignal): Promise<void> => {
 		const probed = await runWithTimeout({clock, timeoutMs: options.probeTimeoutMs, signal}, async probeSignal =>
-			targetClient.probe(target, probeSignal),
+			targetClient.probe(target, random.token(), probeSignal),
 		);
 		if (!signal.aborted) {
 			const isAnswered = !probed.isTimedOut && probed.value.isOk();
--- a/packages/core/src/node/peer-handlers.ts
+++ b/packages/core/src/node/peer-handlers.ts
@@ -15,10 +15,10 @@
 	store: CatalogueStore;
 	operationHandlers: Operations['peerHandlers'];
 	schedulers: SchedulerRegistry;
-	ports: Pick<ports.NodePorts, 'clock' | 'targetClient'>;
+	ports: Pick<ports.NodePorts, 'clock' | 'targetClient' | 'random'>;
 }): ports.PeerHandlers => {
 	const {replicator, probeHandlers, operationHandlers, store, schedulers} = dependencies;
-	const {clock, targetClient} = dependencies.ports;
+	const {clock, targetClient, random} = dependencies.ports;
 	return {
 		...probeHandlers,
 		...operationHandlers,
@@ -32,7 +32,9 @@
 			// Only targets in the catalogue are tested, so a peer cannot make this node connect to an arbitrary address.
 			const target = store.findItem(service)?.entry?.targets.find(candidate => candidate.targetId === targetId);
 			const timeoutMs = DEFAULT_HEALTH_OPTIONS.probeTimeoutMs;
-			return target ? testTarget({clock, targetClient, timeoutMs}, target, signal) : {isReached: false, latencyMs: 0};
+			return target
+				? testTarget({clock, targetClient, random, timeoutMs}, target, signal)
+				: {isReached: false, latencyMs: 0};
 		},
 	};
 };
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -6,6 +6,8 @@
 	Attempts = 'attempts',
 	Ejections = 'ejections',
 	LateAnswers = 'lateAnswers',
+	MismatchedAnswers = 'mismatchedAnswers',
+	UnconfirmedAnswers = 'unconfirmedAnswers',
 	LinkBytes = 'linkBytes',
 	CatalogueEdits = 'catalogueEdits',
 	PeerMessages = 'peerMessages',
--- a/packages/core/src/scheduling/attempt.ts
+++ b/packages/core/src/scheduling/attempt.ts
@@ -5,7 +5,7 @@
 import {limitBody} from '../shared/limit-body.js';
 import {BodyEnd, observeBody} from '../shared/observe-body.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
-import {AttemptEnd, ENDS_BY_ERROR, HEALTH_RESULTS_BY_END} from './attempt-end.js';
+import {AttemptEnd, ENDS_BY_ERROR, HEALTH_RESULTS_BY_END, REFUSED_ENDS} from './attempt-end.js';
 import {createAttemptStopper, type AttemptStopper} from './attempt-stopper.js';
 import type {ScheduledCall} from './scheduled-call.js';
 import type {ServiceTimes} from './service-times.js';
@@ -45,7 +45,7 @@
 type SendResult = Awaited<ReturnType<ports.TargetClient['send']>>;
 
 export const createAttemptRunner = (dependencies: {
-	ports: Pick<ports.NodePorts, 'clock' | 'metrics' | 'targetClient' | 'logger'>;
+	ports: Pick<ports.NodePorts, 'clock' | 'metrics' | 'targetClient' | 'logger' | 'random'>;
 	health: groupHealth.GroupHealth;
 	serviceTimes: ServiceTimes;
 	service: string;
@@ -54,7 +54,7 @@
 	answerBodyTimeoutMs: number;
 }): AttemptRunner => {
 	const {health, serviceTimes, service} = dependencies;
-	const {clock, metrics, targetClient, logger} = dependencies.ports;
+	const {clock, metrics, targetClient, logger, random} = dependencies.ports;
 	const bodyDeadlinesMs = new Map<AttemptStopper, number>();
 
 	/**
@@ -100,6 +100,7 @@
 			return await targetClient.send(
 				request.grant.slots.target,
 				{
+					attemptId: random.token(),
 					method: call.method,
 					pathAndQuery: call.path + call.query,
 					headers: call.headers,
@@ -124,9 +125,9 @@
 		}
 	};
 
-	const classifyStatus = (status: number): AttemptEnd => {
+	const classifyAnswer = ({status, isConfirmed}: ports.MatchedAnswer): AttemptEnd => {
 		if (dependencies.refusalStatuses().includes(status)) {
-			return AttemptEnd.Refused;
+			return isConfirmed ? AttemptEnd.Refused : AttemptEnd.UnconfirmedRefusal;
 		}
 
 		return status >= SERVER_ERROR_STATUS ? AttemptEnd.Error : AttemptEnd.Answered;
@@ -170,11 +171,11 @@
 		request: AttemptRequest,
 		stopper: AttemptStopper,
 		answer: domain.Answer,
+		end: AttemptEnd,
 	): AttemptOutcome => {
-		const end = classifyStatus(answer.status);
 		const {slots} = request.grant;
 		const {targetId} = slots.target;
-		if (end === AttemptEnd.Refused || BACK_PRESSURE_STATUSES.has(answer.status)) {
+		if (REFUSED_ENDS.has(end) || BACK_PRESSURE_STATUSES.has(answer.status)) {
 			slots.limit.reportShedding(clock.monotonicMs(), slots.busySlotCount);
 		} else if (end === AttemptEnd.Answered) {
 			slots.limit.reportAnswer(
@@ -208,7 +209,20 @@
 			return AttemptEnd.Lost;
 		}
 
-		return sent.isErr() ? ENDS_BY_ERROR[sent.error.kind] : classifyStatus(sent.value.status);
+		return sent.isErr() ? ENDS_BY_ERROR[sent.error.kind] : classifyAnswer(sent.value);
+	};
+
+	/** Counts answers that cannot be assigned to the attempt by its id. */
+	const countUnmatchedAnswer = (sent: SendResult | Error | undefined): void => {
+		if (sent === undefined || sent instanceof Error) {
+			return;
+		}
+
+		if (sent.isOk() && !sent.value.isConfirmed) {
+			metrics.increment(ports.CounterName.UnconfirmedAnswers, {service});
+		} else if (sent.isErr() && sent.error.kind === ports.TargetErrorKind.Mismatched) {
+			metrics.increment(ports.CounterName.MismatchedAnswers, {service});
+		}
 	};
 
 	const describeFailure = (sent: SendResult | Error | undefined, targetId: string): string => {
@@ -238,6 +252,7 @@
 			timeLimitController.abort(STOP_REASON);
 			const end = classifyAttempt(sent, stopper);
 			observed.finish(classifyForHealth(end, sent));
+			countUnmatchedAnswer(sent);
 			if (sent === undefined || stopper.cause() !== undefined) {
 				void dropLateAnswer(sending);
 				return finishFailedAttempt(request, stopper, end, describeFailure(undefined, slots.target.targetId));
@@ -251,7 +266,7 @@
 				serviceTimes.recordLatency(slots.target.targetId, workClass, clock.monotonicMs() - startedAtMs);
 			}
 
-			return finishAnsweredAttempt(request, stopper, sent.value);
+			return finishAnsweredAttempt(request, stopper, sent.value, end);
 		},
 		abortOverdueBodies() {
 			const nowMs = clock.monotonicMs();
--- a/packages/core/src/scheduling/call-runner.ts
+++ b/packages/core/src/scheduling/call-runner.ts
@@ -1,7 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
 import {readAhead} from '../shared/read-ahead.js';
-import {AttemptEnd} from './attempt-end.js';
+import {AttemptEnd, REFUSED_ENDS} from './attempt-end.js';
 import type {AttemptOutcome, AttemptRunner} from './attempt.js';
 import {createResendableBody, type ResendableBody} from './resendable-body.js';
 import type {RetryBudget} from './retry-budget.js';
@@ -25,6 +25,7 @@
 const RETRY_REASONS: Partial<Record<AttemptEnd, domain.RetryReason>> = {
 	[AttemptEnd.Error]: domain.RetryReason.TargetError,
 	[AttemptEnd.Refused]: domain.RetryReason.TargetRefused,
+	[AttemptEnd.UnconfirmedRefusal]: domain.RetryReason.TargetRefused,
 	[AttemptEnd.Unreachable]: domain.RetryReason.TargetUnreachable,
 	[AttemptEnd.Lost]: domain.RetryReason.TargetLost,
 	[AttemptEnd.TimedOut]: domain.RetryReason.TargetTimedOut,
@@ -38,6 +39,7 @@
 	[AttemptEnd.Answered]: domain.RefusalReason.Internal,
 	[AttemptEnd.Error]: domain.RefusalReason.TargetLost,
 	[AttemptEnd.Refused]: domain.RefusalReason.TargetRefused,
+	[AttemptEnd.UnconfirmedRefusal]: domain.RefusalReason.TargetRefused,
 	[AttemptEnd.Unreachable]: domain.RefusalReason.TargetUnreachable,
 	[AttemptEnd.Lost]: domain.RefusalReason.TargetLost,
 	[AttemptEnd.TimedOut]: domain.RefusalReason.TargetTimedOut,
@@ -132,7 +134,7 @@
 	};
 
 	const endCall = (state: CallState, outcome: AttemptOutcome): domain.CallEnding => {
-		if (outcome.answer && outcome.end !== AttemptEnd.Refused) {
+		if (outcome.answer && !REFUSED_ENDS.has(outcome.end)) {
 			// Reading ahead frees the slot when the target has sent its answer, also when the caller reads it slowly.
 			const body = readAhead(outcome.answer.body, options.answerReadAheadBytes);
 			return domain.completed({...outcome.answer, body});
--- a/packages/core/src/scheduling/watch-leaving-answers.ts
+++ b/packages/core/src/scheduling/watch-leaving-answers.ts
@@ -15,5 +15,5 @@
 
 		return sent;
 	},
-	probe: async (target, signal) => targetClient.probe(target, signal),
+	probe: async (target, attemptId, signal) => targetClient.probe(target, attemptId, signal),
 });
--- a/packages/fakes/src/__tests__/scheduler-endings.test.ts
+++ b/packages/fakes/src/__tests__/scheduler-endings.test.ts
@@ -139,6 +139,23 @@
 		},
 		expected,
 	})),
+	...(
+		[
+			[FakeTargetFault.None, 'completed 200'],
+			[FakeTargetFault.Shed, 'unknown target-refused'],
+			[FakeTargetFault.Errors, 'completed 500'],
+		] as const
+	).map(([fault, expected]) => ({
+		name: `single work at targets with the fault ${fault} that do not name attempts`,
+		call: {route: SINGLE_WORK},
+		prepare(bench: SchedulerBench) {
+			setFault(bench, fault);
+			bench.targets.forEach(target => {
+				target.namesAttempts = false;
+			});
+		},
+		expected,
+	})),
 ];
 
 // Guards against a wrong ending, and against slots or queue places that are not released.
@@ -154,9 +171,16 @@
 	});
 });
 
-const retryRows = [
+type RetryRow = {
+	readonly fault: FakeTargetFault;
+	readonly reason: domain.RetryReason;
+	readonly namesAttempts?: boolean;
+};
+
+const retryRows: readonly RetryRow[] = [
 	{fault: FakeTargetFault.Down, reason: domain.RetryReason.TargetUnreachable},
 	{fault: FakeTargetFault.Shed, reason: domain.RetryReason.TargetRefused},
+	{fault: FakeTargetFault.Shed, reason: domain.RetryReason.TargetRefused, namesAttempts: false},
 	{fault: FakeTargetFault.LoseAnswers, reason: domain.RetryReason.TargetLost},
 	{fault: FakeTargetFault.Stall, reason: domain.RetryReason.TargetTimedOut},
 	{fault: FakeTargetFault.Errors, reason: domain.RetryReason.TargetError},
@@ -164,9 +188,13 @@
 
 // Guards against repeatable work that fails although another target would have served it, and against a retry on the
 // target that has just failed.
-retryRows.forEach(({fault, reason}) => {
-	test(`retry of repeatable work after ${reason}`, async t => {
+retryRows.forEach(({fault, reason, namesAttempts = true}) => {
+	const suffix = namesAttempts ? '' : ' without the attempt id';
+	test(`retry of repeatable work after ${reason}${suffix}`, async t => {
 		const bench = createSchedulerBench(buildBenchEntry());
+		bench.targets.forEach(target => {
+			target.namesAttempts = namesAttempts;
+		});
 		await bench.settle(Promise.all([bench.schedule(), bench.schedule()]));
 		setFault(bench, fault, ['s-1']);
 		const endings = await bench.settle(Promise.all([bench.schedule(), bench.schedule()]));
@@ -177,7 +205,7 @@
 		await bench.close();
 	});
 
-	test(`no retry of single work after ${reason}`, async t => {
+	test(`no retry of single work after ${reason}${suffix}`, async t => {
 		const bench = createSchedulerBench(buildBenchEntry());
 		await bench.settle(Promise.all([bench.schedule(), bench.schedule()]));
 		setFault(bench, fault);
--- a/packages/fakes/src/fake-network.ts
+++ b/packages/fakes/src/fake-network.ts
@@ -203,7 +203,7 @@
 				await host.waitUntilRunning();
 				return answer;
 			},
-			async probe(entry, signal) {
+			async probe(entry, _attemptId, signal) {
 				await clock.sleep(network.latencyMs(selfAddress, entry.address), signal);
 				const target = targets.get(entry.address);
 				if (!target || target.fault === FakeTargetFault.Down || isCut(selfAddress, entry.address)) {
--- a/packages/fakes/src/fake-target.ts
+++ b/packages/fakes/src/fake-target.ts
@@ -41,6 +41,8 @@
 export type FakeTarget = {
 	readonly entry: domain.TargetEntry;
 	fault: FakeTargetFault;
+	/** Whether answers name the attempt that they belong to. */
+	namesAttempts: boolean;
 	/** Whether answers and health probes report that the target is leaving. */
 	isLeaving: boolean;
 	/** Time that the target takes to run a call, in ms. */
@@ -52,7 +54,10 @@
 	readonly busyCount: () => number;
 	/** Number of executions by the value of the `x-operation` header. */
 	readonly executions: ReadonlyMap<string, number>;
-	serve(request: core.TargetRequest, signal: AbortSignal): Promise<neverthrow.Result<domain.Answer, core.TargetError>>;
+	serve(
+		request: core.TargetRequest,
+		signal: AbortSignal,
+	): Promise<neverthrow.Result<core.MatchedAnswer, core.TargetError>>;
 };
 
 const encoder = new TextEncoder();
@@ -127,8 +132,9 @@
 		releaseSlot();
 	};
 
-	const buildAnswer = (status: number, request: core.TargetRequest, isTruncated: boolean): domain.Answer => ({
+	const buildAnswer = (status: number, request: core.TargetRequest, isTruncated: boolean): core.MatchedAnswer => ({
 		status,
+		isConfirmed: target.namesAttempts,
 		headers: [['content-type', 'text/plain'], ...(target.isLeaving ? [['bilberrydoor-leaving', '1'] as const] : [])],
 		body: writeAnswerBody(`${entry.targetId} ${request.pathAndQuery}`, isTruncated),
 	});
@@ -136,6 +142,7 @@
 	const target: FakeTarget = {
 		entry,
 		fault: FakeTargetFault.None,
+		namesAttempts: true,
 		isLeaving: false,
 		serviceTimeMs: options.serviceTimeMs ?? (() => 10),
 		queueLimitCount: 1000,
--- a/packages/measures/src/baselines/independent-proxy.ts
+++ b/packages/measures/src/baselines/independent-proxy.ts
@@ -95,7 +95,7 @@
 	entry: domain.CatalogueEntry;
 	options?: Partial<IndependentProxyOptions>;
 }): IndependentProxy => {
-	const {clock, targetClient, entry} = dependencies;
+	const {clock, random, targetClient, entry} = dependencies;
 	const options = {...DEFAULT_INDEPENDENT_PROXY_OPTIONS, ...dependencies.options};
 	const selector = createTargetSelector(dependencies, options);
 	const routeTable = core.createRouteTable();
@@ -141,6 +141,7 @@
 		const sent = await targetClient.send(
 			proxied.target,
 			{
+				attemptId: random.token(),
 				method: call.method,
 				pathAndQuery: call.path + call.query,
 				headers: call.headers,
--- a/packages/measures/src/baselines/probe-proxy.ts
+++ b/packages/measures/src/baselines/probe-proxy.ts
@@ -61,7 +61,7 @@
 	const probeRepeatedly = async (probed: ProbedTarget, signal: AbortSignal): Promise<void> => {
 		while (!signal.aborted) {
 			const result = await core.runWithTimeout({clock, timeoutMs: options.probeTimeoutMs, signal}, async probeSignal =>
-				targetClient.probe(probed.target, probeSignal),
+				targetClient.probe(probed.target, 'probe', probeSignal),
 			);
 			recordProbeResult(probed, !result.isTimedOut && result.value.isOk());
 			await clock.sleep(options.probePeriodMs, signal);
@@ -96,6 +96,7 @@
 		const sent = await targetClient.send(
 			target,
 			{
+				attemptId: call.callId,
 				method: call.method,
 				pathAndQuery: call.path + call.query,
 				headers: call.headers,
--- a/packages/measures/src/capacity/capacity-subjects.ts
+++ b/packages/measures/src/capacity/capacity-subjects.ts
@@ -64,7 +64,7 @@
 		random: fakes.createSeededRandom(1),
 		nodeLoad: {eventLoopDelayMs: () => 0, residentBytes: () => 0},
 		targetClient: {
-			send: async () => neverthrow.ok({status: 200, headers: [], body: generateBody()}),
+			send: async () => neverthrow.ok({status: 200, headers: [], isConfirmed: true, body: generateBody()}),
 			probe: async () => neverthrow.ok({isReady: true, isLeaving: false}),
 		},
 	}) as unknown as core.NodePorts;
--- a/packages/measures/src/operations/key-table-baseline.ts
+++ b/packages/measures/src/operations/key-table-baseline.ts
@@ -33,7 +33,7 @@
 		const targets = [...fleet.targets.values()];
 		const target = targets[Math.floor(random.fraction() * targets.length)]!;
 		const client = network.createTargetClient(node.address, node.host);
-		const request = {...call, pathAndQuery: call.path + call.query, remainingMs: deadlineMs};
+		const request = {...call, attemptId: random.token(), pathAndQuery: call.path + call.query, remainingMs: deadlineMs};
 		const {signal} = new AbortController();
 		return core.runWithTimeout({clock, timeoutMs: deadlineMs, signal}, async sendSignal =>
 			client.send(target.entry, request, sendSignal),
--- a/packages/stand-ins/src/__tests__/extra-answers.test.ts
+++ b/packages/stand-ins/src/__tests__/extra-answers.test.ts
@@ -10,15 +10,19 @@
 	readonly path: string;
 	/** Writes an answer to this request. */
 	answer(status: number): void;
-	/** Writes the previous answer on the connection once more, byte for byte. */
+	/** Writes the previous answer on the connection once more, if there is one. */
 	repeatPrevious(): void;
 };
 
 const REQUEST_LINE_PATTERN = /^\S+ (\S+) /;
 const ATTEMPT_ID_PATTERN = /^(bilberrydoor-attempt-id: .*)$/im;
 
-/** Starts a target that repeats attempt ids and can send answers twice. Requests have no bodies. */
-const startTarget = async (t: ExecutionContext, handle: (request: ReceivedRequest) => void): Promise<string> => {
+/** Starts a target that can send answers twice, and repeats attempt ids by default. Requests have no bodies. */
+const startTarget = async (
+	t: ExecutionContext,
+	handle: (request: ReceivedRequest) => void,
+	{isRepeatingIds = true}: {isRepeatingIds?: boolean} = {},
+): Promise<string> => {
 	const server = net.createServer(socket => {
 		let previous = '';
 		socket.on('error', () => undefined);
@@ -26,7 +30,7 @@
 		socket.on('data', chunk => {
 			const head = chunk.toString('latin1');
 			const path = REQUEST_LINE_PATTERN.exec(head)![1]!;
-			const attemptLine = ATTEMPT_ID_PATTERN.exec(head)?.[1];
+			const attemptLine = isRepeatingIds ? ATTEMPT_ID_PATTERN.exec(head)?.[1] : undefined;
 			const before = previous;
 			handle({
 				path,
@@ -58,11 +62,12 @@
 		.map((target, index) => ({...target, address: addresses[index]!, connectionLimit: 1}));
 	const entry = fakes.buildEntry({service: 's', targets, retryBudgetRatio: 1});
 	const targetClient = adapters.createUndiciTargetClient();
+	const metrics = fakes.createFakeMetrics();
 	const scheduler = core.createGroupScheduler({
 		ports: {
 			clock,
 			targetClient,
-			metrics: fakes.createFakeMetrics(),
+			metrics,
 			logger: fakes.createSilentLogger(),
 			random: adapters.createSystemRandom(),
 			nodeLoad: {eventLoopDelayMs: () => 0, residentBytes: () => 0},
@@ -76,7 +81,7 @@
 		controller.abort();
 		await targetClient.close();
 	});
-	return async (path: string, repeatability: domain.Repeatability): Promise<string> => {
+	const send = async (path: string, repeatability: domain.Repeatability): Promise<string> => {
 		const route = fakes.buildRoute({repeatability});
 		const call = fakes.buildCall({path});
 		const deadlineAtMs = clock.monotonicMs() + route.deadlineMs;
@@ -85,6 +90,8 @@
 			? `completed with the answer to ${await fakes.readText(ending.answer.body)}`
 			: `${ending.outcome} ${ending.reason}`;
 	};
+
+	return {send, metrics, targets, targetClient};
 };
 
 const REPEATED_ANSWERS = [
@@ -98,18 +105,17 @@
 	test(`a late copy of ${kind} is not taken for the answer to the next call`, async t => {
 		const runPaths: string[] = [];
 		const address = await startTarget(t, request => {
-			if (request.path === '/first') {
-				request.answer(status);
-				return;
-			}
-
 			runPaths.push(request.path);
 			request.repeatPrevious();
+			request.answer(request.path === '/first' ? status : 200);
 		});
-		const send = startScheduler(t, [address]);
+		const {send, metrics} = startScheduler(t, [address]);
 		t.is(await send('/first', domain.Repeatability.Single), firstEnding);
 		t.is(await send('/second', domain.Repeatability.Single), 'unknown target-lost');
-		t.deepEqual(runPaths, ['/second']);
+		t.is(metrics.sum(core.CounterName.MismatchedAnswers), 1);
+		// The answer to the second call is still due on its connection, so the third call needs another one.
+		t.is(await send('/third', domain.Repeatability.Single), 'completed with the answer to /third');
+		t.deepEqual(runPaths, ['/first', '/second', '/third']);
 	});
 });
 
@@ -130,10 +136,40 @@
 		});
 	};
 
-	const send = startScheduler(t, [await startRefusingTarget(), await startRefusingTarget()]);
+	const {send} = startScheduler(t, [await startRefusingTarget(), await startRefusingTarget()]);
 	// The retry budget starts empty and saves one retry for each call.
 	t.is(await send('/saved', domain.Repeatability.Repeatable), 'completed with the answer to /saved');
 	const ending = await send('/refused', domain.Repeatability.Repeatable);
 	t.is(runCount, 1);
 	t.is(ending, 'unknown target-lost');
 });
+
+// Guards against the answer to a health probe that is passed to a caller, and against a target judged by the answer to a call.
+test('late copies are not exchanged between calls and probes', async t => {
+	const address = await startTarget(t, request => {
+		request.repeatPrevious();
+		request.answer(200);
+	});
+	const {send, targets, targetClient} = startScheduler(t, [address]);
+	const probe = async () => targetClient.probe(targets[0]!, 'probe', new AbortController().signal);
+	t.true((await probe()).isOk());
+	t.is(await send('/first', domain.Repeatability.Single), 'unknown target-lost');
+	t.is(await send('/second', domain.Repeatability.Single), 'completed with the answer to /second');
+	const probed = await probe();
+	t.is(probed.isErr() && probed.error.kind, core.TargetErrorKind.Mismatched);
+});
+
+// Guards against targets that lose their calls because they do not know the header, and against a `not-run` without proof.
+test('a target that does not repeat attempt ids is served, and its refusal proves nothing', async t => {
+	const address = await startTarget(
+		t,
+		request => {
+			request.answer(request.path === '/refused' ? 503 : 200);
+		},
+		{isRepeatingIds: false},
+	);
+	const {send, metrics} = startScheduler(t, [address]);
+	t.is(await send('/first', domain.Repeatability.Single), 'completed with the answer to /first');
+	t.is(await send('/refused', domain.Repeatability.Single), 'unknown target-refused');
+	t.is(metrics.sum(core.CounterName.UnconfirmedAnswers), 2);
+});
--- a/packages/stand-ins/src/target/target-app.ts
+++ b/packages/stand-ins/src/target/target-app.ts
@@ -33,6 +33,9 @@
 	fault: TargetFault.None,
 };
 
+/** Names the attempt that a request belongs to. Answers repeat it, so that a node can tell them from late ones. */
+const ATTEMPT_ID_HEADER = 'bilberrydoor-attempt-id';
+
 const SLOW_FACTOR = 10;
 /** Longest delay of an answer. It is also the delay factor of a stalled target, whose answers thus take that long. */
 const STALL_DELAY_MS = 3_600_000;
@@ -65,6 +68,14 @@
 	let {fault} = options;
 	let isLeaving = false;
 
+	app.use(async (context, next) => {
+		const attemptId = context.req.header(ATTEMPT_ID_HEADER);
+		if (attemptId !== undefined) {
+			context.env.outgoing.setHeader(ATTEMPT_ID_HEADER, attemptId);
+		}
+
+		await next();
+	});
 	app.get('/healthz', context => {
 		if (isLeaving) {
 			context.header('bilberrydoor-leaving', '1');
