fix(operations): leave the recognition of refusals to the scheduling node

Callers of single work could be told `not-run` for work that ran, while the catalogues of an operation's executor and of the scheduling node differed, for instance during an edit of `refusalStatuses`.

Cause: the executor took each answer with a status in its own `refusalStatuses` for a refusal, by the status alone. An answer arrives there only if the scheduling node did not take it for one, and the executor cannot see whether it names the attempt.

Change: the executor passes such an answer on as the response, which the catalogue of the scheduling node says it is.

--- a/packages/core/src/operations/operation-attempt.ts
+++ b/packages/core/src/operations/operation-attempt.ts
@@ -46,12 +46,7 @@
 		}
 
 		const {status, headers} = ending.answer;
-		if (attempt.entry.refusalStatuses.includes(status)) {
-			return domain.notRun(domain.RefusalReason.TargetRefused, `the target refused the work with status ${status}`, {
-				retryAfterMs: 1000,
-			});
-		}
-
+		// The scheduling node has already sorted out refusals; only it knows whether the answer names the attempt.
 		const limitBytes = Math.min(dependencies.answerLimitBytes, attempt.route.answerBodyLimitBytes);
 		const body = await bufferBody(ending.answer.body, limitBytes);
 		return body.match<StoredEnding>(
