feat(adapters): log what the HTTP server answers by itself

No log line told whether a status came from the HTTP server or from the application.

Change: `handleClientErrors` answers unreadable and slow requests as Node.js does by default, and logs a `client-error` line with the error's code, the status that was sent and the number of requests of that connection that have no complete answer. At most one line a second for each combination of these is written; the others are counted in `skippedCount`.

Evidence: the new test shows the lines for 400 and 408, and that two errors of one kind at once give one line.

--- /dev/null
+++ b/packages/adapters/src/__tests__/client-errors.test.ts
@@ -0,0 +1,81 @@
+import * as net from 'node:net';
+import * as timersPromises from 'node:timers/promises';
+import * as core from '@bilberrydoor/core';
+import test, {type ExecutionContext} from 'ava';
+import * as hono from 'hono';
+import {startHttpListener, type NodeBindings} from '../http/http-listener.js';
+
+/** Time that each request is at work; longer than `HEADERS_TIMEOUT_MS` and the interval at which it is checked. */
+const WORK_MS = 400;
+const HEADERS_TIMEOUT_MS = 100;
+const HEADER_LIMIT_BYTES = 1024;
+
+const REQUEST = 'GET /first HTTP/1.1\r\nhost: a.example\r\n\r\n';
+const HALF_HEAD = 'GET /second HTTP/1.1\r\nhost: a.exa';
+
+/** Starts a listener whose requests are at work for `WORK_MS`. */
+const startListener = async (t: ExecutionContext) => {
+	const runPaths: string[] = [];
+	const logFields: Array<Readonly<Record<string, unknown>>> = [];
+	const log = (_: string, fields: Readonly<Record<string, unknown>> = {}): void => {
+		logFields.push(fields);
+	};
+
+	const app = new hono.Hono<NodeBindings>();
+	app.all('*', async context => {
+		runPaths.push(context.req.path);
+		await timersPromises.setTimeout(WORK_MS);
+		return context.text(`done ${context.req.path}`);
+	});
+	const listener = await startHttpListener(app, {
+		headersTimeoutMs: HEADERS_TIMEOUT_MS,
+		headerLimitBytes: HEADER_LIMIT_BYTES,
+		logger: {debug: log, info: log, warn: log, error: log},
+	});
+	t.teardown(async () => {
+		listener.destroy();
+		await listener.close();
+	});
+	return {listener, runPaths, logFields};
+};
+
+/** Opens a connection. `closed` resolves with everything that was received until the connection has ended. */
+const connect = (t: ExecutionContext, {address}: {address: string}) => {
+	const [host, port] = address.split(':');
+	const socket = net.connect(Number(port), host);
+	t.teardown(() => socket.destroy());
+	let received = '';
+	socket.on('data', data => {
+		received += data.toString();
+	});
+	const closed = new Promise<string>(resolve => {
+		['error', 'close'].forEach(event => {
+			socket.on(event, () => {
+				resolve(received);
+			});
+		});
+	});
+	return {socket, closed};
+};
+
+test('what the server answers by itself is logged, once a second for each kind', async t => {
+	const {listener, logFields} = await startListener(t);
+	const send = async (bytes: string): Promise<void> => {
+		const {socket, closed} = connect(t, listener);
+		socket.write(bytes);
+		await closed;
+	};
+
+	await Promise.all([send('\u0000'), send('\u0000')]);
+	await send(HALF_HEAD);
+	await send(`${REQUEST}\u0000`);
+
+	t.deepEqual(
+		logFields.map(({event, status, requestCount, skippedCount}) => [event, status, requestCount, skippedCount]),
+		[
+			[core.LogEvent.ClientError, 400, 0, 0],
+			[core.LogEvent.ClientError, 408, 0, 0],
+			[core.LogEvent.ClientError, 400, 1, 0],
+		],
+	);
+});
--- /dev/null
+++ b/packages/adapters/src/http/client-errors.ts
@@ -0,0 +1,72 @@
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+import * as core from '@bilberrydoor/core';
+import type {ConnectionCloser} from './connection-closer.js';
+
+/** Errors that the HTTP server reports with an own status. All others are bytes that are not HTTP. */
+enum ClientErrorCode {
+	HeadTooLarge = 'HPE_HEADER_OVERFLOW',
+	ChunkExtensionsTooLarge = 'HPE_CHUNK_EXTENSIONS_OVERFLOW',
+	TimedOut = 'ERR_HTTP_REQUEST_TIMEOUT',
+}
+
+const STATUS_LINES: Record<string, string> = {
+	[ClientErrorCode.HeadTooLarge]: '431 Request Header Fields Too Large',
+	[ClientErrorCode.ChunkExtensionsTooLarge]: '413 Payload Too Large',
+	[ClientErrorCode.TimedOut]: '408 Request Timeout',
+};
+const DEFAULT_STATUS_LINE = '400 Bad Request';
+
+/** Least time between two log lines of the same kind, in ms. */
+const LOG_INTERVAL_MS = 1000;
+
+/** Creates a function that logs an error of a connection, and counts those of the same kind in between. */
+const createErrorLog = (logger: core.Logger) => {
+	const kinds = new Map<string, {nextLineAtMs: number; skippedCount: number}>();
+	return (fields: {code: string; status: number | undefined; requestCount: number}): void => {
+		const kindName = `${fields.code} ${fields.status} ${fields.requestCount > 0}`;
+		const kind = kinds.get(kindName) ?? {nextLineAtMs: Number.NEGATIVE_INFINITY, skippedCount: 0};
+		kinds.set(kindName, kind);
+		if (performance.now() < kind.nextLineAtMs) {
+			kind.skippedCount++;
+			return;
+		}
+
+		logger.info('connection ended because of what its caller sent', {
+			event: core.LogEvent.ClientError,
+			...fields,
+			skippedCount: kind.skippedCount,
+		});
+		kind.nextLineAtMs = performance.now() + LOG_INTERVAL_MS;
+		kind.skippedCount = 0;
+	};
+};
+
+/** Answers requests that cannot be read or that take too long, as Node.js does by default, and logs them. */
+export const handleClientErrors = (
+	server: http.Server,
+	options: {readonly connections: ConnectionCloser; readonly logger: core.Logger | undefined},
+): void => {
+	const {connections, logger} = options;
+	const logError = logger && createErrorLog(logger);
+	server.on('clientError', (error: NodeJS.ErrnoException, duplex) => {
+		const socket = duplex as net.Socket;
+		if (!socket.writable) {
+			socket.destroy(error);
+			return;
+		}
+
+		const code = error.code ?? 'none';
+		const statusLine = connections.hasBegunAnswer(socket) ? undefined : (STATUS_LINES[code] ?? DEFAULT_STATUS_LINE);
+		if (statusLine) {
+			socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+		}
+
+		logError?.({
+			code,
+			status: statusLine ? Number.parseInt(statusLine, 10) : undefined,
+			requestCount: connections.countRequests(socket),
+		});
+		socket.destroy(error);
+	});
+};
--- a/packages/adapters/src/http/connection-closer.ts
+++ b/packages/adapters/src/http/connection-closer.ts
@@ -3,14 +3,17 @@
 
 /** Closes the connections of a stopping server as they become idle. */
 export type ConnectionCloser = {
-	/** Requests whose head has arrived and whose answer has not been sent completely. */
-	countRequests(): number;
+	/** Requests whose head has arrived and whose answer has not been sent completely, of one connection or of all. */
+	countRequests(socket?: net.Socket): number;
+	/** Whether a part of the answer that is due next on a connection has been written. */
+	hasBegunAnswer(socket: net.Socket): boolean;
 	/** Closes idle connections, and from now on every other one once its answers have been sent. */
 	closeWhenIdle(): void;
 };
 
 type ConnectionState = {
-	requestCount: number;
+	/** Answers that have not been sent completely, in the order of their requests. */
+	readonly answers: Set<http.ServerResponse>;
 	/** Bytes received when the last answer was sent. More bytes since then belong to a request that is arriving. */
 	handledBytes: number;
 };
@@ -25,13 +28,13 @@
 
 	const closeIfIdle = (socket: net.Socket): void => {
 		const state = connections.get(socket);
-		if (isClosing && state?.requestCount === 0 && socket.bytesRead === state.handledBytes) {
+		if (isClosing && state?.answers.size === 0 && socket.bytesRead === state.handledBytes) {
 			socket.destroy();
 		}
 	};
 
 	server.on('connection', socket => {
-		connections.set(socket, {requestCount: 0, handledBytes: 0});
+		connections.set(socket, {answers: new Set(), handledBytes: 0});
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
@@ -42,16 +45,23 @@
 			return;
 		}
 
-		state.requestCount++;
+		state.answers.add(outgoing);
 		// The answer is closed once it has been handed over to the operating system, or its connection has ended.
 		outgoing.once('close', () => {
-			state.requestCount--;
+			state.answers.delete(outgoing);
 			state.handledBytes = socket.bytesRead;
 			closeIfIdle(socket);
 		});
 	});
 	return {
-		countRequests: () => [...connections.values()].reduce((sum, {requestCount}) => sum + requestCount, 0),
+		countRequests(socket) {
+			const states = socket ? [connections.get(socket)] : [...connections.values()];
+			return states.reduce((sum, state) => sum + (state?.answers.size ?? 0), 0);
+		},
+		hasBegunAnswer(socket) {
+			const [answer] = connections.get(socket)?.answers ?? [];
+			return answer?.headersSent ?? false;
+		},
 		closeWhenIdle() {
 			isClosing = true;
 			[...connections.keys()].forEach(closeIfIdle);
--- a/packages/adapters/src/http/http-listener.ts
+++ b/packages/adapters/src/http/http-listener.ts
@@ -1,7 +1,9 @@
 import type * as http from 'node:http';
 import * as net from 'node:net';
+import type * as core from '@bilberrydoor/core';
 import * as nodeServer from '@hono/node-server';
 import type * as hono from 'hono';
+import {handleClientErrors} from './client-errors.js';
 import {createConnectionCloser} from './connection-closer.js';
 
 /** Bindings that give handlers the Node.js request and response, so that bodies stream without copies. */
@@ -22,6 +24,8 @@
 	readonly connectionLimit: number;
 	/** How long an idle connection is kept, in ms. */
 	readonly keepAliveMs: number;
+	/** Logs what the server answers without the application. */
+	readonly logger?: core.Logger;
 };
 
 export const DEFAULT_HTTP_LISTENER_OPTIONS: HttpListenerOptions = {
@@ -76,6 +80,7 @@
 	}) as http.Server;
 	server.maxConnections = options.connectionLimit;
 	const connectionCloser = createConnectionCloser(server);
+	handleClientErrors(server, {connections: connectionCloser, logger: options.logger});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(options.port, options.host, resolve);
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -8,6 +8,8 @@
 	CallEnded = 'call-ended',
 	/** Handling a call threw an unexpected exception. */
 	CallHandlingFailed = 'call-handling-failed',
+	/** The HTTP server ended a caller's connection because of what arrived on it. */
+	ClientError = 'client-error',
 	/** A new catalogue is in force on this node. */
 	CatalogueInForce = 'catalogue-in-force',
 	/** This node now requests the slots of a group from a different dispatcher. */
--- a/packages/daemon/src/fleet/fleet-listeners.ts
+++ b/packages/daemon/src/fleet/fleet-listeners.ts
@@ -89,6 +89,7 @@
 			...adapters.splitAddress(settings.frontAddress),
 			headerLimitBytes: FRONT_HEADER_LIMIT_BYTES,
 			connectionLimit: FRONT_CONNECTION_LIMIT,
+			logger,
 		}),
 		readiness: await adapters.startHttpListener(readinessApp, adapters.splitAddress(settings.readinessAddress)),
 		metrics:
