test(adapters): a refusal of the HTTP server in place of an answer, known red

Callers saw: the answer 408, 400 or 431 to a request that an application had run, when bytes that arrived behind it on the same connection were not a request, too large or too slow. A caller that does not pipeline cannot know that the status is for these bytes. 408 promises that the request has not run, so a caller repeats work that may run at most once.

Cause: Node.js writes its own status on the connection as long as no byte of the answer at work has been sent.

Without a request at work the same bytes get the same statuses, which is correct.

--- a/packages/adapters/src/__tests__/client-errors.test.ts
+++ b/packages/adapters/src/__tests__/client-errors.test.ts
@@ -79,3 +79,33 @@
 		],
 	);
 });
+
+/** Bytes that the server cannot read as a request, or not in time, and its own answer to them. */
+const UNREADABLE_REQUESTS = [
+	{name: 'half a head', bytes: HALF_HEAD, status: 408},
+	{name: 'a line that is not HTTP', bytes: '\u0000 no request\r\n\r\n', status: 400},
+	{name: 'a head over the limit', bytes: `${HALF_HEAD}\r\nx: ${'y'.repeat(HEADER_LIMIT_BYTES)}`, status: 431},
+];
+
+// Guards against a 408, 400 or 431 for the next request that is read as the answer to the one at work.
+UNREADABLE_REQUESTS.forEach(({name, bytes}) => {
+	test(`a request at work gets its own answer when ${name} arrives behind it`, async t => {
+		const {listener, runPaths} = await startListener(t);
+		const {socket, closed} = connect(t, listener);
+		socket.write(`${REQUEST}${bytes}`);
+		const received = await closed;
+		t.regex(received, /^HTTP\/1\.1 200 OK\r\n/);
+		t.regex(received, /done \/first$/);
+		t.deepEqual(runPaths, ['/first']);
+	});
+});
+
+UNREADABLE_REQUESTS.forEach(({name, bytes, status}) => {
+	test(`a caller without a request at work gets ${status} for ${name}`, async t => {
+		const {listener, runPaths} = await startListener(t);
+		const {socket, closed} = connect(t, listener);
+		socket.write(bytes);
+		t.regex(await closed, new RegExp(`^HTTP/1\\.1 ${status} `));
+		t.deepEqual(runPaths, []);
+	});
+});
