fix(adapters): no 408 for a head that arrived while the process was paused

Callers saw: 408 for a request that they had sent in time, when the node had been paused or was overloaded.

Cause: after a pause, Node.js checks the time limits of requests before it reads what arrived meanwhile. A head that is complete in the socket's buffer counts as incomplete.

Change: a time limit that is reached takes effect after the event loop has read from the sockets once more, and only if no request of that connection has been accepted by then.

Evidence: the test blocks the event loop after the last bytes of a head were sent. With the wait taken out of the compiled code the caller gets 408 (1 of 1 run); with it, its answer (5 of 5 runs).

--- a/packages/adapters/src/__tests__/client-errors.test.ts
+++ b/packages/adapters/src/__tests__/client-errors.test.ts
@@ -109,3 +109,22 @@
 		t.deepEqual(runPaths, []);
 	});
 });
+
+// Guards against a 408 for a request that arrived in time, while the process was paused.
+test('a head that arrived during a pause of the process is not too late', async t => {
+	const {listener, runPaths} = await startListener(t);
+	const {socket} = connect(t, listener);
+	const firstBytes = new Promise<string>(resolve => {
+		socket.once('data', data => {
+			resolve(data.toString());
+		});
+	});
+	socket.write(HALF_HEAD);
+	await timersPromises.setTimeout(HEADERS_TIMEOUT_MS / 2);
+	// Timers are next after callbacks of this kind, and the time limit is one of them.
+	await timersPromises.setImmediate();
+	socket.write('mple\r\n\r\n');
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 2 * HEADERS_TIMEOUT_MS);
+	t.regex(await firstBytes, /^HTTP\/1\.1 200 /);
+	t.deepEqual(runPaths, ['/second']);
+});
--- a/packages/adapters/src/http/client-errors.ts
+++ b/packages/adapters/src/http/client-errors.ts
@@ -49,8 +49,7 @@
 ): void => {
 	const {connections, logger} = options;
 	const logError = logger && createErrorLog(logger);
-	server.on('clientError', (error: NodeJS.ErrnoException, duplex) => {
-		const socket = duplex as net.Socket;
+	const endConnection = (socket: net.Socket, error: NodeJS.ErrnoException): void => {
 		if (!socket.writable) {
 			socket.destroy(error);
 			return;
@@ -68,5 +67,21 @@
 			requestCount: connections.countRequests(socket),
 		});
 		socket.destroy(error);
+	};
+
+	server.on('clientError', (error: NodeJS.ErrnoException, duplex) => {
+		const socket = duplex as net.Socket;
+		if (error.code !== ClientErrorCode.TimedOut) {
+			endConnection(socket, error);
+			return;
+		}
+
+		// After a pause of the process, time limits are checked before the bytes that arrived meanwhile are read.
+		const acceptedCount = connections.countAccepted(socket);
+		setImmediate(() => {
+			if (connections.countAccepted(socket) === acceptedCount) {
+				endConnection(socket, error);
+			}
+		});
 	});
 };
--- a/packages/adapters/src/http/connection-closer.ts
+++ b/packages/adapters/src/http/connection-closer.ts
@@ -5,6 +5,8 @@
 export type ConnectionCloser = {
 	/** Requests whose head has arrived and whose answer has not been sent completely, of one connection or of all. */
 	countRequests(socket?: net.Socket): number;
+	/** Requests whose head has arrived since the connection was opened. */
+	countAccepted(socket: net.Socket): number;
 	/** Whether a part of the answer that is due next on a connection has been written. */
 	hasBegunAnswer(socket: net.Socket): boolean;
 	/** Closes idle connections, and from now on every other one once its answers have been sent. */
@@ -14,6 +16,7 @@
 type ConnectionState = {
 	/** Answers that have not been sent completely, in the order of their requests. */
 	readonly answers: Set<http.ServerResponse>;
+	acceptedCount: number;
 	/** Bytes received when the last answer was sent. More bytes since then belong to a request that is arriving. */
 	handledBytes: number;
 };
@@ -34,7 +37,7 @@
 	};
 
 	server.on('connection', socket => {
-		connections.set(socket, {answers: new Set(), handledBytes: 0});
+		connections.set(socket, {answers: new Set(), acceptedCount: 0, handledBytes: 0});
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
@@ -45,6 +48,7 @@
 			return;
 		}
 
+		state.acceptedCount++;
 		state.answers.add(outgoing);
 		// The answer is closed once it has been handed over to the operating system, or its connection has ended.
 		outgoing.once('close', () => {
@@ -58,6 +62,7 @@
 			const states = socket ? [connections.get(socket)] : [...connections.values()];
 			return states.reduce((sum, state) => sum + (state?.answers.size ?? 0), 0);
 		},
+		countAccepted: socket => connections.get(socket)?.acceptedCount ?? 0,
 		hasBegunAnswer(socket) {
 			const [answer] = connections.get(socket)?.answers ?? [];
 			return answer?.headersSent ?? false;
