fix(adapters): the HTTP server never answers in place of a request at work

Callers saw: 408, 400 or 431 as the answer to a request that had run, and answers that were cut off, when bytes that arrived behind the request on the same connection could not be read as the next one. 408 promises that the request has not run.

Cause: answers carry no reference to their request, so whatever is written first on a connection is the answer to the oldest request. Node.js writes its own status as long as the head of that request's answer has not been sent, and closes the connection in any case.

Change: the server's own answer is sent only if no request of the connection waits for one. Otherwise the connection accepts no further request, the requests that have arrived completely are answered, with `Connection: close` if the head has not been sent, and the connection ends. A request whose own body cannot be read or takes too long is broken off without an answer, since its parts may have reached a target. An ended connection is read for 1 s, so that a reset does not discard its last answer.

Open: after CONNECT or the HTTP/2 preface, Node.js closes the connection at once, without an answer.

--- a/packages/adapters/src/http/client-errors.ts
+++ b/packages/adapters/src/http/client-errors.ts
@@ -42,7 +42,10 @@
 	};
 };
 
-/** Answers requests that cannot be read or that take too long, as Node.js does by default, and logs them. */
+/**
+ * Ends connections with a request that cannot be read or that takes too long. The server's own answer to it is sent only if no
+ * other request of the connection waits for one: answers carry no reference to their request, and 408 states that it did not run.
+ */
 export const handleClientErrors = (
 	server: http.Server,
 	options: {readonly connections: ConnectionCloser; readonly logger: core.Logger | undefined},
@@ -50,23 +53,28 @@
 	const {connections, logger} = options;
 	const logError = logger && createErrorLog(logger);
 	const endConnection = (socket: net.Socket, error: NodeJS.ErrnoException): void => {
-		if (!socket.writable) {
-			socket.destroy(error);
+		const requestCount = connections.countRequests(socket);
+		// A caller that closes its side while a request is at work has left.
+		const hasCallerLeft = socket.readableEnded && (requestCount > 0 || connections.isEnding(socket));
+		if (socket.destroyed || hasCallerLeft) {
+			socket.destroy();
+			return;
+		}
+
+		// The parser reports its error again for everything that arrives later.
+		if (connections.isEnding(socket)) {
 			return;
 		}
 
 		const code = error.code ?? 'none';
-		const statusLine = connections.hasBegunAnswer(socket) ? undefined : (STATUS_LINES[code] ?? DEFAULT_STATUS_LINE);
+		const statusLine = requestCount === 0 ? (STATUS_LINES[code] ?? DEFAULT_STATUS_LINE) : undefined;
+		logError?.({code, status: statusLine ? Number.parseInt(statusLine, 10) : undefined, requestCount});
 		if (statusLine) {
-			socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+			connections.end(socket, `HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+			return;
 		}
 
-		logError?.({
-			code,
-			status: statusLine ? Number.parseInt(statusLine, 10) : undefined,
-			requestCount: connections.countRequests(socket),
-		});
-		socket.destroy(error);
+		connections.endAfterAnswers(socket);
 	};
 
 	server.on('clientError', (error: NodeJS.ErrnoException, duplex) => {
--- a/packages/adapters/src/http/connection-closer.ts
+++ b/packages/adapters/src/http/connection-closer.ts
@@ -1,75 +1,131 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 
-/** Closes the connections of a stopping server as they become idle. */
+/** Knows the requests of a server's connections, and closes connections without cutting off an answer. */
 export type ConnectionCloser = {
+	/** Adds a new connection. */
+	track(socket: net.Socket): void;
+	/** Adds a request whose head has arrived. Returns false if its connection is about to close, so that it must not run. */
+	accept(incoming: http.IncomingMessage, outgoing: http.ServerResponse): boolean;
 	/** Requests whose head has arrived and whose answer has not been sent completely, of one connection or of all. */
 	countRequests(socket?: net.Socket): number;
-	/** Requests whose head has arrived since the connection was opened. */
+	/** Requests accepted since the connection was opened. */
 	countAccepted(socket: net.Socket): number;
-	/** Whether a part of the answer that is due next on a connection has been written. */
-	hasBegunAnswer(socket: net.Socket): boolean;
+	/** Whether the connection accepts no further requests. */
+	isEnding(socket: net.Socket): boolean;
+	/** Sends `lastBytes` on a connection without requests and closes it. */
+	end(socket: net.Socket, lastBytes: string): void;
+	/** Closes a connection once the requests that have arrived completely are answered. Others on it are broken off. */
+	endAfterAnswers(socket: net.Socket): void;
 	/** Closes idle connections, and from now on every other one once its answers have been sent. */
 	closeWhenIdle(): void;
 };
 
 type ConnectionState = {
-	/** Answers that have not been sent completely, in the order of their requests. */
-	readonly answers: Set<http.ServerResponse>;
+	/** Requests whose answers have not been sent completely, by answer, in the order of their arrival. */
+	readonly requests: Map<http.ServerResponse, http.IncomingMessage>;
 	acceptedCount: number;
 	/** Bytes received when the last answer was sent. More bytes since then belong to a request that is arriving. */
 	handledBytes: number;
+	isEnding: boolean;
+};
+
+/**
+ * How long an ended connection still reads, in ms. Closing it with unread bytes resets it, and a reset can discard an answer that
+ * its caller has not read.
+ */
+const LINGER_MS = 1000;
+
+const listWholeAnswers = ({requests}: ConnectionState): http.ServerResponse[] =>
+	[...requests].filter(([, incoming]) => incoming.complete).map(([outgoing]) => outgoing);
+
+const endAndLinger = (socket: net.Socket, lastBytes = ''): void => {
+	socket.end(lastBytes);
+	const timer = setTimeout(() => {
+		socket.destroy();
+	}, LINGER_MS);
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
 };
 
 /**
  * Tracks a server's connections. `http.Server#closeIdleConnections`, which `http.Server#close` calls too, is not used: for it a
  * connection is idle as soon as its answer has been ended, and what is not sent by then is cut off.
  */
-export const createConnectionCloser = (server: http.Server): ConnectionCloser => {
+export const createConnectionCloser = (): ConnectionCloser => {
 	const connections = new Map<net.Socket, ConnectionState>();
 	let isClosing = false;
 
-	const closeIfIdle = (socket: net.Socket): void => {
-		const state = connections.get(socket);
-		if (isClosing && state?.answers.size === 0 && socket.bytesRead === state.handledBytes) {
-			socket.destroy();
+	const closeIfDone = (socket: net.Socket, state: ConnectionState): void => {
+		if (state.isEnding && listWholeAnswers(state).length === 0) {
+			endAndLinger(socket);
+			return;
 		}
-	};
 
-	server.on('connection', socket => {
-		connections.set(socket, {answers: new Set(), acceptedCount: 0, handledBytes: 0});
-		socket.once('close', () => {
-			connections.delete(socket);
-		});
-	});
-	server.prependListener('request', ({socket}, outgoing) => {
-		const state = connections.get(socket);
-		if (!state) {
-			return;
+		if (isClosing && !state.isEnding && state.requests.size === 0 && socket.bytesRead === state.handledBytes) {
+			socket.destroy();
 		}
+	};
 
-		state.acceptedCount++;
-		state.answers.add(outgoing);
-		// The answer is closed once it has been handed over to the operating system, or its connection has ended.
-		outgoing.once('close', () => {
-			state.answers.delete(outgoing);
-			state.handledBytes = socket.bytesRead;
-			closeIfIdle(socket);
-		});
-	});
 	return {
+		track(socket) {
+			connections.set(socket, {requests: new Map(), acceptedCount: 0, handledBytes: 0, isEnding: false});
+			socket.once('close', () => {
+				connections.delete(socket);
+			});
+		},
+		accept(incoming, outgoing) {
+			const {socket} = incoming;
+			const state = connections.get(socket);
+			if (!state || state.isEnding) {
+				return false;
+			}
+
+			state.acceptedCount++;
+			state.requests.set(outgoing, incoming);
+			// The answer is closed once it has been handed over to the operating system, or its connection has ended.
+			outgoing.once('close', () => {
+				state.requests.delete(outgoing);
+				state.handledBytes = socket.bytesRead;
+				closeIfDone(socket, state);
+			});
+			return true;
+		},
 		countRequests(socket) {
 			const states = socket ? [connections.get(socket)] : [...connections.values()];
-			return states.reduce((sum, state) => sum + (state?.answers.size ?? 0), 0);
+			return states.reduce((sum, state) => sum + (state?.requests.size ?? 0), 0);
 		},
 		countAccepted: socket => connections.get(socket)?.acceptedCount ?? 0,
-		hasBegunAnswer(socket) {
-			const [answer] = connections.get(socket)?.answers ?? [];
-			return answer?.headersSent ?? false;
+		isEnding: socket => connections.get(socket)?.isEnding ?? true,
+		end(socket, lastBytes) {
+			const state = connections.get(socket);
+			if (state) {
+				state.isEnding = true;
+				endAndLinger(socket, lastBytes);
+			}
+		},
+		endAfterAnswers(socket) {
+			const state = connections.get(socket);
+			if (!state) {
+				return;
+			}
+
+			state.isEnding = true;
+			const lastAnswer = listWholeAnswers(state).at(-1);
+			if (!lastAnswer) {
+				socket.destroy();
+				return;
+			}
+
+			// Announces the end in the answer's head, if that has not been sent yet.
+			lastAnswer.shouldKeepAlive = false;
 		},
 		closeWhenIdle() {
 			isClosing = true;
-			[...connections.keys()].forEach(closeIfIdle);
+			connections.forEach((state, socket) => {
+				closeIfDone(socket, state);
+			});
 		},
 	};
 };
--- a/packages/adapters/src/http/http-listener.ts
+++ b/packages/adapters/src/http/http-listener.ts
@@ -1,4 +1,4 @@
-import type * as http from 'node:http';
+import * as http from 'node:http';
 import * as net from 'node:net';
 import type * as core from '@bilberrydoor/core';
 import * as nodeServer from '@hono/node-server';
@@ -66,10 +66,10 @@
 	given: Partial<HttpListenerOptions>,
 ): Promise<HttpListener> => {
 	const options = {...DEFAULT_HTTP_LISTENER_OPTIONS, ...given};
-	const server = nodeServer.createAdaptorServer({
-		fetch: app.fetch,
-		overrideGlobalObjects: false,
-		serverOptions: {
+	const connections = createConnectionCloser();
+	const handleRequest = nodeServer.getRequestListener(app.fetch, {overrideGlobalObjects: false});
+	const server = http.createServer(
+		{
 			headersTimeout: options.headersTimeoutMs,
 			requestTimeout: options.requestTimeoutMs,
 			maxHeaderSize: options.headerLimitBytes,
@@ -77,10 +77,15 @@
 			connectionsCheckingInterval: Math.min(1000, options.headersTimeoutMs),
 			noDelay: true,
 		},
-	}) as http.Server;
+		(incoming, outgoing) => {
+			if (connections.accept(incoming, outgoing)) {
+				void handleRequest(incoming, outgoing);
+			}
+		},
+	);
 	server.maxConnections = options.connectionLimit;
-	const connectionCloser = createConnectionCloser(server);
-	handleClientErrors(server, {connections: connectionCloser, logger: options.logger});
+	server.on('connection', connections.track);
+	handleClientErrors(server, {connections, logger: options.logger});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(options.port, options.host, resolve);
@@ -92,13 +97,13 @@
 			const closed = new Promise(resolve => {
 				net.Server.prototype.close.call(server, resolve);
 			});
-			connectionCloser.closeWhenIdle();
+			connections.closeWhenIdle();
 			await closed;
 		},
 		destroy() {
 			server.closeAllConnections();
 		},
-		countRequests: connectionCloser.countRequests,
+		countRequests: () => connections.countRequests(),
 		setKeepAlive(keepAliveMs) {
 			server.keepAliveTimeout = keepAliveMs;
 		},
