fix(front): the catalogue's limits on request heads apply to callers

Callers saw: 408 for a slow head after 10 s, whatever the catalogue said, and no 431 for heads between the catalogue's limit and 64 KB, which were forwarded.

Cause: `headerTimeoutMs` and `headerLimitBytes` of the catalogue were read but not used.

Change: the front's time limit for heads follows the catalogue, for open connections too, and is checked every 250 ms. 500 ms are added for delays in the network. The size is checked for each request, because the limit of an HTTP parser is fixed when its connection opens; such a request gets 431 in its turn and a `head-refused` line. The time for a head begins with its first byte: a new connection without one is idle, and is closed without an answer after the idle timeout instead of 408.

--- a/packages/adapters/src/__tests__/client-errors.test.ts
+++ b/packages/adapters/src/__tests__/client-errors.test.ts
@@ -169,3 +169,26 @@
 	t.regex(String(await answered), /^HTTP\/1\.1 200 /);
 	t.deepEqual(runPaths, ['/second']);
 });
+
+// Guards against a 408 on a connection that its caller has opened but not used.
+test('the time limit for a head begins with its first byte', async t => {
+	const {listener, runPaths} = await startListener(t);
+	const {socket} = connect(t, listener);
+	await timersPromises.setTimeout(4 * HEADERS_TIMEOUT_MS);
+	const answered = once(socket, 'data');
+	socket.write(REQUEST);
+	t.regex(String(await answered), /^HTTP\/1\.1 200 /);
+	t.deepEqual(runPaths, ['/first']);
+});
+
+// Guards against limits of a new catalogue that do not apply to connections that callers keep.
+test('a changed time limit for heads applies to open connections', async t => {
+	const {listener} = await startListener(t);
+	listener.setTimeouts({headersTimeoutMs: 60_000, keepAliveMs: 60_000});
+	const {socket, closed} = connect(t, listener);
+	socket.write(HALF_HEAD);
+	await timersPromises.setTimeout(3 * HEADERS_TIMEOUT_MS);
+	t.false(socket.readableEnded);
+	listener.setTimeouts({headersTimeoutMs: HEADERS_TIMEOUT_MS, keepAliveMs: 60_000});
+	t.regex(await closed, /^HTTP\/1\.1 408 /);
+});
--- a/packages/adapters/src/front/proxy-app.ts
+++ b/packages/adapters/src/front/proxy-app.ts
@@ -16,6 +16,8 @@
 	readonly clock: core.Clock;
 	readonly random: core.Random;
 	readonly logger: core.Logger;
+	/** Returns the largest allowed request head in bytes, according to the current catalogue. */
+	readonly getHeaderLimitBytes: () => number;
 	/** Returns the largest allowed request body in bytes, according to the current catalogue. */
 	readonly getBodyLimitBytes: () => number;
 	/** Whether each connection is closed after its answer. */
@@ -113,6 +115,10 @@
 	return neverthrow.ok({body: Buffer.concat(chunks), bodyLengthBytes: undefined});
 };
 
+/** Size in bytes of the names and values of a request's head, as the HTTP parser counts them. */
+const measureHeadBytes = ({url = '', rawHeaders}: http.IncomingMessage): number =>
+	rawHeaders.reduce((sumBytes, text) => sumBytes + text.length, url.length);
+
 const parseDeadline = (value: string | undefined): number | undefined => {
 	const deadlineMs = Number(value);
 	return value !== undefined && Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : undefined;
@@ -189,6 +195,13 @@
 		const receivedAtMs = clock.monotonicMs();
 		const headerList = headers.pairRawHeaders(incoming.rawHeaders);
 		const requestId = headers.findHeader(headerList, dialect.requestIdHeader) ?? options.random.token();
+		const headBytes = measureHeadBytes(incoming);
+		if (headBytes > options.getHeaderLimitBytes()) {
+			options.logger.info('request head refused', {event: core.LogEvent.HeadRefused, requestId, headBytes});
+			writeEmptyResponse(outgoing, 431, requestId, {connection: 'close'});
+			return;
+		}
+
 		const controller = new AbortController();
 		outgoing.on('close', () => {
 			controller.abort(core.STOP_REASON);
--- a/packages/adapters/src/http/client-errors.ts
+++ b/packages/adapters/src/http/client-errors.ts
@@ -42,6 +42,18 @@
 	};
 };
 
+/** Closes a connection on which nothing has arrived when it has been idle for as long as a used one may be. */
+const closeIfUnused = ({keepAliveTimeout}: http.Server, socket: net.Socket): void => {
+	const timer = setTimeout(() => {
+		if (socket.bytesRead === 0) {
+			socket.destroy();
+		}
+	}, keepAliveTimeout);
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+};
+
 /**
  * Ends connections with a request that cannot be read or that takes too long. The server's own answer to it is sent only if no
  * other request of the connection waits for one: answers carry no reference to their request, and 408 states that it did not run.
@@ -84,6 +96,11 @@
 			return;
 		}
 
+		if (socket.bytesRead === 0) {
+			closeIfUnused(server, socket);
+			return;
+		}
+
 		// After a pause of the process, time limits are checked before the bytes that arrived meanwhile are read.
 		const acceptedCount = connections.countAccepted(socket);
 		setImmediate(() => {
--- a/packages/adapters/src/http/http-listener.ts
+++ b/packages/adapters/src/http/http-listener.ts
@@ -38,6 +38,9 @@
 	keepAliveMs: 65_000,
 };
 
+/** Longest interval at which the time limits of requests are checked, in ms. */
+const TIMEOUT_CHECK_INTERVAL_MS = 250;
+
 /** A listening HTTP server. */
 export type HttpListener = {
 	/** IP and port. */
@@ -50,8 +53,8 @@
 	destroy(): void;
 	/** Counts the requests whose head has arrived and whose response has not ended yet. */
 	countRequests(): number;
-	/** Changes how long idle connections are kept, in ms. */
-	setKeepAlive(keepAliveMs: number): void;
+	/** Changes time limits, in ms. They apply to open connections too. */
+	setTimeouts(timeouts: {readonly headersTimeoutMs: number; readonly keepAliveMs: number}): void;
 };
 
 /** Splits `127.0.0.1:8080` into host and port. */
@@ -74,7 +77,7 @@
 			requestTimeout: options.requestTimeoutMs,
 			maxHeaderSize: options.headerLimitBytes,
 			keepAliveTimeout: options.keepAliveMs,
-			connectionsCheckingInterval: Math.min(1000, options.headersTimeoutMs),
+			connectionsCheckingInterval: Math.min(TIMEOUT_CHECK_INTERVAL_MS, options.headersTimeoutMs),
 			noDelay: true,
 		},
 		(incoming, outgoing) => {
@@ -104,7 +107,8 @@
 			server.closeAllConnections();
 		},
 		countRequests: () => connections.countRequests(),
-		setKeepAlive(keepAliveMs) {
+		setTimeouts({headersTimeoutMs, keepAliveMs}) {
+			server.headersTimeout = headersTimeoutMs;
 			server.keepAliveTimeout = keepAliveMs;
 		},
 	};
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -14,6 +14,8 @@
 	CatalogueInForce = 'catalogue-in-force',
 	/** This node now requests the slots of a group from a different dispatcher. */
 	DispatcherChanged = 'dispatcher-changed',
+	/** A caller's request head was too large. */
+	HeadRefused = 'head-refused',
 	/** Log lines were dropped because their reader was too slow. */
 	LogLinesDropped = 'log-lines-dropped',
 	/** Registering the node in the store failed. */
--- /dev/null
+++ b/packages/daemon/src/fleet/__tests__/caller-limits.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava';
+import {startFleet} from './fleet-harness.js';
+import {buildRequestParts, connectRawCaller} from './raw-caller.js';
+
+/** Limits of the stand-in's catalogue. */
+const HEADER_LIMIT_BYTES = 16_384;
+const HEADER_TIMEOUT_MS = 3000;
+
+/** Time after the limit by which the node has ended the connection, on a busy machine. */
+const LATEST_END_MS = HEADER_TIMEOUT_MS + 2000;
+
+// Guards against limits of the catalogue that do not apply to callers.
+test('a head over the limit of the catalogue gets 431, and does not run', async t => {
+	const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 1});
+	const caller = await connectRawCaller(t, nodes[0]!);
+	const [start, ...rest] = buildRequestParts('large');
+	caller.send([start, `X-Large: ${'y'.repeat(HEADER_LIMIT_BYTES)}\r\n`, ...rest].join(''));
+	t.regex(await caller.closed, /^HTTP\/1\.1 431 /);
+	t.deepEqual(targets[0]!.runIds, []);
+});
+
+test('a head that takes longer than the catalogue allows gets 408', async t => {
+	const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 1});
+	const caller = await connectRawCaller(t, nodes[0]!);
+	const [start] = buildRequestParts('slow');
+	const startedAtMs = performance.now();
+	caller.send(start);
+	t.regex(await caller.closed, /^HTTP\/1\.1 408 /);
+	const tookMs = performance.now() - startedAtMs;
+	t.true(tookMs > HEADER_TIMEOUT_MS && tookMs < LATEST_END_MS, `${tookMs} ms`);
+	t.deepEqual(targets[0]!.runIds, []);
+});
--- a/packages/daemon/src/fleet/fleet-listeners.ts
+++ b/packages/daemon/src/fleet/fleet-listeners.ts
@@ -25,7 +25,7 @@
 	readonly metricsPort: number | undefined;
 };
 
-/** Largest head of a caller's request. The catalogue's own limit is lower, and can change while the listener runs. */
+/** Largest head that the HTTP parser reads, and the limit until the node has its first catalogue, in bytes. */
 const FRONT_HEADER_LIMIT_BYTES = 65_536;
 
 /** A node has 4,100 file descriptors; the remaining ones are for connections to targets, peers and the store. */
@@ -43,10 +43,13 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
+/** Added to the catalogue's time limit for a request's head: the network delays its last bytes more than its first ones. */
+const HEADER_TIMEOUT_MARGIN_MS = 500;
+
 const METRICS_PATH = '/metrics';
 
-/** Applies the catalogue's idle timeout to the callers' connections whenever the registry changes. */
-export const watchIdleTimeout = async (
+/** Applies the catalogue's time limits to the callers' connections whenever the registry changes. */
+export const watchCallerTimeouts = async (
 	front: adapters.HttpListener,
 	registry: core.Registry,
 	signal: AbortSignal,
@@ -55,7 +58,10 @@
 	while (!signal.aborted) {
 		const limits = registry.catalogue()?.limits;
 		if (limits) {
-			front.setKeepAlive(limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS);
+			front.setTimeouts({
+				headersTimeoutMs: limits.headerTimeoutMs + HEADER_TIMEOUT_MARGIN_MS,
+				keepAliveMs: limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS,
+			});
 		}
 
 		await registry.waitForChange(maxChangeWaitMs, signal);
@@ -72,6 +78,7 @@
 		clock,
 		random,
 		logger,
+		getHeaderLimitBytes: () => node.registry.catalogue()?.limits.headerLimitBytes ?? FRONT_HEADER_LIMIT_BYTES,
 		getBodyLimitBytes: () => node.registry.catalogue()?.limits.bodyLimitBytes ?? INITIAL_BODY_LIMIT_BYTES,
 		isClosing: () => shutdownState.isLeaving,
 	});
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -4,7 +4,7 @@
 import {buildFleetPorts} from './build-fleet-ports.js';
 import {drainFront} from './drain-front.js';
 import {watchSettingsFile} from './watch-settings-file.js';
-import {watchIdleTimeout, startFleetListeners, type ShutdownState} from './fleet-listeners.js';
+import {startFleetListeners, watchCallerTimeouts, type ShutdownState} from './fleet-listeners.js';
 
 export type FleetDaemonOptions = {
 	readonly settings: platform.PlatformSettings;
@@ -61,7 +61,7 @@
 	const controller = new AbortController();
 	const tasks = Promise.all([
 		node.run(controller.signal),
-		watchIdleTimeout(listeners.front, node.registry, controller.signal),
+		watchCallerTimeouts(listeners.front, node.registry, controller.signal),
 		watchSettingsFile(
 			{fileName: options.settingsFile, settings, clock, logger, applyDispatcherOptions: node.dispatchers.configure},
 			controller.signal,
