fix(proxy): a call owns its body, and each attempt reads it by itself

What callers saw: after a pause of an entry node, an upload of more than 512 KiB ran with an empty or truncated body and was answered 200. Cause: all attempts of a call read one generator. An attempt that had no connection in time was cancelled, and when its turn came after all, undici destroyed its body. That ended the generator, and the attempt that was under way took this for the end of the upload. Change: HeldBody (core/shared, also used by bilberryd in place of ResendableBody) belongs to the call. Each attempt opens a reader; an earlier reader throws from then on and reads nothing more. A reader ends only after the last byte of the caller, with the announced length, and throws otherwise, upon which undici closes the connection before the last chunk or short of the length. The announced length goes on to the target. A body can be opened again until a reader has passed heldBodyLimitBytes (512 KiB). An attempt counts as not sent only if undici has not begun to send it, whatever the error, and a cancelled attempt is dropped when its turn comes. A body that the caller broke off is not reported as a fault of the target.

--- a/packages/adapters/src/front/proxy-app.ts
+++ b/packages/adapters/src/front/proxy-app.ts
@@ -1,14 +1,13 @@
-import {Buffer} from 'node:buffer';
 import type * as http from 'node:http';
 import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
 import * as nodeServerResponse from '@hono/node-server/utils/response';
 import * as hono from 'hono';
-import * as neverthrow from 'neverthrow';
 import * as headers from '../http/headers.js';
 import type {NodeBindings} from '../http/http-listener.js';
 import type {WireDialect} from '../http/wire-dialect.js';
 import {writeBody} from '../http/write-body.js';
+import {BodyReadError, readCallBody} from './read-call-body.js';
 
 export type ProxyAppOptions = {
 	readonly dialect: WireDialect;
@@ -20,12 +19,15 @@
 	readonly getBodyLimitBytes: () => number;
 	/** Whether each connection is closed after its answer. */
 	readonly isClosing: () => boolean;
-	/** Bodies up to this size are buffered before a target is chosen, in bytes. */
-	readonly bufferedBodyLimitBytes?: number;
+	/**
+	 * Bytes of a body that are read before a target is chosen and held for further attempts. A call with a larger body gets
+	 * one attempt at most that sends more than this.
+	 */
+	readonly heldBodyLimitBytes?: number;
 };
 
 /** Larger than the users' largest photos, so that a slow upload does not occupy a slot of a target. */
-const DEFAULT_BUFFERED_BODY_LIMIT_BYTES = 524_288;
+const DEFAULT_HELD_BODY_LIMIT_BYTES = 524_288;
 
 const MS_PER_SECOND = 1000;
 const BODYLESS_STATUSES = new Set([204, 304]);
@@ -45,74 +47,6 @@
 };
 const DEFAULT_FAILED_STATUS = 502;
 
-enum BodyReadError {
-	TooLarge = 'too-large',
-	Aborted = 'broken-off',
-}
-
-type CallBody = Pick<domain.ProxiedCall, 'body' | 'bodyLengthBytes'>;
-
-/** Yields the buffered chunks and then the remaining ones. Throws when those exceed `remainingBytes`. */
-async function* streamBody(
-	chunks: readonly Uint8Array[],
-	remainingChunks: AsyncIterator<Uint8Array>,
-	remainingBytes: number,
-): AsyncGenerator<Uint8Array> {
-	yield* chunks;
-	let allowedBytes = remainingBytes;
-	for (let next = await remainingChunks.next(); !next.done; next = await remainingChunks.next()) {
-		allowedBytes -= next.value.byteLength;
-		if (allowedBytes < 0) {
-			throw new Error('the body is larger than the limit');
-		}
-
-		yield next.value;
-	}
-}
-
-/** Buffers the body. A body larger than `bufferedBytes` becomes a stream, and one larger than `totalBytes` an error. */
-const readBody = async (
-	incoming: http.IncomingMessage,
-	limits: {bufferedBytes: number; totalBytes: number},
-): Promise<neverthrow.Result<CallBody, BodyReadError>> => {
-	const declaredBytes =
-		incoming.headers['content-length'] === undefined ? undefined : Number(incoming.headers['content-length']);
-	const hasBody = incoming.headers['transfer-encoding'] !== undefined || (declaredBytes ?? 0) > 0;
-	if (!hasBody) {
-		return neverthrow.ok({
-			body: declaredBytes === undefined ? undefined : new Uint8Array(0),
-			bodyLengthBytes: undefined,
-		});
-	}
-
-	if ((declaredBytes ?? 0) > limits.totalBytes) {
-		return neverthrow.err(BodyReadError.TooLarge);
-	}
-
-	const chunks: Uint8Array[] = [];
-	let sizeBytes = 0;
-	const iterator: AsyncIterator<Uint8Array> = incoming[Symbol.asyncIterator]();
-	try {
-		for (let next = await iterator.next(); !next.done; next = await iterator.next()) {
-			chunks.push(next.value);
-			sizeBytes += next.value.byteLength;
-			if (sizeBytes > limits.totalBytes) {
-				return neverthrow.err(BodyReadError.TooLarge);
-			}
-
-			if (sizeBytes > limits.bufferedBytes) {
-				const body = streamBody(chunks, iterator, limits.totalBytes - sizeBytes);
-				return neverthrow.ok({body, bodyLengthBytes: declaredBytes});
-			}
-		}
-	} catch {
-		// The caller's connection broke, so no answer can be sent.
-		return neverthrow.err(BodyReadError.Aborted);
-	}
-
-	return neverthrow.ok({body: Buffer.concat(chunks), bodyLengthBytes: undefined});
-};
-
 const parseDeadline = (value: string | undefined): number | undefined => {
 	const deadlineMs = Number(value);
 	return value !== undefined && Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : undefined;
@@ -123,7 +57,7 @@
 /** Creates the HTTP application that forwards the calls of callers to targets. */
 export const createProxyApp = (options: ProxyAppOptions): hono.Hono<NodeBindings> => {
 	const {dialect, clock} = options;
-	const bufferedBytes = options.bufferedBodyLimitBytes ?? DEFAULT_BUFFERED_BODY_LIMIT_BYTES;
+	const heldBytes = options.heldBodyLimitBytes ?? DEFAULT_HELD_BODY_LIMIT_BYTES;
 	const proxySetHeaders = new Set([dialect.remainingMsHeader, dialect.expectedTargetHeader, 'host', 'content-length']);
 
 	const buildConnectionHeader = (): Record<string, string> => (options.isClosing() ? {connection: 'close'} : {});
@@ -193,34 +127,39 @@
 		outgoing.on('close', () => {
 			controller.abort(core.STOP_REASON);
 		});
-		const body = await readBody(incoming, {bufferedBytes, totalBytes: options.getBodyLimitBytes()});
-		if (body.isErr()) {
-			options.logger.info('request body refused', {event: core.LogEvent.BodyRefused, requestId, problem: body.error});
-			if (body.error === BodyReadError.TooLarge) {
+		const read = await readCallBody(incoming, {heldBytes, totalBytes: options.getBodyLimitBytes()});
+		if (read.isErr()) {
+			options.logger.info('request body refused', {event: core.LogEvent.BodyRefused, requestId, problem: read.error});
+			if (read.error === BodyReadError.TooLarge) {
 				writeEmptyResponse(outgoing, 413, requestId, {connection: 'close'});
 			}
 
 			return;
 		}
 
+		const {close, ...body} = read.value;
 		const call: domain.ProxiedCall = {
 			requestId,
 			host: incoming.headers.host ?? '',
 			method: incoming.method ?? 'GET',
 			pathAndQuery: incoming.url ?? '/',
 			headers: headers.selectForwardableHeaders(headerList).filter(([name]) => !proxySetHeaders.has(name)),
-			...body.value,
+			...body,
 			deadlineMs: parseDeadline(headers.findHeader(headerList, dialect.remainingMsHeader)),
 			receivedAtMs,
 		};
-		const ending = await options.proxy.handle(call, controller.signal);
-		if (!outgoing.destroyed) {
-			const write = endingWriters[ending.outcome] as (
-				outgoing: http.ServerResponse,
-				ending: domain.ProxyEnding,
-				call: domain.ProxiedCall,
-			) => Promise<void>;
-			await write(outgoing, ending, call);
+		try {
+			const ending = await options.proxy.handle(call, controller.signal);
+			if (!outgoing.destroyed) {
+				const write = endingWriters[ending.outcome] as (
+					outgoing: http.ServerResponse,
+					ending: domain.ProxyEnding,
+					call: domain.ProxiedCall,
+				) => Promise<void>;
+				await write(outgoing, ending, call);
+			}
+		} finally {
+			close();
 		}
 	};
 
--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -1,8 +1,8 @@
 import * as stream from 'node:stream';
 import * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
 import type * as undici from 'undici';
-import {isConnectError} from '../http/connect-error.js';
 import * as headers from '../http/headers.js';
 import type {WireDialect} from '../http/wire-dialect.js';
 import {AnswerReceiver} from './answer-receiver.js';
@@ -47,11 +47,27 @@
 	[dialect.requestIdHeader]: call.requestId,
 	[dialect.remainingMsHeader]: String(Math.max(1, Math.floor(remainingMs))),
 	[dialect.expectedTargetHeader]: target.targetId,
+	...(call.bodyLengthBytes !== undefined && {'content-length': String(call.bodyLengthBytes)}),
 });
 
+/**
+ * Opens the body for one attempt. A reader that throws destroys the stream, upon which undici closes the connection before
+ * the last chunk, or short of the length.
+ */
+const openBody = ({body}: domain.ProxiedCall): Uint8Array | stream.Readable | undefined => {
+	if (body === undefined || body instanceof Uint8Array) {
+		return body;
+	}
+
+	const readable = stream.Readable.from(body.open());
+	// An attempt may end before undici listens. Without a listener, an error of its body would end the process.
+	readable.on('error', () => undefined);
+	return readable;
+};
+
 const classifyError = (error: Error, isSent: boolean, signal: AbortSignal): core.AttemptError => {
 	const detail = String(error);
-	if (isConnectError(error) || !isSent) {
+	if (!isSent) {
 		const kind = signal.aborted ? core.AttemptErrorKind.CancelledUnsent : core.AttemptErrorKind.Unreachable;
 		return {kind, detail};
 	}
@@ -90,9 +106,14 @@
 	): Promise<SendResult> =>
 		new Promise(resolve => {
 			const {call} = attempt;
+			const body = openBody(call);
 			const settle = (result: SendResult): void => {
 				clearTimeout(connectTimer);
 				signal.removeEventListener('abort', cancel);
+				if (result.isErr() && body instanceof stream.Readable) {
+					body.destroy();
+				}
+
 				resolve(result);
 			};
 
@@ -136,7 +157,7 @@
 					method: call.method,
 					path: call.pathAndQuery,
 					headers: buildHeaders(attempt, options.dialect),
-					body: call.body instanceof Uint8Array ? call.body : call.body && stream.Readable.from(call.body),
+					body,
 				},
 				receiver,
 			);
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -6,6 +6,7 @@
 import {STOP_REASON} from '../shared/stop-reason.js';
 import {limitAnswerTime} from './limit-answer-time.js';
 import {ANSWER_VERDICTS, ERROR_VERDICTS, GRANT_REFUSAL_REASONS} from './attempt-verdicts.js';
+import {canSendBody, isBodyBroken} from './call-body.js';
 import type {CallState} from './call-state.js';
 import {createHostRoutes, RouteMatchKind, type HostRoutes} from './host-routes.js';
 import {pickService} from './pick-service.js';
@@ -186,7 +187,8 @@
 		signal.removeEventListener('abort', abort);
 
 		const verdict = result.isOk() ? ANSWER_VERDICTS[result.value.meaning] : ERROR_VERDICTS[result.error.kind];
-		const grantResult = state.callerSignal.aborted && result.isErr() ? ports.GrantResult.Cancelled : verdict.result;
+		const isBrokenByCaller = result.isErr() && (state.callerSignal.aborted || isBodyBroken(state.call));
+		const grantResult = isBrokenByCaller ? ports.GrantResult.Cancelled : verdict.result;
 		const {announcement} = result.isOk() ? result.value : result.error;
 		grants.report(grant, grantResult, durationMs, announcement);
 		logAttempt(state, grant, grantResult, {
@@ -243,9 +245,8 @@
 	const canTryAgain = (state: CallState): boolean => {
 		const isWithinLimits =
 			state.sentCount < state.route.attemptLimit && state.unreachableCount < options.unreachableLimit;
-		const isStreamUsed =
-			state.sentCount > 0 && state.call.body !== undefined && !(state.call.body instanceof Uint8Array);
-		return isWithinLimits && !isStreamUsed && remainingMs(state) > 0 && (!state.mayHaveRun || mayRepeat(state));
+		const mayBeSent = canSendBody(state.call) && (!state.mayHaveRun || mayRepeat(state));
+		return isWithinLimits && mayBeSent && remainingMs(state) > 0;
 	};
 
 	const runAttempts = async (state: CallState, signal: AbortSignal): Promise<domain.ProxyEnding> => {
--- a/packages/core/src/scheduling/call-runner.ts
+++ b/packages/core/src/scheduling/call-runner.ts
@@ -1,9 +1,9 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import {createHeldBody, type HeldBody} from '../shared/held-body.js';
 import {readAhead} from '../shared/read-ahead.js';
 import {AttemptEnd} from './attempt-end.js';
 import type {AttemptOutcome, AttemptRunner} from './attempt.js';
-import {createResendableBody, type ResendableBody} from './resendable-body.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {ScheduledCall} from './scheduled-call.js';
 import type {SchedulerOptions} from './scheduler-options.js';
@@ -48,7 +48,7 @@
 /** State of a call across its attempts. */
 type CallState = {
 	readonly scheduled: ScheduledCall;
-	readonly body?: ResendableBody;
+	readonly body?: HeldBody;
 	readonly queueParameters: {weight: number; bodyBytes: number};
 	readonly signal: AbortSignal;
 	attemptCount: number;
@@ -84,7 +84,7 @@
 		deadlineAtMs: state.scheduled.deadlineAtMs,
 		isRepeatable: isRepeatable(state),
 		// Only a call that can be retried can be stopped to return a borrowed slot, and it is stopped at most once.
-		mayBorrow: isRepeatable(state) && (state.body?.canResend() ?? true) && !state.wasReclaimed,
+		mayBorrow: isRepeatable(state) && (state.body?.canOpen() ?? true) && !state.wasReclaimed,
 		isRetry: state.attemptCount > 0,
 		excludedTargetId: state.lastTargetId,
 	});
@@ -95,7 +95,7 @@
 		!state.signal.aborted &&
 		state.scheduled.deadlineAtMs - clock.monotonicMs() >
 			serviceTimes.typicalLatencyMs(state.scheduled.route.workClass) &&
-		(state.body?.canResend() ?? true) &&
+		(state.body?.canOpen() ?? true) &&
 		budget.hasRetry() &&
 		pool.hasCandidate({workClass: state.scheduled.route.workClass, isRepeatable: true, excludedTargetId});
 
@@ -210,14 +210,14 @@
 				scheduled,
 				queueParameters,
 				signal,
-				body: body && createResendableBody(body, options.resendLimitBytes),
+				body: body && createHeldBody(body, {limitBytes: options.resendLimitBytes}),
 				attemptCount: 0,
 				mayHaveRun: false,
 				wasReclaimed: false,
 			};
 			const ending = await runAttempts(state);
 			if (state.attemptCount > 0 && ending.outcome !== domain.Outcome.Completed) {
-				state.body?.dispose();
+				state.body?.close();
 			}
 
 			return ending;
--- a/packages/core/src/shared/buffer-body.ts
+++ b/packages/core/src/shared/buffer-body.ts
@@ -10,7 +10,8 @@
 
 const EMPTY = new Uint8Array(0);
 
-const joinChunks = (chunks: readonly Uint8Array[], lengthBytes: number): Uint8Array => {
+/** Joins chunks with `lengthBytes` bytes in total. */
+export const joinChunks = (chunks: readonly Uint8Array[], lengthBytes: number): Uint8Array => {
 	const joined = new Uint8Array(lengthBytes);
 	let position = 0;
 	chunks.forEach(chunk => {
--- a/packages/domain/src/proxied-call.ts
+++ b/packages/domain/src/proxied-call.ts
@@ -1,6 +1,19 @@
 import type {BodyStream, HeaderList} from './call.js';
 import type {RefusalReason} from './refusal-reason.js';
 
+/** A request body that arrives while it is sent. The call owns it, and each attempt opens a reader of its own. */
+export type CallBody = {
+	/** Whether a new reader gets every byte from the first one. */
+	canOpen(): boolean;
+	/**
+	 * Opens a reader from the first byte; earlier readers throw from then on. Its iteration ends only after the whole body of
+	 * the caller, and throws if there is no such end, or if the body cannot be opened.
+	 */
+	open(): BodyStream;
+	/** Whether the caller's body broke off, is too long, or has another length than announced. */
+	isBroken(): boolean;
+};
+
 /** A caller's request on its way to a target. */
 export type ProxiedCall = {
 	/** Identifies this request of the caller. */
@@ -10,9 +23,9 @@
 	readonly pathAndQuery: string;
 	/** Headers to forward, without hop-by-hop headers. */
 	readonly headers: HeaderList;
-	/** The whole body, or a stream when it is too large to buffer. */
-	readonly body: Uint8Array | BodyStream | undefined;
-	/** Declared length of a streamed body, when known. */
+	/** The whole body, or one that is still arriving when it is too large to buffer. */
+	readonly body: Uint8Array | CallBody | undefined;
+	/** Length of an arriving body that the caller announced, in bytes. */
 	readonly bodyLengthBytes: number | undefined;
 	/** Deadline of the caller, in ms after `receivedAtMs`. */
 	readonly deadlineMs: number | undefined;
