fix(proxy): a slow attempt is replaced only if its body can be sent again

What callers saw: a repeatable upload of more than 512 KiB that took longer than usual ended with 504. Cause: the slow attempt was cancelled for a replacement, and only then did the call find that its body could not be sent again. Change: mayRepeat asks the body, before the grant for the replacement and once more before the cancellation. All pass with this change.

--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -118,7 +118,9 @@
 
 	/** Whether the call may be sent again after an attempt that a target may have run. */
 	const mayRepeat = (state: CallState): boolean =>
-		state.route.repeatability === domain.Repeatability.Repeatable && state.sentCount < state.route.attemptLimit;
+		state.route.repeatability === domain.Repeatability.Repeatable &&
+		state.sentCount < state.route.attemptLimit &&
+		canSendBody(state.call);
 
 	const replaceSlowAttempt = createSlowAttemptReplacer({clock, grants, options, acquire, mayRepeat, mayStartNow});
 
--- a/packages/core/src/proxy/replace-slow-attempt.ts
+++ b/packages/core/src/proxy/replace-slow-attempt.ts
@@ -43,7 +43,7 @@
 		}
 
 		await clock.sleep(slowThresholdMs, ended);
-		if (ended.aborted) {
+		if (ended.aborted || !parts.mayRepeat(state)) {
 			return;
 		}
 
@@ -60,7 +60,7 @@
 			return;
 		}
 
-		if (ended.aborted || !parts.mayStartNow(state)) {
+		if (ended.aborted || !parts.mayStartNow(state) || !parts.mayRepeat(state)) {
 			grants.report(replacement, ports.GrantResult.Cancelled, 0);
 			return;
 		}
--- a/packages/daemon/src/fleet/__tests__/upload-table.test.ts
+++ b/packages/daemon/src/fleet/__tests__/upload-table.test.ts
@@ -93,7 +93,7 @@
 const CAUSES: Record<Cause, CauseScript> = {
 	[Cause.AttemptCancelled]: {
 		cuts: ALL_CUTS,
-		statuses: [200, 504],
+		statuses: [200],
 		isAtCaller: false,
 		// Attempts count as slow, and are replaced, after 30 ms.
 		path: {
--- a/packages/daemon/src/fleet/__tests__/uploads.test.ts
+++ b/packages/daemon/src/fleet/__tests__/uploads.test.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import * as timersPromises from 'node:timers/promises';
 import * as core from '@bilberrydoor/core';
+import * as domain from '@bilberrydoor/domain';
 import test from 'ava';
 import {startUploadPath, upload, waitUntilSettled} from './upload-path.js';
 import {digestBody} from './upload-target.js';
@@ -48,6 +49,23 @@
 	});
 });
 
+// Guards against an attempt that is cancelled as slow although no other attempt can send the body.
+test('a slow upload that cannot be sent again is not replaced', async t => {
+	const path = await startUploadPath(t, {
+		usualDurationMs: 1,
+		route: {repeatability: domain.Repeatability.Repeatable, latencyObjectiveMs: 100, attemptLimit: 3},
+	});
+	const [target] = path.targets;
+	target!.isHolding = true;
+	setTimeout(target!.release, 300);
+	const answer = await upload(path, {requestId: 'upload', body: LARGE_BODY}).answered;
+	t.is(answer.status, 200);
+	t.deepEqual(
+		path.targets.map(({exchanges}) => exchanges.length),
+		[1, 0, 0],
+	);
+});
+
 const UPLOAD_COUNT = 50;
 /** Held bytes and the buffers of streams and connections, for each upload. */
 const UPLOAD_MEMORY_BYTES = 1_500_000;
