--- a/packages/fakes/src/build-grants.ts
+++ b/packages/fakes/src/build-grants.ts
@@ -3,7 +3,7 @@
 import {buildNode, buildCompleteChanges} from './build-fleet.js';
 import {createFakeMetrics, createSilentLogger} from './fake-observability.js';
 import {createSeededRandom} from './seeded-random.js';
-import {createVirtualClock} from './virtual-clock.js';
+import {createVirtualClock, type VirtualClock} from './virtual-clock.js';
 
 export type GrantPartsOptions = {
 	readonly targets: readonly domain.RegisteredTarget[];
@@ -11,11 +11,13 @@
 	readonly nodes?: readonly domain.RegisteredNode[];
 	readonly peerClient: core.FleetPeerClient;
 	readonly dispatcher?: Partial<core.DispatcherOptions>;
+	/** Clock of the node; one that no other node shares by default. */
+	readonly clock?: VirtualClock;
 };
 
 /** Builds a node's registry with the given records, its dispatchers and its grant client, on a virtual clock. */
 export const buildGrantParts = (options: GrantPartsOptions) => {
-	const clock = createVirtualClock();
+	const {clock = createVirtualClock()} = options;
 	const logger = createSilentLogger();
 	const metrics = createFakeMetrics();
 	const random = createSeededRandom(1);
