fix(adapters): a connection pool that is given up never ends the process

What callers could see: a node that ends by itself, with all its calls.

Cause: after a failed attempt the pool of the target is closed. If undici's pool has queued requests then, it remembers that it has to close, and closes all its connections at every later drain event with an empty queue, also at those of a connection that could not be opened and has left the pool. Closing one that is closed by then rejects, in a promise that no caller can reach. It takes more calls at once to one target than connectionsPerTarget.

Change: RetirablePool counts the exchanges and closes undici's pool when none is left, so its queue is empty. passOnHandler is shared with the interceptor for truncated answers.

--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -1,13 +1,13 @@
 import * as stream from 'node:stream';
 import * as core from '@bilberrydoor/core';
 import * as neverthrow from 'neverthrow';
-import type * as undici from 'undici';
 import {isConnectError} from '../http/connect-error.js';
 import * as headers from '../http/headers.js';
 import type {WireDialect} from '../http/wire-dialect.js';
 import {AnswerReceiver} from './answer-receiver.js';
 import {classifyAnswer} from './classify-answer.js';
 import {readAnnouncement} from './read-announcement.js';
+import {createRetirablePool, type RetirablePool} from './retirable-pool.js';
 import {createTargetConnectionPool} from './target-connection-pool.js';
 
 export type FleetTargetClientOptions = {
@@ -64,30 +64,27 @@
 	given: Pick<FleetTargetClientOptions, 'dialect'> & Partial<FleetTargetClientOptions>,
 ): core.FleetTargetClient & {close(): Promise<void>} => {
 	const options = {...DEFAULT_FLEET_TARGET_CLIENT_OPTIONS, ...given};
-	const pools = core.createRecentMap<string, undici.Dispatcher>(options.poolLimitCount);
+	const pools = core.createRecentMap<string, RetirablePool>(options.poolLimitCount);
 
 	/** Removes the pool of an address after a fault, because its other connections may not respond either. */
 	const discardPool = (address: string): void => {
 		const pool = pools.get(address);
 		pools.delete(address);
-		void pool?.close();
+		pool?.retire();
 	};
 
 	/** Returns the pool of an address, and creates it on first use. A target with an invalid address is unreachable. */
 	const getOrCreatePool = neverthrow.fromThrowable(
-		(address: string, connectionLimit: number): undici.Dispatcher => {
-			const pool = pools.get(address) ?? createTargetConnectionPool(address, {...options, connectionLimit});
-			void pools.set(address, pool)?.close();
+		(address: string, connectionLimit: number): RetirablePool => {
+			const pool =
+				pools.get(address) ?? createRetirablePool(createTargetConnectionPool(address, {...options, connectionLimit}));
+			pools.set(address, pool)?.retire();
 			return pool;
 		},
 		(error): core.AttemptError => ({kind: core.AttemptErrorKind.Unreachable, detail: String(error)}),
 	);
 
-	const exchange = async (
-		pool: undici.Dispatcher,
-		attempt: core.FleetAttempt,
-		signal: AbortSignal,
-	): Promise<SendResult> =>
+	const exchange = async (pool: RetirablePool, attempt: core.FleetAttempt, signal: AbortSignal): Promise<SendResult> =>
 		new Promise(resolve => {
 			const {call} = attempt;
 			const settle = (result: SendResult): void => {
--- a/packages/adapters/src/target/target-connection-pool.ts
+++ b/packages/adapters/src/target/target-connection-pool.ts
@@ -1,5 +1,6 @@
 import * as undici from 'undici';
 import {createConnectionEndTracker, type ConnectionEndTracker} from './connection-end-tracker.js';
+import {passOnHandler} from './pass-on-handler.js';
 
 export type TargetConnectionPoolOptions = {
 	/** Largest number of connections to the target. */
@@ -31,27 +32,24 @@
 
 /** Fails an answer that was completed by the end of its connection, unless a content length proves it complete. */
 const rejectTruncatedAnswers = (handler: Handler, endTracker: ConnectionEndTracker): Handler => {
+	const passOn = passOnHandler(handler);
 	let hasContentLength = false;
 	return {
-		onRequestStart: (controller, context) => handler.onRequestStart?.(controller, context),
-		onRequestUpgrade: (controller, status, headers, socket) =>
-			handler.onRequestUpgrade?.(controller, status, headers, socket),
+		...passOn,
 		onResponseStart(controller, status, headers, message) {
 			hasContentLength = headers['content-length'] !== undefined;
-			handler.onResponseStart?.(controller, status, headers, message);
+			passOn.onResponseStart(controller, status, headers, message);
 		},
-		onResponseData: (controller, chunk) => handler.onResponseData?.(controller, chunk),
 		onResponseEnd(controller, trailers) {
 			// The truncated answer of a crashed target looks the same, so only a content length proves it complete.
 			if (endTracker.isHandlingEnd() && !hasContentLength) {
 				const error = new Error('the connection ended, and nothing shows that the answer is whole');
-				handler.onResponseError?.(controller, error);
+				passOn.onResponseError(controller, error);
 				return;
 			}
 
-			handler.onResponseEnd?.(controller, trailers);
+			passOn.onResponseEnd(controller, trailers);
 		},
-		onResponseError: (controller, error) => handler.onResponseError?.(controller, error),
 	};
 };
 
