test(adapters): a body that fails like a connection makes a sent attempt unsent

What callers would see: a call that is refused as not run, or sent to a second target, although a target has received its head. No body of the front fails with such an error today; the classification rests on that.

Evidence: an attempt whose body throws ECONNREFUSED after its first 1000 bytes has arrived ends as "unreachable" in place of "broken".

--- a/packages/adapters/src/__tests__/unsent-attempts.test.ts
+++ b/packages/adapters/src/__tests__/unsent-attempts.test.ts
@@ -1,10 +1,11 @@
+import {Buffer} from 'node:buffer';
 import * as timersPromises from 'node:timers/promises';
 import * as core from '@bilberrydoor/core';
 import test from 'ava';
 import {createFleetTargetClient} from '../target/fleet-target-client.js';
 import {buildAttempt, DIALECT} from './build-attempt.js';
 import {startLateTarget} from './late-target.js';
-import {TargetConduct} from './recording-target.js';
+import {startRecordingTarget, TargetConduct} from './recording-target.js';
 import {
 	BodyKind,
 	createHarness,
@@ -171,6 +172,25 @@
 	});
 });
 
+/** A body that breaks off with the error of a connection of its own. */
+async function* streamBrokenBody(): AsyncGenerator<Uint8Array> {
+	yield Buffer.alloc(1000, 'x');
+	await timersPromises.setTimeout(QUIET_MS);
+	throw Object.assign(new Error('the body broke off'), {code: 'ECONNREFUSED', syscall: 'connect'});
+}
+
+// Guards against an attempt that counts as unreachable because of the error of its body, after its head has arrived.
+test.serial('an attempt whose body breaks off with a connect error counts as sent', async t => {
+	const target = await startRecordingTarget(t, TargetConduct.Prompt);
+	const client = createFleetTargetClient({dialect: DIALECT});
+	t.teardown(async () => client.close());
+	const attempt = buildAttempt(target.address, 'first');
+	const call = {...attempt.call, method: 'POST', body: streamBrokenBody()};
+	const result = await client.send({...attempt, call}, new AbortController().signal);
+	t.true(target.arrivals.has('first'));
+	t.is(result._unsafeUnwrapErr().kind, Broken);
+});
+
 /** Longer than it takes until the first packet of a connection is sent again. */
 const RETRANSMIT_MS = 1300;
 
