fix(adapters): whether an attempt was sent depends on its sending alone

What callers would see: the call of a broken body counts as not sent, although a target has received its head.

Cause: the code of an error decided as well whether an attempt was sent. Any error of an exchange ends up there, that of the body included, and two sources for one fact can disagree.

Change: an attempt counts as sent from onRequestStart on, which undici calls after the connection is open and before it writes the first byte. Connect errors come before it, so the check of codes added nothing else.

--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -1,7 +1,6 @@
 import * as stream from 'node:stream';
 import * as core from '@bilberrydoor/core';
 import * as neverthrow from 'neverthrow';
-import {isConnectError} from '../http/connect-error.js';
 import * as headers from '../http/headers.js';
 import type {WireDialect} from '../http/wire-dialect.js';
 import {AnswerReceiver} from './answer-receiver.js';
@@ -51,7 +50,7 @@
 
 const classifyError = (error: Error, isSent: boolean, signal: AbortSignal): core.AttemptError => {
 	const detail = String(error);
-	if (isConnectError(error) || !isSent) {
+	if (!isSent) {
 		const kind = signal.aborted ? core.AttemptErrorKind.CancelledUnsent : core.AttemptErrorKind.Unreachable;
 		return {kind, detail};
 	}
