--- a/packages/adapters/src/target/classify-answer.ts
+++ b/packages/adapters/src/target/classify-answer.ts
@@ -11,29 +11,36 @@
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
+/** A faulty target may send an earlier refusal again, so a refusal only counts with the call's request id. */
+const classifyRefusal = ({isMisdirected, isMatch}: {isMisdirected: boolean; isMatch: boolean}): core.AnswerMeaning => {
+	if (!isMatch) {
+		return core.AnswerMeaning.Mismatched;
+	}
+
+	return isMisdirected ? core.AnswerMeaning.Replaced : core.AnswerMeaning.NotRun;
+};
+
 /** Classifies an answer by what it states about the call. */
 export const classifyAnswer = (
 	answer: Pick<domain.TargetAnswer, 'status' | 'headers'>,
 	requestId: string,
 	dialect: WireDialect,
 ): core.AnswerMeaning => {
-	// A faulty target may send an earlier answer again. An answer without an id cannot be told from such a copy.
-	if (headers.findHeader(answer.headers, dialect.requestIdHeader) !== requestId) {
+	const answeredId = headers.findHeader(answer.headers, dialect.requestIdHeader);
+	if (answeredId !== undefined && answeredId !== requestId) {
 		return core.AnswerMeaning.Mismatched;
 	}
 
-	if (answer.status === MISDIRECTED_STATUS) {
-		return core.AnswerMeaning.Replaced;
-	}
-
-	if (headers.findHeader(answer.headers, dialect.notRunHeader) !== undefined) {
-		return core.AnswerMeaning.NotRun;
+	const isMisdirected = answer.status === MISDIRECTED_STATUS;
+	const isMarkedNotRun = headers.findHeader(answer.headers, dialect.notRunHeader) !== undefined;
+	if (isMisdirected || isMarkedNotRun) {
+		return classifyRefusal({isMisdirected, isMatch: answeredId === requestId});
 	}
 
-	const isUnsignedSuccess =
-		isSuccess(answer.status) && headers.findHeader(answer.headers, dialect.signatureHeader) === undefined;
+	const isSigned = headers.findHeader(answer.headers, dialect.signatureHeader) !== undefined;
+	const isUnverifiedSuccess = isSuccess(answer.status) && (!isSigned || answeredId === undefined);
 	// A status of NOT_RUN_STATUSES without the not-run header is not forwarded: the call may have run nevertheless.
-	if (isUnsignedSuccess || NOT_RUN_STATUSES.has(answer.status)) {
+	if (isUnverifiedSuccess || NOT_RUN_STATUSES.has(answer.status)) {
 		return core.AnswerMeaning.Mismatched;
 	}
 
