--- a/packages/adapters/src/__tests__/unsent-attempt-harness.ts
+++ b/packages/adapters/src/__tests__/unsent-attempt-harness.ts
@@ -31,7 +31,7 @@
 const BODIES: Record<BodyKind, () => domain.ProxiedCall['body']> = {
 	[BodyKind.None]: () => undefined,
 	[BodyKind.Bytes]: () => Buffer.alloc(2000, 'x'),
-	[BodyKind.Stream]: streamBody,
+	[BodyKind.Stream]: () => core.createHeldBody(streamBody(), {limitBytes: 0}),
 };
 
 /** Stops this thread, as a pause of the node does: what became due meanwhile happens afterwards, timers first. */
--- a/packages/adapters/src/target/answer-receiver.ts
+++ b/packages/adapters/src/target/answer-receiver.ts
@@ -5,6 +5,15 @@
 import type * as undici from 'undici';
 import * as headers from '../http/headers.js';
 
+const STATUS_LINE_PATTERN = /HTTP\/\d\.\d \d{3}/;
+
+/**
+ * Whether a head was put together from two: a faulty target may send the start of an extra answer, and the call's own answer
+ * continues its last line.
+ */
+const containsStatusLine = (texts: ReadonlyArray<string | string[] | undefined>): boolean =>
+	texts.flat().some(text => text !== undefined && STATUS_LINE_PATTERN.test(text));
+
 /** Receives one answer. Buffers it up to `bufferLimitBytes`, and turns a larger one into a stream. */
 export class AnswerReceiver implements undici.Dispatcher.DispatchHandler {
 	/** Whether undici has begun to send the request. */
@@ -33,10 +42,16 @@
 	}
 
 	onResponseStart(
-		_controller: undici.Dispatcher.DispatchController,
+		controller: undici.Dispatcher.DispatchController,
 		status: number,
 		answerHeaders: Record<string, string | string[] | undefined>,
+		statusText = '',
 	): void {
+		if (containsStatusLine([statusText, ...Object.values(answerHeaders)])) {
+			controller.abort(new Error('the head of the answer contains the start of another answer'));
+			return;
+		}
+
 		this.status = status;
 		this.answerHeaders = headers.listGroupedHeaders(answerHeaders);
 	}
--- a/packages/adapters/src/target/classify-answer.ts
+++ b/packages/adapters/src/target/classify-answer.ts
@@ -2,6 +2,7 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as headers from '../http/headers.js';
 import type {WireDialect} from '../http/wire-dialect.js';
+import {isAnswerTo} from './is-answer-to.js';
 
 /** Statuses from which callers conclude that a request was not run. Targets must confirm them with the not-run header. */
 const NOT_RUN_STATUSES = new Set([408, 429, 503]);
@@ -27,18 +28,19 @@
 	dialect: WireDialect,
 ): core.AnswerMeaning => {
 	const answeredId = headers.findHeader(answer.headers, dialect.requestIdHeader);
-	if (answeredId !== undefined && answeredId !== requestId) {
+	const isMatch = isAnswerTo(requestId, answer.headers, dialect);
+	if (answeredId !== undefined && !isMatch) {
 		return core.AnswerMeaning.Mismatched;
 	}
 
 	const isMisdirected = answer.status === MISDIRECTED_STATUS;
 	const isMarkedNotRun = headers.findHeader(answer.headers, dialect.notRunHeader) !== undefined;
 	if (isMisdirected || isMarkedNotRun) {
-		return classifyRefusal({isMisdirected, isMatch: answeredId === requestId});
+		return classifyRefusal({isMisdirected, isMatch});
 	}
 
 	const isSigned = headers.findHeader(answer.headers, dialect.signatureHeader) !== undefined;
-	const isUnverifiedSuccess = isSuccess(answer.status) && (!isSigned || answeredId === undefined);
+	const isUnverifiedSuccess = isSuccess(answer.status) && (!isSigned || !isMatch);
 	// A status of NOT_RUN_STATUSES without the not-run header is not forwarded: the call may have run nevertheless.
 	if (isUnverifiedSuccess || NOT_RUN_STATUSES.has(answer.status)) {
 		return core.AnswerMeaning.Mismatched;
--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -36,6 +36,14 @@
 	poolLimitCount: 1000,
 };
 
+/** Refusals for which repeated calls get new connections; a faulty target sends a refusal again within seconds. */
+const REFUSAL_LIMIT_COUNT = 1000;
+
+const REFUSED_MEANINGS: ReadonlySet<core.AnswerMeaning> = new Set([
+	core.AnswerMeaning.NotRun,
+	core.AnswerMeaning.Replaced,
+]);
+
 type SendResult = neverthrow.Result<core.AttemptAnswer, core.AttemptError>;
 
 const buildHeaders = (
@@ -82,21 +90,30 @@
 	const options = {...DEFAULT_FLEET_TARGET_CLIENT_OPTIONS, ...given};
 	const pools = core.createRecentMap<string, RetirablePool>(options.poolLimitCount);
 
-	/** Removes the pool of an address, so that later calls open new connections. Calls in progress finish on the old ones. */
+	/** Refusals that may still be sent again, by address and request id. */
+	const refusals = core.createRecentMap<string, true>(REFUSAL_LIMIT_COUNT);
+
+	/** Removes the pool of an address after a fault, because its other connections may not respond either. */
 	const discardPool = (address: string): void => {
 		const pool = pools.get(address);
 		pools.delete(address);
 		pool?.retire();
 	};
 
-	/** Returns the pool of an address, and creates it on first use. A target with an invalid address is unreachable. */
-	const getOrCreatePool = neverthrow.fromThrowable(
-		(address: string, connectionLimit: number): RetirablePool => {
-			const pool =
-				pools.get(address) ?? createRetirablePool(createTargetConnectionPool(address, {...options, connectionLimit}));
-			pools.set(address, pool)?.retire();
-			return pool;
-		},
+	const createPool = (address: string, connectionLimit: number): RetirablePool =>
+		createRetirablePool(createTargetConnectionPool(address, {...options, connectionLimit}));
+
+	/** Returns the pool of an address, and creates it on first use. */
+	const getOrCreatePool = (address: string, connectionLimit: number): RetirablePool => {
+		const pool = pools.get(address) ?? createPool(address, connectionLimit);
+		pools.set(address, pool)?.retire();
+		return pool;
+	};
+
+	/** Returns the pool for an attempt. A target with an invalid address is unreachable. */
+	const selectPool = neverthrow.fromThrowable(
+		({target, connectionLimit}: core.FleetAttempt, needsNewConnection: boolean): RetirablePool =>
+			needsNewConnection ? createPool(target.address, 1) : getOrCreatePool(target.address, connectionLimit),
 		(error): core.AttemptError => ({kind: core.AttemptErrorKind.Unreachable, detail: String(error)}),
 	);
 
@@ -116,7 +133,7 @@
 
 			const receiver = new AnswerReceiver(options.bufferedAnswerLimitBytes, result => {
 				const isStreaming = result.isOk() && !(result.value.body instanceof Uint8Array);
-				const announcement = readAnnouncement(receiver.head(), options.dialect);
+				const announcement = readAnnouncement(receiver.head(), call.requestId, options.dialect);
 				const outcome = result
 					.map(answer => ({
 						meaning: classifyAnswer(answer, call.requestId, options.dialect),
@@ -165,21 +182,28 @@
 
 	return {
 		async send(attempt, signal) {
-			if (attempt.needsNewConnection) {
-				discardPool(attempt.target.address);
-			}
-
-			const pool = getOrCreatePool(attempt.target.address, attempt.connectionLimit);
+			const {address} = attempt.target;
+			const refusalKey = `${address} ${attempt.call.requestId}`;
+			// Callers may use a request id again, so the refusals of earlier calls count too.
+			const needsNewConnection = attempt.needsNewConnection || refusals.get(refusalKey) === true;
+			const pool = selectPool(attempt, needsNewConnection);
 			if (pool.isErr()) {
 				return neverthrow.err(pool.error);
 			}
 
 			const result = await exchange(pool.value, attempt, signal);
-			// Other connections may not respond after a fault either. Once a connection has delivered the answer to another call, each
-			// later answer on it is one call behind.
+			if (needsNewConnection) {
+				pool.value.retire();
+			}
+
+			if (result.isOk() && REFUSED_MEANINGS.has(result.value.meaning)) {
+				refusals.set(refusalKey, true);
+			}
+
+			// Once a connection has delivered the answer to another call, each later answer on it is one call behind.
 			const isMismatched = result.isOk() && result.value.meaning === core.AnswerMeaning.Mismatched;
 			if ((result.isErr() && !signal.aborted) || isMismatched) {
-				discardPool(attempt.target.address);
+				discardPool(address);
 			}
 
 			return result;
--- a/packages/daemon/src/fleet/__tests__/stand-in-target.ts
+++ b/packages/daemon/src/fleet/__tests__/stand-in-target.ts
@@ -41,6 +41,8 @@
 	Pause = 'pause',
 	/** Sends the refusal of a misdirected request again, when the next request arrives on its connection. */
 	RepeatRefusal = 'repeat-refusal',
+	/** Runs the request, and sends the start of the refusal of a misdirected request before its answer. */
+	CutRefusal = 'cut-refusal',
 }
 
 const SLOW_MS = 800;
@@ -141,6 +143,10 @@
 		await timersPromises.setTimeout(RECEIVER_READ_MS);
 		outgoing.socket?.resetAndDestroy();
 	},
+	[TargetBehaviour.CutRefusal](outgoing, requestId) {
+		outgoing.socket!.write('HTTP/1.1 421 Misd');
+		answerOk(outgoing, requestId);
+	},
 	async [TargetBehaviour.RepeatRefusal](outgoing, requestId) {
 		await timersPromises.setTimeout(RECEIVER_READ_MS);
 		answerOk(outgoing, requestId);
--- a/packages/fakes/src/__tests__/search-refusals.ts
+++ b/packages/fakes/src/__tests__/search-refusals.ts
@@ -46,6 +46,8 @@
 	yield Buffer.from('body');
 }
 
+const createOneChunkBody = () => core.createHeldBody(streamOneChunk(), {limitBytes: 0});
+
 const drawRoute = (draws: Draws, given: Partial<domain.HostRoute>): domain.HostRoute =>
 	buildHostRoute({
 		...given,
@@ -61,7 +63,7 @@
 	arrivesAtMs: draws.timeMs(ARRIVAL_LIMIT_MS),
 	deadlineMs: draws.chance(0.5) ? 1 + draws.timeMs(1500) : undefined,
 	leavesAfterMs: draws.chance(0.15) ? draws.timeMs(800) : undefined,
-	body: draws.pick([() => undefined, () => new Uint8Array(10), streamOneChunk])(),
+	body: draws.pick([() => undefined, () => new Uint8Array(10), createOneChunkBody])(),
 });
 
 /** Plays random calls, faults, pauses and stops through the decision code of a node. */
