fix(fleet): a stop waits for requests whose heads arrive late

Cause: the stop ended its wait once no complete head was open, and cut what had begun meanwhile 1 s later.

Change: `drainFront` waits until all connections of callers are closed or the cut is due. After closing idle connections, an open one has a request that arrives or is at work, or an answer that is being sent. The times of the stop follow from `grace_s`.

--- a/packages/daemon/src/fleet/__tests__/caller-limits.test.ts
+++ b/packages/daemon/src/fleet/__tests__/caller-limits.test.ts
@@ -19,14 +19,21 @@
 	t.deepEqual(targets[0]!.runIds, []);
 });
 
-test('a head that takes longer than the catalogue allows gets 408', async t => {
-	const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 1});
-	const caller = await connectRawCaller(t, nodes[0]!);
-	const [start] = buildRequestParts('slow');
-	const startedAtMs = performance.now();
-	caller.send(start);
-	t.regex(await caller.closed, /^HTTP\/1\.1 408 /);
-	const tookMs = performance.now() - startedAtMs;
-	t.true(tookMs > HEADER_TIMEOUT_MS && tookMs < LATEST_END_MS, `${tookMs} ms`);
-	t.deepEqual(targets[0]!.runIds, []);
+// Guards also against a stop that ends without an answer to a head that has begun.
+[false, true].forEach(isStopping => {
+	test(`a head that takes longer than the catalogue allows gets 408${isStopping ? ' during a stop' : ''}`, async t => {
+		const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 1});
+		const caller = await connectRawCaller(t, nodes[0]!);
+		const [start] = buildRequestParts('slow');
+		const startedAtMs = performance.now();
+		caller.send(start);
+		if (isStopping) {
+			nodes[0]!.process.kill('SIGTERM');
+		}
+
+		t.regex(await caller.closed, /^HTTP\/1\.1 408 /);
+		const tookMs = performance.now() - startedAtMs;
+		t.true(tookMs > HEADER_TIMEOUT_MS && tookMs < LATEST_END_MS, `${tookMs} ms`);
+		t.deepEqual(targets[0]!.runIds, []);
+	});
 });
--- a/packages/daemon/src/fleet/__tests__/stand-in-target.ts
+++ b/packages/daemon/src/fleet/__tests__/stand-in-target.ts
@@ -17,6 +17,8 @@
 	Shed = 'shed',
 	/** Runs the request and answers after `SLOW_MS`. */
 	Slow = 'slow',
+	/** Runs the request, sends half of the answer, and the rest after `SLOW_MS`. */
+	SlowHalves = 'slow-halves',
 	/** Runs the request and never answers. */
 	NoAnswer = 'silent',
 	/** Runs the request and closes the connection in the middle of the answer. */
@@ -92,6 +94,17 @@
 		await timersPromises.setTimeout(SLOW_MS);
 		answerOk(outgoing, requestId);
 	},
+	async [TargetBehaviour.SlowHalves](outgoing, requestId) {
+		const body = `done ${requestId}`;
+		const headers = {
+			[dialect.requestIdHeader]: requestId,
+			[dialect.signatureHeader]: 'signed',
+			'content-length': String(body.length),
+		};
+		outgoing.writeHead(200, headers).write(body.slice(0, body.length / 2));
+		await timersPromises.setTimeout(SLOW_MS);
+		outgoing.end(body.slice(body.length / 2));
+	},
 	[TargetBehaviour.NoAnswer]: () => undefined,
 	[TargetBehaviour.Truncate](outgoing, requestId) {
 		const headers = {
--- a/packages/daemon/src/fleet/drain-front.ts
+++ b/packages/daemon/src/fleet/drain-front.ts
@@ -4,15 +4,12 @@
 /** The load balancer checks readiness once a second and stops sending callers after two failed checks. */
 const LOAD_BALANCER_REMOVAL_MS = 2500;
 
-/** Time limit for sending the last answers after the last call has ended; a slow caller's link can take a second. */
-const LAST_ANSWERS_TIMEOUT_MS = 1000;
-
-/** Interval at which a stopping node checks whether its last request has ended. */
-const DRAIN_POLL_INTERVAL_MS = 50;
+/** Largest fraction of the time to the end in which connections are accepted; the rest is for the last requests. */
+const ACCEPT_RATIO = 0.5;
 
 /**
- * Keeps serving until the load balancer has stopped sending callers, then closes the front and waits until every request is
- * answered, but until `endsAtMs` at most. Resolves with the number of requests that are cut off.
+ * Serves callers as before until the load balancer has stopped sending them, then closes the front's idle connections and waits
+ * for the others to close, but until `endsAtMs` at most. Resolves with the number of requests that are cut off.
  */
 export const drainFront = async (
 	front: Pick<adapters.HttpListener, 'close' | 'countRequests'>,
@@ -23,15 +20,9 @@
 	},
 ): Promise<number> => {
 	const {clock, endsAtMs} = options;
-	await clock.sleep(LOAD_BALANCER_REMOVAL_MS);
+	await clock.sleep(Math.min(LOAD_BALANCER_REMOVAL_MS, (endsAtMs - clock.monotonicMs()) * ACCEPT_RATIO));
+	// A connection that is not idle has a request that arrives or is at work, or an answer that is being sent.
 	const closed = front.close();
-	// Counts requests instead of calls: a request whose body is still arriving is not a call yet, but must not be cut off.
-	while (front.countRequests() > 0 && clock.monotonicMs() < endsAtMs) {
-		await clock.sleep(DRAIN_POLL_INTERVAL_MS);
-	}
-
-	// The front is closed when all connections have sent their last byte and are closed.
-	const remainingMs = Math.max(0, endsAtMs - clock.monotonicMs());
-	await Promise.race([closed, clock.sleep(Math.min(LAST_ANSWERS_TIMEOUT_MS, remainingMs))]);
+	await Promise.race([closed, clock.sleep(endsAtMs - clock.monotonicMs())]);
 	return front.countRequests();
 };
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -14,12 +14,10 @@
 	readonly metricsPort: number | undefined;
 };
 
-/** Time that remains between the end of serving and the platform's kill. */
-const KILL_MARGIN_MS = 1000;
-
-/** Time limits at shutdown for ending the node's tasks and for closing its connections to peers, targets and the store. */
-const TASKS_END_TIMEOUT_MS = 500;
-const PORTS_CLOSE_TIMEOUT_MS = 250;
+/** Fractions of the grace time: until requests are cut off, then for ending the node's tasks, and for closing its connections. */
+const SERVING_RATIO = 5 / 6;
+const TASKS_END_RATIO = 1 / 12;
+const PORTS_CLOSE_RATIO = 1 / 24;
 
 const waitForStopSignal = async (): Promise<string> =>
 	new Promise(resolve => {
@@ -72,11 +70,11 @@
 	const signalName = await waitForStopSignal();
 	shutdownState.isLeaving = true;
 	logger.info('node stopping', {event: core.LogEvent.NodeStopping, signal: signalName, callCount: node.countCalls()});
-	const endsAtMs = clock.monotonicMs() + settings.graceMs - KILL_MARGIN_MS;
+	const endsAtMs = clock.monotonicMs() + settings.graceMs * SERVING_RATIO;
 	void node.leave(endsAtMs);
 	const cutCallCount = await drainFront(listeners.front, {clock, endsAtMs});
 	controller.abort(core.STOP_REASON);
 	logger.info('node stopped', {event: core.LogEvent.NodeStopped, cutCallCount});
-	await Promise.race([tasks, clock.sleep(TASKS_END_TIMEOUT_MS)]);
-	await Promise.race([fleetPorts.close(), clock.sleep(PORTS_CLOSE_TIMEOUT_MS)]);
+	await Promise.race([tasks, clock.sleep(settings.graceMs * TASKS_END_RATIO)]);
+	await Promise.race([fleetPorts.close(), clock.sleep(settings.graceMs * PORTS_CLOSE_RATIO)]);
 };
