fix(fleet): a second signal does not end a stopping node

Cause: `process.once` removed the handler with the first signal, and the second one had its default effect. The handlers were added after the listeners had started, so that an early signal had its default effect too.

Change: a signal inbox handles SIGTERM, SIGINT and SIGHUP from the first module until the process exits; the rest of the program is imported after it. The first SIGTERM or SIGINT starts the stop, and every signal after it is ignored. A node that is asked to stop before it listens exits. Each signal is logged once as `signal-received`.

--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -48,6 +48,8 @@
 	SettingsReloaded = 'settings-reloaded',
 	/** The settings file cannot be read. */
 	SettingsUnreadable = 'settings-unreadable',
+	/** The process received a signal. */
+	SignalReceived = 'signal-received',
 	/** Reads of the store fail. */
 	StoreLost = 'store-lost',
 	/** The store answers again. */
--- a/packages/daemon/src/fleet/__tests__/planned-stop.test.ts
+++ b/packages/daemon/src/fleet/__tests__/planned-stop.test.ts
@@ -29,6 +29,16 @@
 
 const FIRST_PART_COUNTS: Record<Arrival, number> = {[Arrival.Idle]: 0, [Arrival.HalfHead]: 1, [Arrival.HalfBody]: 2};
 
+/** Signals to the node, and when they are sent. */
+const ONE_SIGNAL = [{signal: 'SIGTERM', momentMs: 0}] as const;
+const MANY_SIGNALS = [
+	...ONE_SIGNAL,
+	{signal: 'SIGTERM', momentMs: 1000},
+	{signal: 'SIGHUP', momentMs: 1500},
+	{signal: 'SIGINT', momentMs: 2000},
+	{signal: 'SIGTERM', momentMs: 3000},
+] as const;
+
 const STOPS = [
 	{name: 'requests at work', behaviour: TargetBehaviour.Slow, arrivals: Object.values(Arrival), momentsMs: MOMENTS_MS},
 	{
@@ -37,6 +47,13 @@
 		arrivals: Object.values(Arrival),
 		momentsMs: MOMENTS_MS,
 	},
+	{
+		name: 'further signals',
+		behaviour: TargetBehaviour.Slow,
+		arrivals: Object.values(Arrival),
+		momentsMs: MOMENTS_MS,
+		signals: MANY_SIGNALS,
+	},
 	// Nothing else keeps the node from leaving.
 	{name: 'one late head', behaviour: TargetBehaviour.Slow, arrivals: [Arrival.HalfHead], momentsMs: [2850]},
 ];
@@ -46,8 +63,9 @@
 		? momentMs <= CERTAIN_START_MS
 		: momentMs - PART_GAP_MS <= CERTAIN_START_MS && momentMs <= CERTAIN_END_MS;
 
-// Guards against a stop that cuts off requests that arrive late on kept connections, are at work, or are being answered.
-STOPS.forEach(({name, behaviour, arrivals, momentsMs}) => {
+// Guards against a stop that cuts off requests that arrive late on kept connections, are at work, or are being answered,
+// and against a second signal that ends it at once.
+STOPS.forEach(({name, behaviour, arrivals, momentsMs, signals = ONE_SIGNAL}) => {
 	test(`a planned stop with ${name}: what a target runs is answered, the rest does not run`, async t => {
 		const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 8});
 		const node = nodes[0]!;
@@ -76,7 +94,12 @@
 			await timersPromises.setTimeout(Math.max(0, stoppedAtMs + momentMs - performance.now()));
 		};
 
-		node.process.kill('SIGTERM');
+		const signalled = Promise.all(
+			signals.map(async ({signal, momentMs}) => {
+				await sleepUntil(momentMs);
+				node.process.kill(signal);
+			}),
+		);
 		await Promise.all(
 			rows.map(async ({caller, requestId, arrival, momentMs}) => {
 				const parts = buildRequestParts(requestId);
@@ -87,6 +110,7 @@
 				caller.send(parts.slice(firstPartCount).join(''));
 			}),
 		);
+		await signalled;
 		t.deepEqual(await exited, [0, null]);
 		t.true(performance.now() - stoppedAtMs < GRACE_MS);
 		const runIds = targets.flatMap(target => target.runIds);
@@ -105,6 +129,7 @@
 			outcomes.filter(({isKept}) => !isKept),
 			[],
 		);
+		t.is(node.lines.filter(line => line.includes('"signal-received"')).length, signals.length);
 		t.true(node.lines.some(line => line.includes('"cutCallCount":0') && line.includes('node-stopped')));
 	});
 });
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -1,13 +1,14 @@
-import process from 'node:process';
 import * as core from '@bilberrydoor/core';
 import type * as platform from '@bilberrydoor/platform';
 import {buildFleetPorts} from './build-fleet-ports.js';
 import {drainFront} from './drain-front.js';
+import {SignalEffect, type SignalInbox} from './signal-inbox.js';
 import {watchSettingsFile} from './watch-settings-file.js';
 import {startFleetListeners, watchCallerTimeouts, type ShutdownState} from './fleet-listeners.js';
 
 export type FleetDaemonOptions = {
 	readonly settings: platform.PlatformSettings;
+	readonly signals: SignalInbox;
 	/** Path of the file that the settings were read from. */
 	readonly settingsFile: string;
 	readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
@@ -19,12 +20,6 @@
 const TASKS_END_RATIO = 1 / 12;
 const PORTS_CLOSE_RATIO = 1 / 24;
 
-const waitForStopSignal = async (): Promise<string> =>
-	new Promise(resolve => {
-		process.once('SIGTERM', resolve);
-		process.once('SIGINT', resolve);
-	});
-
 const describeSelf = (settings: platform.PlatformSettings, incarnationId: string) => ({
 	nodeId: settings.nodeId,
 	incarnationId,
@@ -36,9 +31,22 @@
 
 /** Runs a fleet node on the platform until SIGTERM or SIGINT, then drains it and ends its tasks. */
 export const runFleetDaemon = async (options: FleetDaemonOptions): Promise<void> => {
-	const {settings} = options;
+	const {settings, signals} = options;
 	const fleetPorts = buildFleetPorts(settings, options.logLevel);
 	const {clock, logger, random} = fleetPorts.ports;
+	const reloadNotifier = core.createChangeNotifier(clock);
+	signals.listen(({signal, effect}) => {
+		logger.info('signal received', {event: core.LogEvent.SignalReceived, signal, effect});
+		if (effect === SignalEffect.Reload) {
+			reloadNotifier.notifyAll();
+		}
+	});
+	if (signals.isStopRequested()) {
+		logger.info('node stopped before it listened', {event: core.LogEvent.NodeStopped, cutCallCount: 0});
+		await Promise.race([fleetPorts.close(), clock.sleep(settings.graceMs * PORTS_CLOSE_RATIO)]);
+		return;
+	}
+
 	const node = core.createFleetNode({
 		ports: fleetPorts.ports,
 		settings: {
@@ -61,13 +69,19 @@
 		node.run(controller.signal),
 		watchCallerTimeouts(listeners.front, node.registry, controller.signal),
 		watchSettingsFile(
-			{fileName: options.settingsFile, settings, clock, logger, applyDispatcherOptions: node.dispatchers.configure},
+			{
+				fileName: options.settingsFile,
+				settings,
+				reloadNotifier,
+				logger,
+				applyDispatcherOptions: node.dispatchers.configure,
+			},
 			controller.signal,
 		),
 	]);
 	logger.info('node started', {event: core.LogEvent.NodeStarted, incarnationId: node.self.incarnationId, ...settings});
 
-	const signalName = await waitForStopSignal();
+	const signalName = await signals.stopRequested;
 	shutdownState.isLeaving = true;
 	logger.info('node stopping', {event: core.LogEvent.NodeStopping, signal: signalName, callCount: node.countCalls()});
 	const endsAtMs = clock.monotonicMs() + settings.graceMs * SERVING_RATIO;
--- a/packages/daemon/src/fleet/watch-settings-file.ts
+++ b/packages/daemon/src/fleet/watch-settings-file.ts
@@ -1,5 +1,4 @@
 import * as fs from 'node:fs/promises';
-import process from 'node:process';
 import * as core from '@bilberrydoor/core';
 import type * as platform from '@bilberrydoor/platform';
 import {loadFleetSettings} from './load-fleet-settings.js';
@@ -7,7 +6,8 @@
 export type WatchSettingsFileOptions = {
 	readonly fileName: string;
 	readonly settings: platform.PlatformSettings;
-	readonly clock: core.Clock;
+	/** Wakes up the periodic check. */
+	readonly reloadNotifier: core.ChangeNotifier;
 	readonly logger: core.Logger;
 	/** Applies new options to the dispatchers. */
 	readonly applyDispatcherOptions: (dispatcher: Partial<core.DispatcherOptions>) => void;
@@ -31,20 +31,14 @@
 };
 
 /**
- * Reloads the settings whenever the modification time of the file has changed, which is checked periodically and on SIGHUP.
- * Only the dispatcher options are applied; changed addresses take effect at the next start.
+ * Reloads the settings whenever the modification time of the file has changed, which is checked periodically and when the
+ * notifier says so. Only the dispatcher options are applied; changed addresses take effect at the next start.
  */
 export const watchSettingsFile = async (options: WatchSettingsFileOptions, signal: AbortSignal): Promise<void> => {
-	const {fileName, clock, logger} = options;
-	const checkNotifier = core.createChangeNotifier(clock);
-	const triggerCheck = (): void => {
-		checkNotifier.notifyAll();
-	};
-
-	process.on('SIGHUP', triggerCheck);
+	const {fileName, reloadNotifier, logger} = options;
 	let modifiedMs = await readModifiedMs(fileName, logger);
 	while (!signal.aborted) {
-		await checkNotifier.wait(CHECK_INTERVAL_MS, signal);
+		await reloadNotifier.wait(CHECK_INTERVAL_MS, signal);
 		const newModifiedMs = await readModifiedMs(fileName, logger);
 		if (signal.aborted || newModifiedMs === modifiedMs) {
 			continue;
@@ -63,6 +57,4 @@
 		options.applyDispatcherOptions(loaded.value.dispatcher);
 		logger.info('settings reloaded', {event: core.LogEvent.SettingsReloaded, dispatcher: loaded.value.dispatcher});
 	}
-
-	process.off('SIGHUP', triggerCheck);
 };
