--- a/packages/daemon/src/fleet/__tests__/upload-path.ts
+++ b/packages/daemon/src/fleet/__tests__/upload-path.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import * as http from 'node:http';
 import * as timersPromises from 'node:timers/promises';
 import * as adapters from '@bilberrydoor/adapters';
@@ -21,6 +22,8 @@
 	readonly proxy?: Partial<core.ProxyOptions>;
 	/** Host name of the first target's address. */
 	readonly firstHost?: string;
+	/** Port of a server that takes the place of the first target. */
+	readonly firstPort?: number;
 	readonly bodyLimitBytes?: number;
 	/** Mean duration that grants name, in ms. */
 	readonly usualDurationMs?: number;
@@ -51,7 +54,8 @@
 	const targets = await Promise.all(Array.from({length: options.targetCount ?? 3}, async () => startUploadTarget(t)));
 	const registeredTargets = targets.map(({port}, index) => {
 		const host = index === 0 ? (options.firstHost ?? '127.0.0.1') : '127.0.0.1';
-		return fakes.buildTarget({targetId: `target-${index}`, address: `${host}:${port}`});
+		const ownPort = index === 0 ? (options.firstPort ?? port) : port;
+		return fakes.buildTarget({targetId: `target-${index}`, address: `${host}:${ownPort}`});
 	});
 	const results: core.GrantResult[] = [];
 	const grants: core.GrantClient = {
@@ -115,8 +119,8 @@
 	return path;
 };
 
-/** Status and text of an answer; status 0 if the connection ended before the answer was complete. */
-export type UploadAnswer = {readonly status: number; readonly text: string};
+/** An answer; status 0 if the connection ended before the answer was complete. */
+export type UploadAnswer = {readonly status: number; readonly text: string; readonly bytes: Uint8Array};
 
 export type UploadOptions = {
 	readonly requestId: string;
@@ -140,19 +144,19 @@
 const readAnswer = async (request: http.ClientRequest): Promise<UploadAnswer> =>
 	new Promise(resolve => {
 		const fail = (): void => {
-			resolve({status: 0, text: ''});
+			resolve({status: 0, text: '', bytes: new Uint8Array(0)});
 		};
 
 		request.on('error', fail);
 		request.on('close', fail);
 		request.on('response', response => {
-			let text = '';
-			response.setEncoding('utf8');
-			response.on('data', chunk => {
-				text += String(chunk);
+			const chunks: Uint8Array[] = [];
+			response.on('data', (chunk: Uint8Array) => {
+				chunks.push(chunk);
 			});
 			response.on('end', () => {
-				resolve({status: response.statusCode ?? 0, text});
+				const bytes = Buffer.concat(chunks);
+				resolve({status: response.statusCode ?? 0, text: bytes.toString(), bytes});
 			});
 			response.on('error', fail);
 		});
