fix(proxy): headers of answers keep their bytes

What callers saw: a call ran, its answer had a character beyond Latin-1 in a header, and the caller's connection was closed without an answer. A two-byte character arrived as another byte. Cause: undici decodes header values as UTF-8, and writeHead of Node.js takes one character for a byte and throws on others. Change: the bytes of each value are restored when the head arrives. Undici keeps no bytes of a value that is not UTF-8; such an answer counts as broken, so that a call that may run once at most gets 502.

--- a/packages/adapters/src/target/answer-receiver.ts
+++ b/packages/adapters/src/target/answer-receiver.ts
@@ -3,7 +3,7 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
 import type * as undici from 'undici';
-import * as headers from '../http/headers.js';
+import {restoreHeaderBytes} from './restore-header-bytes.js';
 
 /** Receives one answer. Buffers it up to `bufferLimitBytes`, and turns a larger one into a stream. */
 export class AnswerReceiver implements undici.Dispatcher.DispatchHandler {
@@ -33,12 +33,18 @@
 	}
 
 	onResponseStart(
-		_controller: undici.Dispatcher.DispatchController,
+		controller: undici.Dispatcher.DispatchController,
 		status: number,
-		answerHeaders: Record<string, string | string[] | undefined>,
+		grouped: Record<string, string | string[] | undefined>,
 	): void {
 		this.status = status;
-		this.answerHeaders = headers.listGroupedHeaders(answerHeaders);
+		const answerHeaders = restoreHeaderBytes(grouped);
+		if (!answerHeaders) {
+			controller.abort(new Error('a header of the answer is not valid UTF-8'));
+			return;
+		}
+
+		this.answerHeaders = answerHeaders;
 	}
 
 	onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Uint8Array): void {
--- a/packages/daemon/src/fleet/__tests__/upload-path.ts
+++ b/packages/daemon/src/fleet/__tests__/upload-path.ts
@@ -120,7 +120,12 @@
 };
 
 /** An answer; status 0 if the connection ended before the answer was complete. */
-export type UploadAnswer = {readonly status: number; readonly text: string; readonly bytes: Uint8Array};
+export type UploadAnswer = {
+	readonly status: number;
+	readonly headers: http.IncomingHttpHeaders;
+	readonly text: string;
+	readonly bytes: Uint8Array;
+};
 
 export type UploadOptions = {
 	readonly requestId: string;
@@ -144,7 +149,7 @@
 const readAnswer = async (request: http.ClientRequest): Promise<UploadAnswer> =>
 	new Promise(resolve => {
 		const fail = (): void => {
-			resolve({status: 0, text: '', bytes: new Uint8Array(0)});
+			resolve({status: 0, headers: {}, text: '', bytes: new Uint8Array(0)});
 		};
 
 		request.on('error', fail);
@@ -156,7 +161,7 @@
 			});
 			response.on('end', () => {
 				const bytes = Buffer.concat(chunks);
-				resolve({status: response.statusCode ?? 0, text: bytes.toString(), bytes});
+				resolve({status: response.statusCode ?? 0, headers: response.headers, text: bytes.toString(), bytes});
 			});
 			response.on('error', fail);
 		});
