--- a/packages/adapters/src/target/answer-receiver.ts
+++ b/packages/adapters/src/target/answer-receiver.ts
@@ -3,7 +3,7 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
 import type * as undici from 'undici';
-import * as headers from '../http/headers.js';
+import {restoreHeaderBytes} from './restore-header-bytes.js';
 
 const STATUS_LINE_PATTERN = /HTTP\/\d\.\d \d{3}/;
 
@@ -44,16 +44,22 @@
 	onResponseStart(
 		controller: undici.Dispatcher.DispatchController,
 		status: number,
-		answerHeaders: Record<string, string | string[] | undefined>,
+		grouped: Record<string, string | string[] | undefined>,
 		statusText = '',
 	): void {
-		if (containsStatusLine([statusText, ...Object.values(answerHeaders)])) {
+		if (containsStatusLine([statusText, ...Object.values(grouped)])) {
 			controller.abort(new Error('the head of the answer contains the start of another answer'));
 			return;
 		}
 
 		this.status = status;
-		this.answerHeaders = headers.listGroupedHeaders(answerHeaders);
+		const answerHeaders = restoreHeaderBytes(grouped);
+		if (!answerHeaders) {
+			controller.abort(new Error('a header of the answer is not valid UTF-8'));
+			return;
+		}
+
+		this.answerHeaders = answerHeaders;
 	}
 
 	onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Uint8Array): void {
