--- a/packages/adapters/src/http/http-listener.ts
+++ b/packages/adapters/src/http/http-listener.ts
@@ -1,7 +1,9 @@
-import type * as http from 'node:http';
+import * as http from 'node:http';
 import * as net from 'node:net';
+import type * as core from '@bilberrydoor/core';
 import * as nodeServer from '@hono/node-server';
 import type * as hono from 'hono';
+import {handleClientErrors} from './client-errors.js';
 import {createConnectionCloser} from './connection-closer.js';
 
 /** Bindings that give handlers the Node.js request and response, so that bodies stream without copies. */
@@ -22,6 +24,8 @@
 	readonly connectionLimit: number;
 	/** How long an idle connection is kept, in ms. */
 	readonly keepAliveMs: number;
+	/** Logs what the server answers without the application. */
+	readonly logger?: core.Logger;
 };
 
 export const DEFAULT_HTTP_LISTENER_OPTIONS: HttpListenerOptions = {
@@ -34,6 +38,9 @@
 	keepAliveMs: 65_000,
 };
 
+/** Longest interval at which the time limits of requests are checked, in ms. */
+const TIMEOUT_CHECK_INTERVAL_MS = 250;
+
 /** A listening HTTP server. */
 export type HttpListener = {
 	/** IP and port. */
@@ -46,8 +53,8 @@
 	destroy(): void;
 	/** Counts the requests whose head has arrived and whose response has not ended yet. */
 	countRequests(): number;
-	/** Changes how long idle connections are kept, in ms. */
-	setKeepAlive(keepAliveMs: number): void;
+	/** Changes time limits, in ms. They apply to open connections too. */
+	setTimeouts(timeouts: {readonly headersTimeoutMs: number; readonly keepAliveMs: number}): void;
 };
 
 /** Splits `127.0.0.1:8080` into host and port. */
@@ -62,20 +69,26 @@
 	given: Partial<HttpListenerOptions>,
 ): Promise<HttpListener> => {
 	const options = {...DEFAULT_HTTP_LISTENER_OPTIONS, ...given};
-	const server = nodeServer.createAdaptorServer({
-		fetch: app.fetch,
-		overrideGlobalObjects: false,
-		serverOptions: {
+	const connections = createConnectionCloser();
+	const handleRequest = nodeServer.getRequestListener(app.fetch, {overrideGlobalObjects: false});
+	const server = http.createServer(
+		{
 			headersTimeout: options.headersTimeoutMs,
 			requestTimeout: options.requestTimeoutMs,
 			maxHeaderSize: options.headerLimitBytes,
 			keepAliveTimeout: options.keepAliveMs,
-			connectionsCheckingInterval: Math.min(1000, options.headersTimeoutMs),
+			connectionsCheckingInterval: Math.min(TIMEOUT_CHECK_INTERVAL_MS, options.headersTimeoutMs),
 			noDelay: true,
 		},
-	}) as http.Server;
+		(incoming, outgoing) => {
+			if (connections.accept(incoming, outgoing)) {
+				void handleRequest(incoming, outgoing);
+			}
+		},
+	);
 	server.maxConnections = options.connectionLimit;
-	const connectionCloser = createConnectionCloser(server);
+	server.on('connection', connections.track);
+	handleClientErrors(server, {connections, logger: options.logger});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(options.port, options.host, resolve);
@@ -87,14 +100,15 @@
 			const closed = new Promise(resolve => {
 				net.Server.prototype.close.call(server, resolve);
 			});
-			connectionCloser.closeWhenIdle();
+			connections.closeWhenIdle();
 			await closed;
 		},
 		destroy() {
 			server.closeAllConnections();
 		},
-		countRequests: connectionCloser.countRequests,
-		setKeepAlive(keepAliveMs) {
+		countRequests: () => connections.countRequests(),
+		setTimeouts({headersTimeoutMs, keepAliveMs}) {
+			server.headersTimeout = headersTimeoutMs;
 			server.keepAliveTimeout = keepAliveMs;
 		},
 	};
--- a/packages/adapters/src/target/answer-receiver.ts
+++ b/packages/adapters/src/target/answer-receiver.ts
@@ -3,7 +3,16 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
 import type * as undici from 'undici';
-import * as headers from '../http/headers.js';
+import {restoreHeaderBytes} from './restore-header-bytes.js';
+
+const STATUS_LINE_PATTERN = /HTTP\/\d\.\d \d{3}/;
+
+/**
+ * Whether a head was put together from two: a faulty target may send the start of an extra answer, and the call's own answer
+ * continues its last line.
+ */
+const containsStatusLine = (texts: ReadonlyArray<string | string[] | undefined>): boolean =>
+	texts.flat().some(text => text !== undefined && STATUS_LINE_PATTERN.test(text));
 
 /** Receives one answer. Buffers it up to `bufferLimitBytes`, and turns a larger one into a stream. */
 export class AnswerReceiver implements undici.Dispatcher.DispatchHandler {
@@ -33,12 +42,24 @@
 	}
 
 	onResponseStart(
-		_controller: undici.Dispatcher.DispatchController,
+		controller: undici.Dispatcher.DispatchController,
 		status: number,
-		answerHeaders: Record<string, string | string[] | undefined>,
+		grouped: Record<string, string | string[] | undefined>,
+		statusText = '',
 	): void {
+		if (containsStatusLine([statusText, ...Object.values(grouped)])) {
+			controller.abort(new Error('the head of the answer contains the start of another answer'));
+			return;
+		}
+
 		this.status = status;
-		this.answerHeaders = headers.listGroupedHeaders(answerHeaders);
+		const answerHeaders = restoreHeaderBytes(grouped);
+		if (!answerHeaders) {
+			controller.abort(new Error('a header of the answer is not valid UTF-8'));
+			return;
+		}
+
+		this.answerHeaders = answerHeaders;
 	}
 
 	onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Uint8Array): void {
--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -1,13 +1,13 @@
 import * as stream from 'node:stream';
 import * as core from '@bilberrydoor/core';
+import type * as domain from '@bilberrydoor/domain';
 import * as neverthrow from 'neverthrow';
-import type * as undici from 'undici';
-import {isConnectError} from '../http/connect-error.js';
 import * as headers from '../http/headers.js';
 import type {WireDialect} from '../http/wire-dialect.js';
 import {AnswerReceiver} from './answer-receiver.js';
 import {classifyAnswer} from './classify-answer.js';
 import {readAnnouncement} from './read-announcement.js';
+import {createRetirablePool, type RetirablePool} from './retirable-pool.js';
 import {createTargetConnectionPool} from './target-connection-pool.js';
 
 export type FleetTargetClientOptions = {
@@ -36,6 +36,14 @@
 	poolLimitCount: 1000,
 };
 
+/** Refusals for which repeated calls get new connections; a faulty target sends a refusal again within seconds. */
+const REFUSAL_LIMIT_COUNT = 1000;
+
+const REFUSED_MEANINGS: ReadonlySet<core.AnswerMeaning> = new Set([
+	core.AnswerMeaning.NotRun,
+	core.AnswerMeaning.Replaced,
+]);
+
 type SendResult = neverthrow.Result<core.AttemptAnswer, core.AttemptError>;
 
 const buildHeaders = (
@@ -47,11 +55,27 @@
 	[dialect.requestIdHeader]: call.requestId,
 	[dialect.remainingMsHeader]: String(Math.max(1, Math.floor(remainingMs))),
 	[dialect.expectedTargetHeader]: target.targetId,
+	...(call.bodyLengthBytes !== undefined && {'content-length': String(call.bodyLengthBytes)}),
 });
 
+/**
+ * Opens the body for one attempt. A reader that throws destroys the stream, upon which undici closes the connection before
+ * the last chunk, or short of the length.
+ */
+const openBody = ({body}: domain.ProxiedCall): Uint8Array | stream.Readable | undefined => {
+	if (body === undefined || body instanceof Uint8Array) {
+		return body;
+	}
+
+	const readable = stream.Readable.from(body.open());
+	// An attempt may end before undici listens. Without a listener, an error of its body would end the process.
+	readable.on('error', () => undefined);
+	return readable;
+};
+
 const classifyError = (error: Error, isSent: boolean, signal: AbortSignal): core.AttemptError => {
 	const detail = String(error);
-	if (isConnectError(error) || !isSent) {
+	if (!isSent) {
 		const kind = signal.aborted ? core.AttemptErrorKind.CancelledUnsent : core.AttemptErrorKind.Unreachable;
 		return {kind, detail};
 	}
@@ -64,41 +88,52 @@
 	given: Pick<FleetTargetClientOptions, 'dialect'> & Partial<FleetTargetClientOptions>,
 ): core.FleetTargetClient & {close(): Promise<void>} => {
 	const options = {...DEFAULT_FLEET_TARGET_CLIENT_OPTIONS, ...given};
-	const pools = core.createRecentMap<string, undici.Dispatcher>(options.poolLimitCount);
+	const pools = core.createRecentMap<string, RetirablePool>(options.poolLimitCount);
+
+	/** Refusals that may still be sent again, by address and request id. */
+	const refusals = core.createRecentMap<string, true>(REFUSAL_LIMIT_COUNT);
 
-	/** Removes the pool of an address, so that later calls open new connections. Calls in progress finish on the old ones. */
+	/** Removes the pool of an address after a fault, because its other connections may not respond either. */
 	const discardPool = (address: string): void => {
 		const pool = pools.get(address);
 		pools.delete(address);
-		void pool?.close();
+		pool?.retire();
 	};
 
-	/** Returns the pool of an address, and creates it on first use. A target with an invalid address is unreachable. */
-	const getOrCreatePool = neverthrow.fromThrowable(
-		(address: string, connectionLimit: number): undici.Dispatcher => {
-			const pool = pools.get(address) ?? createTargetConnectionPool(address, {...options, connectionLimit});
-			void pools.set(address, pool)?.close();
-			return pool;
-		},
+	const createPool = (address: string, connectionLimit: number): RetirablePool =>
+		createRetirablePool(createTargetConnectionPool(address, {...options, connectionLimit}));
+
+	/** Returns the pool of an address, and creates it on first use. */
+	const getOrCreatePool = (address: string, connectionLimit: number): RetirablePool => {
+		const pool = pools.get(address) ?? createPool(address, connectionLimit);
+		pools.set(address, pool)?.retire();
+		return pool;
+	};
+
+	/** Returns the pool for an attempt. A target with an invalid address is unreachable. */
+	const selectPool = neverthrow.fromThrowable(
+		({target, connectionLimit}: core.FleetAttempt, needsNewConnection: boolean): RetirablePool =>
+			needsNewConnection ? createPool(target.address, 1) : getOrCreatePool(target.address, connectionLimit),
 		(error): core.AttemptError => ({kind: core.AttemptErrorKind.Unreachable, detail: String(error)}),
 	);
 
-	const exchange = async (
-		pool: undici.Dispatcher,
-		attempt: core.FleetAttempt,
-		signal: AbortSignal,
-	): Promise<SendResult> =>
+	const exchange = async (pool: RetirablePool, attempt: core.FleetAttempt, signal: AbortSignal): Promise<SendResult> =>
 		new Promise(resolve => {
 			const {call} = attempt;
+			const body = openBody(call);
 			const settle = (result: SendResult): void => {
 				clearTimeout(connectTimer);
 				signal.removeEventListener('abort', cancel);
+				if (result.isErr() && body instanceof stream.Readable) {
+					body.destroy();
+				}
+
 				resolve(result);
 			};
 
 			const receiver = new AnswerReceiver(options.bufferedAnswerLimitBytes, result => {
 				const isStreaming = result.isOk() && !(result.value.body instanceof Uint8Array);
-				const announcement = readAnnouncement(receiver.head(), options.dialect);
+				const announcement = readAnnouncement(receiver.head(), call.requestId, options.dialect);
 				const outcome = result
 					.map(answer => ({
 						meaning: classifyAnswer(answer, call.requestId, options.dialect),
@@ -136,7 +171,7 @@
 					method: call.method,
 					path: call.pathAndQuery,
 					headers: buildHeaders(attempt, options.dialect),
-					body: call.body instanceof Uint8Array ? call.body : call.body && stream.Readable.from(call.body),
+					body,
 				},
 				receiver,
 			);
@@ -147,21 +182,28 @@
 
 	return {
 		async send(attempt, signal) {
-			if (attempt.needsNewConnection) {
-				discardPool(attempt.target.address);
-			}
-
-			const pool = getOrCreatePool(attempt.target.address, attempt.connectionLimit);
+			const {address} = attempt.target;
+			const refusalKey = `${address} ${attempt.call.requestId}`;
+			// Callers may use a request id again, so the refusals of earlier calls count too.
+			const needsNewConnection = attempt.needsNewConnection || refusals.get(refusalKey) === true;
+			const pool = selectPool(attempt, needsNewConnection);
 			if (pool.isErr()) {
 				return neverthrow.err(pool.error);
 			}
 
 			const result = await exchange(pool.value, attempt, signal);
-			// Other connections may not respond after a fault either. Once a connection has delivered the answer to another call, each
-			// later answer on it is one call behind.
+			if (needsNewConnection) {
+				pool.value.retire();
+			}
+
+			if (result.isOk() && REFUSED_MEANINGS.has(result.value.meaning)) {
+				refusals.set(refusalKey, true);
+			}
+
+			// Once a connection has delivered the answer to another call, each later answer on it is one call behind.
 			const isMismatched = result.isOk() && result.value.meaning === core.AnswerMeaning.Mismatched;
 			if ((result.isErr() && !signal.aborted) || isMismatched) {
-				discardPool(attempt.target.address);
+				discardPool(address);
 			}
 
 			return result;
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -8,10 +8,14 @@
 	CallEnded = 'call-ended',
 	/** Handling a call threw an unexpected exception. */
 	CallHandlingFailed = 'call-handling-failed',
+	/** The HTTP server ended a caller's connection because of what arrived on it. */
+	ClientError = 'client-error',
 	/** A new catalogue is in force on this node. */
 	CatalogueInForce = 'catalogue-in-force',
 	/** This node now requests the slots of a group from a different dispatcher. */
 	DispatcherChanged = 'dispatcher-changed',
+	/** A caller's request head was too large. */
+	HeadRefused = 'head-refused',
 	/** Log lines were dropped because their reader was too slow. */
 	LogLinesDropped = 'log-lines-dropped',
 	/** Registering the node in the store failed. */
@@ -44,6 +48,8 @@
 	SettingsReloaded = 'settings-reloaded',
 	/** The settings file cannot be read. */
 	SettingsUnreadable = 'settings-unreadable',
+	/** The process received a signal. */
+	SignalReceived = 'signal-received',
 	/** Reads of the store fail. */
 	StoreLost = 'store-lost',
 	/** The store answers again. */
