--- a/packages/adapters/src/__tests__/answer-matching.test.ts
+++ b/packages/adapters/src/__tests__/answer-matching.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import * as net from 'node:net';
 import * as timersPromises from 'node:timers/promises';
 import * as core from '@bilberrydoor/core';
 import test, {type ExecutionContext} from 'ava';
@@ -119,3 +121,85 @@
 		results.map(() => core.AnswerMeaning.Completed),
 	);
 });
+
+// Guards against an answer that the target sent before it got the call: on a new connection, the call is sent as soon as it opens.
+test('an answer that is sent before the call arrives is not accepted', async t => {
+	const server = net.createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.write(buildHead('503 Busy', 'call', REFUSAL_LINES));
+		socket.on('data', async () => {
+			await timersPromises.setTimeout(READ_DELAY_MS);
+			socket.write(buildHead('200 OK', 'call', SUCCESS_LINES));
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => server.close());
+	const result = await createSender(t)(`127.0.0.1:${(server.address() as net.AddressInfo).port}`, 'call');
+	t.not(result.isOk() ? result.value.meaning : undefined, core.AnswerMeaning.NotRun);
+});
+
+/** Starts a target that resets a connection when it accepts it while as many as `limitCount` are open. */
+const startLimitedTarget = async (t: ExecutionContext, limitCount: number): Promise<string> => {
+	const sockets = new Set<net.Socket>();
+	let refusedCount = 0;
+	const server = net.createServer(socket => {
+		socket.on('error', () => undefined);
+		if (sockets.size >= limitCount) {
+			socket.resetAndDestroy();
+			return;
+		}
+
+		sockets.add(socket);
+		socket.once('close', () => sockets.delete(socket));
+		socket.on('data', chunk => {
+			const requestId = /^x-request-id: (.*)$/im.exec(chunk.toString('latin1'))?.[1] ?? '';
+			const isRefused = requestId === 'call' && refusedCount++ === 0;
+			socket.write(
+				isRefused ? buildHead('503 Busy', requestId, REFUSAL_LINES) : buildHead('200 OK', requestId, SUCCESS_LINES),
+			);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		sockets.forEach(socket => socket.destroy());
+		server.close();
+	});
+	return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+};
+
+// Guards against a second attempt that breaks at a target that has no connection left beyond the idle ones of this node.
+test('a second attempt at a target that accepts one connection is served', async t => {
+	const address = await startLimitedTarget(t, 1);
+	const send = createSender(t);
+	await send(address, 'call');
+	await timersPromises.setTimeout(READ_DELAY_MS);
+	const second = await send(address, 'call', {needsNewConnection: true});
+	t.is(
+		second.isOk() ? second.value.meaning : `${second.error.kind}: ${second.error.detail}`,
+		core.AnswerMeaning.Completed,
+	);
+});
+
+// Guards against calls that fail because their connection delivered the answer to another call before.
+test('a queued call is not sent on a connection that delivered the answer to another call', async t => {
+	const target = await startRawTarget(t, async ({socket, requestCount, requestId}) => {
+		if (requestCount === 1 && requestId === 'first') {
+			socket.write(buildHead('503 Busy', requestId, REFUSAL_LINES));
+			return;
+		}
+
+		if (requestId === 'second') {
+			socket.write(buildHead('503 Busy', 'first', REFUSAL_LINES));
+		}
+
+		await timersPromises.setTimeout(READ_DELAY_MS);
+		socket.write(buildHead('200 OK', requestId, SUCCESS_LINES));
+	});
+	const send = createSender(t);
+	await send(target.address, 'first');
+	const [second, queued] = await Promise.all(['second', 'queued'].map(async id => send(target.address, id)));
+	t.is(second!._unsafeUnwrap().meaning, core.AnswerMeaning.Mismatched);
+	t.is(queued!._unsafeUnwrap().meaning, core.AnswerMeaning.Completed);
+});
