feat(observability): log assumed outages of the store and returned grants

The logs could not show why a node used a grant of that target: its record removed, still in use, or never known there; nor when a node took a pause in the store's answers for an outage.

- Event `store-outage-assumed`, with the length of the pause and how long removals stay without effect.
- Event `grant-returned`, with the state of the target in the node's records.
- `attempt-ended` has `targetRecord`, as it was when the call was sent.

--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -3,6 +3,7 @@
 import {readPeerReply} from '../registry/peer-reply.js';
 import type {PeerReachability} from '../registry/peer-reachability.js';
 import {buildGroupId, type Registry} from '../registry/registry.js';
+import {KeyState} from '../registry/replica.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import type {DispatcherTable} from './dispatcher-table.js';
 import {createNoticeExchange} from './notice-exchange.js';
@@ -270,7 +271,7 @@
 		const known = registry.target(targetId);
 		return known
 			? known.startedAtMs === startedAtMs && known.readiness === domain.TargetReadiness.Draining
-			: registry.replicas.targets.isRemoved(targetId);
+			: registry.replicas.targets.stateOf(targetId) === KeyState.Removed;
 	};
 
 	const report: GrantClient['report'] = (grant, result, durationMs, announcement) => {
@@ -307,6 +308,15 @@
 				}
 
 				// The target's announcement arrived after the dispatcher had granted it, or the dispatcher's records are old.
+				parts.logger.info('grant returned', {
+					event: ports.LogEvent.GrantReturned,
+					requestId: callRequest.requestId,
+					grantId: answer.grantId,
+					targetId: answer.target.targetId,
+					dispatcher: answer.dispatcher.nodeId,
+					targetRecord: registry.replicas.targets.stateOf(answer.target.targetId),
+					topicAgesMs: registry.topicAgesMs(),
+				});
 				report(answer, ports.GrantResult.Cancelled, 0);
 				const excludedTargetIds = [...request.excludedTargetIds, answer.target.targetId];
 				request = {...request, isNewCall: false, excludedTargetIds};
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -14,6 +14,8 @@
 	CatalogueInForce = 'catalogue-in-force',
 	/** This node now requests the slots of a group from a different dispatcher. */
 	DispatcherChanged = 'dispatcher-changed',
+	/** The entry node did not use a grant, since it knows that the target is leaving or has left. */
+	GrantReturned = 'grant-returned',
 	/** A caller's request head was too large. */
 	HeadRefused = 'head-refused',
 	/** Log lines were dropped because their reader was too slow. */
@@ -50,6 +52,8 @@
 	SettingsUnreadable = 'settings-unreadable',
 	/** The process received a signal. */
 	SignalReceived = 'signal-received',
+	/** A pause in the store's answers was taken for an outage, in which registrations of targets may have expired. */
+	StoreOutageAssumed = 'store-outage-assumed',
 	/** Reads of the store fail. */
 	StoreLost = 'store-lost',
 	/** The store answers again. */
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -157,7 +157,8 @@
 	): Promise<domain.TargetAnswer | undefined> => {
 		const startedAtMs = clock.monotonicMs();
 		const timeoutMs = remainingMs(state);
-		const {address} = grant.target;
+		const {address, targetId} = grant.target;
+		const targetRecord = registry.replicas.targets.stateOf(targetId);
 		const earlierSendCount = state.usedAddresses.filter(usedAddress => usedAddress === address).length;
 		const controller = new AbortController();
 		const abort = (): void => {
@@ -198,6 +199,7 @@
 		const {announcement} = result.isOk() ? result.value : result.error;
 		grants.report(grant, grantResult, durationMs, announcement);
 		logAttempt(state, grant, grantResult, {
+			targetRecord,
 			earlierSendCount,
 			durationMs: Math.round(durationMs),
 			timeoutMs: Math.round(timeoutMs),
@@ -212,7 +214,7 @@
 		state.unreachableCount += verdict.isSent ? 0 : 1;
 		state.mayHaveRun ||= verdict.mayHaveRun;
 		state.lastReason = verdict.reason;
-		state.excludedTargetIds.push(grant.target.targetId);
+		state.excludedTargetIds.push(targetId);
 		if (result.isErr()) {
 			return undefined;
 		}
--- a/packages/core/src/registry/lapse-window.ts
+++ b/packages/core/src/registry/lapse-window.ts
@@ -16,14 +16,20 @@
  */
 const LAPSE_WINDOW_MS = 2200;
 
+/** A pause between two answers of the store that is long enough for registrations to expire. */
+export type EndedOutage = {
+	/** Time between the two answers, in ms. */
+	readonly pauseMs: number;
+};
+
 /**
  * Detects outages of the store, in which registrations expire although their targets live. Its input is when the store last
  * answered any node of the chain from which this one gets its records. A node that loses the store alone follows others
  * meanwhile, so that the answers that they got show it that there was no outage.
  */
 export type LapseWindow = {
-	/** Records that the store answered a read of the targets at `atMs`. */
-	recordAnswer(atMs: number): void;
+	/** Records that the store answered a read of the targets at `atMs`. Returns the outage that it ended, if there was one. */
+	recordAnswer(atMs: number): EndedOutage | undefined;
 	/** Monotonic time until which a removal may be a lapse, in ms; in the past if there was no outage lately. */
 	endsAtMs(): number;
 };
@@ -34,9 +40,11 @@
 	let endsAtMs = Number.NEGATIVE_INFINITY;
 	return {
 		recordAnswer(atMs) {
-			const isAfterOutage = lastAnswerAtMs !== undefined && atMs - lastAnswerAtMs >= outageMs;
+			const pauseMs = atMs - (lastAnswerAtMs ?? atMs);
+			const isAfterOutage = pauseMs >= outageMs;
 			endsAtMs = isAfterOutage ? atMs + LAPSE_WINDOW_MS : endsAtMs;
 			lastAnswerAtMs = Math.max(lastAnswerAtMs ?? atMs, atMs);
+			return isAfterOutage ? {pauseMs} : undefined;
 		},
 		endsAtMs: () => endsAtMs,
 	};
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -233,7 +233,16 @@
 		apply(given, topicAgesMs = {}) {
 			const targetsAgeMs = topicAgesMs.targets ?? 0;
 			if (given.targets && targetsAgeMs < NEVER_READ_AGE_MS) {
-				lapseWindow.recordAnswer(clock.monotonicMs() - targetsAgeMs);
+				const outage = lapseWindow.recordAnswer(clock.monotonicMs() - targetsAgeMs);
+				if (outage) {
+					logger.info('outage of the store assumed', {
+						event: ports.LogEvent.StoreOutageAssumed,
+						pauseMs: Math.round(outage.pauseMs),
+						removalsKeptMs: Math.round(lapseWindow.endsAtMs() - clock.monotonicMs()),
+						role: currentRole,
+						topicAgesMs: topicAges.list(),
+					});
+				}
 			}
 
 			const topics = {...given, [ports.RegistryTopic.Catalogue]: completeCatalogues(given.catalogue)};
--- a/packages/core/src/registry/replica.ts
+++ b/packages/core/src/registry/replica.ts
@@ -6,6 +6,18 @@
 	readonly lapsing?: {readonly value: ports.RegistryValues[Topic]; readonly untilMs: number};
 };
 
+/** What a replica knows of a key. */
+export enum KeyState {
+	/** The key has a value. */
+	InUse = 'in-use',
+	/** The key was removed after an outage of the store, and its last value stays in use for a while. */
+	Lapsing = 'lapsing',
+	/** The key was removed. */
+	Removed = 'removed',
+	/** The replica has no record of the key. */
+	Unknown = 'unknown',
+}
+
 /** This node's copy of one topic: the newest record of each key. */
 export type Replica<Topic extends ports.RegistryTopic> = {
 	/** Offset to read from next; -1 before the first records. */
@@ -20,8 +32,7 @@
 	apply(changes: ports.TopicChanges<Topic>, lapsesUntilMs?: number): boolean;
 	/** Changes for a peer whose replica continues from `fromOffset`. */
 	changesSince(fromOffset: number): ports.TopicChanges<Topic>;
-	/** Whether the newest record of the key removed it, and its value is not in use any more. */
-	isRemoved(key: string): boolean;
+	stateOf(key: string): KeyState;
 	/** Values in force, by key. */
 	values(): ReadonlyMap<string, ports.RegistryValues[Topic]>;
 };
@@ -117,10 +128,17 @@
 				.filter(({offset, value}) => (isWhole ? value !== undefined : offset >= fromOffset));
 			return {records, nextOffset, isWhole};
 		},
-		isRemoved(key) {
+		stateOf(key) {
 			const entry = entries.get(key);
-			const isInUse = entry?.lapsing !== undefined && entry.lapsing.untilMs > clock.monotonicMs();
-			return entry !== undefined && entry.record.value === undefined && !isInUse;
+			if (entry === undefined) {
+				return KeyState.Unknown;
+			}
+
+			if (entry.record.value !== undefined) {
+				return KeyState.InUse;
+			}
+
+			return entry.lapsing && entry.lapsing.untilMs > clock.monotonicMs() ? KeyState.Lapsing : KeyState.Removed;
 		},
 		values() {
 			const nowMs = clock.monotonicMs();
