fix(grants): a grant of a target that is missing from newer records is not used

A target was removed meanwhile, and a node was added after the removal. Until 6.8 s after the removal, calls to the added node ran at the removed target.

Cause: an entry node compares a grant with its own records, but a whole copy of the records leaves removed keys out. A node that started after the removal has no record of the target, and took "no record" for "not known yet". A node that had lost its source did not compare at all, although it may know that the target was removed or is draining.

Change: a grant carries the offset of the record that registered its target. The entry node does not use it if its own records show a removal after that offset, or reach beyond the offset and have no record of the target. This needs no fresh records, and a target that registered after the newest record of the entry node, or again after a removal that it knows, is used as before. A dispatcher of an earlier version sends no offset; its grants are judged as before.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -158,6 +158,7 @@
 		isGranted: zod.literal(true),
 		grantId: zod.string(),
 		target: targetSchema,
+		targetOffset: zod.int().optional(),
 		standing: zod.string(),
 		usualDurationMs: zod.number().optional(),
 		targetNotices: zod.array(targetNoticeSchema).optional(),
--- a/packages/core/src/grants/dispatcher-table.ts
+++ b/packages/core/src/grants/dispatcher-table.ts
@@ -35,7 +35,8 @@
 
 			const {registry, options: _options, ...shared} = parts;
 			const listTargets = () => registry.targetsOf(service, region);
-			const dispatcher = createGroupDispatcher({...shared, groupId, options, listTargets});
+			const readTargetOffset = registry.replicas.targets.valueOffset;
+			const dispatcher = createGroupDispatcher({...shared, groupId, options, listTargets, readTargetOffset});
 			dispatchers.set(groupId, dispatcher);
 			return dispatcher;
 		},
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -261,17 +261,24 @@
 
 	/**
 	 * Whether the target is leaving or has left according to this node's records. Those of its dispatcher may be older, if it has
-	 * lost the store and still reaches this node.
+	 * lost the store or stood still. A dispatcher of an earlier version does not say how old they are, so then this node's own
+	 * records must be up to date.
 	 */
-	const isWithdrawn = ({targetId, startedAtMs}: domain.RegisteredTarget): boolean => {
-		if (registry.isStale()) {
+	const isWithdrawn = ({target, targetOffset}: HeldGrant): boolean => {
+		const {targetId, startedAtMs} = target;
+		const known = registry.target(targetId);
+		const {targets} = registry.replicas;
+		if (targetOffset === undefined && registry.isStale()) {
 			return false;
 		}
 
-		const known = registry.target(targetId);
-		return known
-			? known.startedAtMs === startedAtMs && known.readiness === domain.TargetReadiness.Draining
-			: registry.replicas.targets.stateOf(targetId) === KeyState.Removed;
+		if (known) {
+			return known.startedAtMs === startedAtMs && known.readiness === domain.TargetReadiness.Draining;
+		}
+
+		return targetOffset === undefined
+			? targets.stateOf(targetId) === KeyState.Removed
+			: targets.isRemovedAfter(targetId, targetOffset);
 	};
 
 	const report: GrantClient['report'] = (grant, result, durationMs, announcement) => {
@@ -303,7 +310,7 @@
 			let request = callRequest;
 			for (let blockedCount = 0; blockedCount < BLOCKED_GRANT_LIMIT; blockedCount++) {
 				const answer = await acquireFromRegions(request, signal);
-				if (!answer.isGranted || !(notices.isBlocked(answer.target) || isWithdrawn(answer.target))) {
+				if (!answer.isGranted || !(notices.isBlocked(answer.target) || isWithdrawn(answer))) {
 					return answer;
 				}
 
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -48,6 +48,8 @@
 	readonly notices: TargetNotices;
 	/** Currently registered targets of the group. */
 	readonly listTargets: () => readonly domain.RegisteredTarget[];
+	/** Offset of the record that registered a target, if this node has it. */
+	readonly readTargetOffset: (targetId: string) => number | undefined;
 };
 
 /** Requesting nodes for which it is kept which notices they have. */
@@ -133,6 +135,7 @@
 			isGranted: true,
 			grantId,
 			target: ledger.target(),
+			targetOffset: parts.readTargetOffset(ledger.target().targetId),
 			standing,
 			usualDurationMs: durations.ofRoute(request.routeId),
 		};
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -89,6 +89,11 @@
 	readonly isGranted: true;
 	readonly grantId: string;
 	readonly target: domain.RegisteredTarget;
+	/**
+	 * Offset of the target's record that the dispatcher uses. A node whose records show that the target was removed after it does
+	 * not use the grant. Absent if the dispatcher is of an earlier version.
+	 */
+	readonly targetOffset?: number;
 	/** Why the target was chosen, for the log. */
 	readonly standing: string;
 	/** Mean duration of the route's calls, in ms; absent when no call has ended yet. */
--- a/packages/core/src/registry/replica.ts
+++ b/packages/core/src/registry/replica.ts
@@ -2,8 +2,8 @@
 
 type ReplicaEntry<Topic extends ports.RegistryTopic> = {
 	readonly record: ports.RegistryRecord<Topic>;
-	/** Value before a removal that may be a lapse, which stays in use until `untilMs`. */
-	readonly lapsing?: {readonly value: ports.RegistryValues[Topic]; readonly untilMs: number};
+	/** Value before a removal that may be a lapse, which stays in use until `untilMs`, and the offset of its record. */
+	readonly lapsing?: {readonly value: ports.RegistryValues[Topic]; readonly offset: number; readonly untilMs: number};
 };
 
 /** What a replica knows of a key. */
@@ -33,6 +33,13 @@
 	/** Changes for a peer whose replica continues from `fromOffset`. */
 	changesSince(fromOffset: number): ports.TopicChanges<Topic>;
 	stateOf(key: string): KeyState;
+	/** Offset of the newest record that gave the key a value, also after the value's removal; undefined if it is not known. */
+	valueOffset(key: string): number | undefined;
+	/**
+	 * Whether the key was removed after the record at `offset`. A key without a record was, if this replica's records reach beyond
+	 * `offset`: whole copies omit removed keys.
+	 */
+	isRemovedAfter(key: string, offset: number): boolean;
 	/** Values in force, by key. */
 	values(): ReadonlyMap<string, ports.RegistryValues[Topic]>;
 };
@@ -91,9 +98,10 @@
 			return false;
 		}
 
-		const value = existing?.record.value;
-		const isLapsing = record.value === undefined && value !== undefined && lapsesUntilMs > clock.monotonicMs();
-		entries.set(record.key, {record, ...(isLapsing && {lapsing: {value, untilMs: lapsesUntilMs}})});
+		const last = existing?.record;
+		const isLapsing = record.value === undefined && last?.value !== undefined && lapsesUntilMs > clock.monotonicMs();
+		const lapsing = isLapsing ? {value: last.value, offset: last.offset, untilMs: lapsesUntilMs} : undefined;
+		entries.set(record.key, {record, lapsing});
 		return true;
 	};
 
@@ -107,6 +115,26 @@
 			.map(({key}) => ({key, offset: changes.nextOffset - 1, value: undefined}));
 	};
 
+	const stateOf = (key: string): KeyState => {
+		const entry = entries.get(key);
+		if (entry === undefined) {
+			return KeyState.Unknown;
+		}
+
+		if (entry.record.value !== undefined) {
+			return KeyState.InUse;
+		}
+
+		return entry.lapsing && entry.lapsing.untilMs > clock.monotonicMs() ? KeyState.Lapsing : KeyState.Removed;
+	};
+
+	const removalChecks: Record<KeyState, (key: string, offset: number) => boolean> = {
+		[KeyState.InUse]: () => false,
+		[KeyState.Lapsing]: () => false,
+		[KeyState.Removed]: (key, offset) => entries.get(key)!.record.offset > offset,
+		[KeyState.Unknown]: (_key, offset) => nextOffset > offset,
+	};
+
 	return {
 		nextOffset: () => nextOffset,
 		revision: () => revision,
@@ -128,18 +156,12 @@
 				.filter(({offset, value}) => (isWhole ? value !== undefined : offset >= fromOffset));
 			return {records, nextOffset, isWhole};
 		},
-		stateOf(key) {
+		stateOf,
+		valueOffset(key) {
 			const entry = entries.get(key);
-			if (entry === undefined) {
-				return KeyState.Unknown;
-			}
-
-			if (entry.record.value !== undefined) {
-				return KeyState.InUse;
-			}
-
-			return entry.lapsing && entry.lapsing.untilMs > clock.monotonicMs() ? KeyState.Lapsing : KeyState.Removed;
+			return entry?.record.value === undefined ? entry?.lapsing?.offset : entry.record.offset;
 		},
+		isRemovedAfter: (key, offset) => removalChecks[stateOf(key)](key, offset),
 		values() {
 			const nowMs = clock.monotonicMs();
 			return new Map(
--- a/packages/fakes/src/__tests__/grant-client.test.ts
+++ b/packages/fakes/src/__tests__/grant-client.test.ts
@@ -11,8 +11,18 @@
 
 type Message = {readonly address: string; readonly kind: core.FleetMessageKind};
 
+type HarnessOptions = {
+	/** Targets of the other region that the node knows. */
+	readonly otherRegionTargets?: readonly domain.RegisteredTarget[];
+	/** Offset of the granted target's record at the dispatcher. */
+	readonly targetOffset?: number;
+};
+
 /** Creates a grant client whose region has the given targets, and peers in another region that grant every call. */
-const createHarness = (ownRegionTargets: readonly domain.RegisteredTarget[]) => {
+const createHarness = (
+	ownRegionTargets: readonly domain.RegisteredTarget[],
+	{otherRegionTargets = [otherRegionTarget], targetOffset}: HarnessOptions = {},
+) => {
 	const messages: Message[] = [];
 	const grant: core.Grant = {
 		isGranted: true,
@@ -20,6 +30,7 @@
 		target: otherRegionTarget,
 		standing: core.GrantStanding.Sound,
 		usualDurationMs: undefined,
+		targetOffset,
 	};
 	const replies = {[core.FleetMessageKind.AcquireGrant]: grant, [core.FleetMessageKind.ReportResult]: {}};
 	const peerClient: core.FleetPeerClient = {
@@ -30,7 +41,7 @@
 	};
 	const nodes = ['peer-1', 'peer-2', 'peer-3'].map(nodeId => buildNode(nodeId, {region: OTHER_REGION}));
 	const {clock, grants, registry} = buildGrantParts({
-		targets: [...ownRegionTargets, otherRegionTarget],
+		targets: [...ownRegionTargets, ...otherRegionTargets],
 		nodes,
 		peerClient,
 	});
@@ -151,3 +162,79 @@
 		t.is(isReturned, !isUsed);
 	});
 });
+
+type RecordOrderCase = {
+	readonly name: string;
+	/** Offset of the target's record at the dispatcher. */
+	readonly targetOffset: number;
+	/** Newest record of the target at the entry node, whose records reach offset 10; undefined if it never had one. */
+	readonly record: core.RegistryRecord<core.RegistryTopic.Targets> | undefined;
+	readonly isEntryNodeStale?: boolean;
+	readonly isUsed: boolean;
+};
+
+const RECORD_ORDER_CASES: readonly RecordOrderCase[] = [
+	{
+		name: 'of a target that was removed before this node had any records is not used',
+		targetOffset: 3,
+		record: undefined,
+		isUsed: false,
+	},
+	{
+		name: 'of a target that is missing from whole records is not used by a node that has lost its source',
+		targetOffset: 3,
+		record: undefined,
+		isEntryNodeStale: true,
+		isUsed: false,
+	},
+	{
+		name: 'of a target that registered after the newest record of this node is used',
+		targetOffset: 10,
+		record: undefined,
+		isUsed: true,
+	},
+	{
+		name: 'of a target that was removed after the record of the dispatcher is not used',
+		targetOffset: 3,
+		record: {key: 'away', offset: 8, value: undefined},
+		isUsed: false,
+	},
+	{
+		name: 'of a target that was removed is not used by a node that has lost its source',
+		targetOffset: 3,
+		record: {key: 'away', offset: 8, value: undefined},
+		isEntryNodeStale: true,
+		isUsed: false,
+	},
+	{
+		name: 'of a target that registered again after the removal known here is used',
+		targetOffset: 9,
+		record: {key: 'away', offset: 8, value: undefined},
+		isUsed: true,
+	},
+	{
+		name: 'of a draining target is not used by a node that has lost its source',
+		targetOffset: 3,
+		record: {key: 'away', offset: 8, value: {...otherRegionTarget, readiness: domain.TargetReadiness.Draining}},
+		isEntryNodeStale: true,
+		isUsed: false,
+	},
+];
+
+// Guards against calls to a removed target through a node that started after the removal, granted by a dispatcher that stood still.
+RECORD_ORDER_CASES.forEach(({name, targetOffset, record, isEntryNodeStale = false, isUsed}) => {
+	test(`a grant ${name}`, async t => {
+		const otherTarget = {...otherRegionTarget, targetId: 'other'};
+		const {acquire, registry} = createHarness([], {otherRegionTargets: [otherTarget], targetOffset});
+		const catalogue = {key: 'config', offset: 0, value: buildFleetCatalogue(1, [])};
+		// A record that was removed has been in use before.
+		const earlier = {key: 'away', offset: 2, value: otherRegionTarget};
+		registry.apply({
+			[core.RegistryTopic.Catalogue]: {records: [catalogue], nextOffset: 1, isWhole: true},
+			[core.RegistryTopic.Targets]: {records: record ? [earlier, record] : [], nextOffset: 10, isWhole: false},
+		});
+		registry.setSourceLost(isEntryNodeStale);
+		const answer = await acquire();
+		t.is(answer.isGranted, isUsed);
+	});
+});
--- a/packages/fakes/src/__tests__/gray-load-bench.ts
+++ b/packages/fakes/src/__tests__/gray-load-bench.ts
@@ -59,6 +59,7 @@
 		metrics: createFakeMetrics(),
 		notices: core.createTargetNotices({clock, logger: createSilentLogger()}),
 		listTargets: () => targets,
+		readTargetOffset: () => undefined,
 	});
 	const counts = {served: 0, failed: 0, refused: 0};
 	const attempts: SimulatedAttempt[] = [];
--- a/packages/fakes/src/__tests__/group-dispatcher.test.ts
+++ b/packages/fakes/src/__tests__/group-dispatcher.test.ts
@@ -33,6 +33,7 @@
 		metrics: createFakeMetrics(),
 		notices: core.createTargetNotices({clock, logger}),
 		listTargets: () => registered.targets,
+		readTargetOffset: () => undefined,
 	});
 	const {signal} = new AbortController();
 	let requestCount = 0;
--- a/packages/fakes/src/__tests__/registry-replica.test.ts
+++ b/packages/fakes/src/__tests__/registry-replica.test.ts
@@ -58,6 +58,19 @@
 	t.true(replica.values().has('a'));
 });
 
+// Guards against grants without an offset, which cannot be compared with removals, just after the end of a lapse.
+test('the offset of a value is known beyond the time for which it stays in use', async t => {
+	const clock = createVirtualClock();
+	const replica = core.createReplica(Targets, clock);
+	replica.apply(buildChanges([{key: 'a', offset: 4, value: target}], 5));
+	replica.apply(buildChanges([{key: 'a', offset: 7, value: undefined}], 8), 2000);
+	t.is(replica.stateOf('a'), core.KeyState.Lapsing);
+	await clock.advance(2100);
+	t.is(replica.stateOf('a'), core.KeyState.Removed);
+	t.is(replica.valueOffset('a'), 4);
+	t.is(replica.valueOffset('b'), undefined);
+});
+
 test('a removal outside an outage takes effect at once', t => {
 	const replica = core.createReplica(Targets, createVirtualClock());
 	replica.apply(buildChanges([{key: 'a', offset: 0, value: target}], 1));
--- a/packages/fakes/src/registry-fleet.ts
+++ b/packages/fakes/src/registry-fleet.ts
@@ -1,6 +1,7 @@
 import * as core from '@bilberrydoor/core';
 import * as neverthrow from 'neverthrow';
 import {buildFleetCatalogue, buildHostRoute, buildNode, buildTarget} from './build-fleet.js';
+import {createFakeHost, type FakeHost} from './fake-host.js';
 import {createFakeMetrics, createSilentLogger} from './fake-observability.js';
 import {createFakeRegistryStore, type FakeRegistryStore} from './fake-registry-store.js';
 import {createSeededRandom} from './seeded-random.js';
@@ -20,6 +21,8 @@
 	/** Delay until each node starts, in ms. By default, all nodes start at once. */
 	readonly startDelayMs?: (index: number) => number;
 	readonly clock?: VirtualClock;
+	/** Region of a node; by default, all are in the region of the targets. */
+	readonly regionOf?: (nodeId: string) => string;
 	/** By default, replies arrive without delay. */
 	readonly deliverReply?: DeliverReply;
 	/** Network delay of each call to the store, in ms. */
@@ -34,6 +37,9 @@
 
 const NETWORK_LATENCY_MS = 1;
 
+/** Region of the targets that `buildTarget` builds. */
+const TARGET_REGION = 'pwani';
+
 /** Delay of the replies of slow nodes, longer than any time limit for them. */
 const SLOW_REPLY_MS = 2000;
 
@@ -52,7 +58,7 @@
 	store.write(core.RegistryTopic.Targets, 'a', buildTarget({targetId: 'a'}));
 };
 
-/** Starts nodes of one region on a virtual clock, which replicate the records of the store. `node-0` is the seed of all nodes. */
+/** Starts nodes on a virtual clock, which replicate the records of the store. `node-0` is the seed of all nodes. */
 export const createRegistryFleet = (options: RegistryFleetOptions) => {
 	const {
 		clock = createVirtualClock(),
@@ -61,6 +67,7 @@
 		wrapStore = store => store,
 		fillStore = fillWithDefaults,
 		startDelayMs,
+		regionOf = () => TARGET_REGION,
 		targetClient = UNREACHABLE_TARGETS,
 	} = options;
 	const store = createFakeRegistryStore(clock);
@@ -72,7 +79,30 @@
 	const nodes = new Map<string, core.FleetNode>();
 	const nodesByAddress = new Map<string, core.FleetNode>();
 	const controllers = new Map<string, AbortController>();
+	const hosts = new Map<string, FakeHost>();
 	let startCount = 0;
+
+	/** The process of a node; a restarted node keeps it. */
+	const hostOf = (nodeId: string): FakeHost => {
+		const host = hosts.get(nodeId) ?? createFakeHost();
+		hosts.set(nodeId, host);
+		return host;
+	};
+
+	/** Makes a paused node learn of a result only once it runs again. */
+	const deliverTo = async <T>(nodeId: string, result: Promise<T>): Promise<T> => {
+		const value = await result;
+		await hostOf(nodeId).waitUntilRunning();
+		return value;
+	};
+
+	const pauseStoreClient = (nodeId: string, client: core.RegistryStore): core.RegistryStore => ({
+		readChanges: async (...parameters) => deliverTo(nodeId, client.readChanges(...parameters)),
+		readAll: async (...parameters) => deliverTo(nodeId, client.readAll(...parameters)),
+		publishNode: async (...parameters) => deliverTo(nodeId, client.publishNode(...parameters)),
+		withdrawNode: async (...parameters) => deliverTo(nodeId, client.withdrawNode(...parameters)),
+	});
+
 	const createPeerClient = (senderId: string): core.FleetPeerClient => ({
 		async request(address, kind, request, {signal, noteProgress}) {
 			await clock.sleep(NETWORK_LATENCY_MS, signal);
@@ -85,6 +115,7 @@
 				return loseReply(signal);
 			}
 
+			await hostOf(receiver.self.nodeId).waitUntilRunning();
 			await clock.sleep(slowNodeIds.has(receiver.self.nodeId) ? SLOW_REPLY_MS : 0, signal);
 			const reply = await receiver.messageHandlers[kind](request, signal);
 			// A reply that was pending when its sender became silent does not arrive.
@@ -92,22 +123,27 @@
 				return loseReply(signal);
 			}
 
-			return neverthrow.ok(await deliverReply(receiver.self.nodeId, kind, reply, {signal, noteProgress}));
+			await hostOf(receiver.self.nodeId).waitUntilRunning();
+			const delivered = deliverReply(receiver.self.nodeId, kind, reply, {signal, noteProgress});
+			return neverthrow.ok(await deliverTo(senderId, delivered));
 		},
 	});
 	const startNode = (nodeId: string, seed: number): void => {
 		const node = core.createFleetNode({
 			ports: {
-				clock,
+				clock: hostOf(nodeId).wrapClock(clock),
 				random: createSeededRandom(seed),
 				logger,
 				metrics,
-				store: wrapStore(store.createClient(nodeId, storeDelayMs)),
+				store: pauseStoreClient(nodeId, wrapStore(store.createClient(nodeId, storeDelayMs))),
 				peerClient: createPeerClient(nodeId),
 				targetClient,
 			},
 			settings: {
-				self: buildNode(nodeId, nodes.has(nodeId) ? {incarnationId: `${nodeId}#restarted-${startCount}`} : {}),
+				self: buildNode(nodeId, {
+					region: regionOf(nodeId),
+					...(nodes.has(nodeId) && {incarnationId: `${nodeId}#restarted-${startCount}`}),
+				}),
 				seedAddresses: [buildNode('node-0').address],
 			},
 		});
@@ -146,6 +182,13 @@
 			controllers.get(nodeId)?.abort();
 		},
 		startNode,
+		/** Suspends a node: nothing happens on it until it is resumed, and what it is sent waits. */
+		pauseNode(nodeId: string) {
+			hostOf(nodeId).pause();
+		},
+		resumeNode(nodeId: string) {
+			hostOf(nodeId).resume();
+		},
 		listVersions: (): Array<number | undefined> =>
 			[...nodes.values()].map(({registry}) => registry.catalogue()?.version),
 		stop() {
--- a/packages/measures/src/grants/measure-grants.ts
+++ b/packages/measures/src/grants/measure-grants.ts
@@ -67,6 +67,7 @@
 		metrics: fakes.createFakeMetrics(),
 		notices: core.createTargetNotices({clock, logger}),
 		listTargets: () => targets,
+		readTargetOffset: () => undefined,
 	});
 	const {signal} = new AbortController();
 	return async index => {
