fix(registry): a node's own pause is not taken for an outage of the store

Cause: registrations expire in an outage of the store, so a node keeps removed targets for a while after a pause in the store's answers. A node that stood still, or was cut off from the store and its peers, sees such a pause alone. It also happens to a node whose first records come from one that stood still.

Change: each reply to a pull or a check says since when the store has answered the sender or the nodes of which it knows. A time that reaches into the pause shows that there was no outage, and removals are final at once. First answers of other nodes that are up to 1.5 s older do not shorten the time for renewals after a real outage. Peers of an earlier version do not send the time; then nothing changes.

--- a/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
+++ b/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
@@ -39,6 +39,7 @@
 	isStale: false,
 	role: core.RegistryRole.Follower,
 	topicAgesMs: {[core.RegistryTopic.Catalogue]: 3, [core.RegistryTopic.Targets]: 2, [core.RegistryTopic.Nodes]: 1},
+	storeAnswers: {ageMs: 2, runMs: 90_000},
 });
 
 /** Serializes an encoded reply and decodes it as the receiving node does. */
@@ -57,6 +58,25 @@
 	t.deepEqual(transfer(FLEET_REPLY_ENCODERS[PullRegistry](received.data!)).data, reply);
 });
 
+// Guards against a removal that an entry node cannot compare with a grant, because the offset was lost on its way.
+test('a grant is received with the offset of its target', t => {
+	const target = {
+		targetId: 'a',
+		startedAtMs: 1,
+		service: 'malipo',
+		address: '10.0.0.1:1',
+		region: 'pwani',
+		availabilityZone: 'temeke',
+		slotCount: 4,
+		readiness: domain.TargetReadiness.Ready,
+		warmUpLeftMs: 0,
+	};
+	const grant = {isGranted: true, grantId: 'grant', target, targetOffset: 17, standing: core.GrantStanding.Sound};
+	const schema = FLEET_MESSAGE_SCHEMAS[core.FleetMessageKind.AcquireGrant].reply;
+	const text = JSON.stringify(grant);
+	t.deepEqual(schema.parse(JSON.parse(text)), grant as core.AcquireGrantReply);
+});
+
 test('the removal of a catalogue has no value', t => {
 	t.is(
 		transfer(FLEET_REPLY_ENCODERS[PullRegistry](buildReply(undefined))).data?.topics.catalogue.records[0]?.value,
--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -211,6 +211,7 @@
 			// Earlier versions do not send their role.
 			role: zod.enum(core.RegistryRole).default(core.RegistryRole.Reader),
 			topicAgesMs: zod.record(zod.enum(core.RegistryTopic), zod.number()),
+			storeAnswers: zod.object({ageMs: zod.number(), runMs: zod.number().nonnegative()}).optional(),
 		}) as zod.ZodType<core.PullRegistryReply>,
 	},
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -73,6 +73,7 @@
 export * from './proxy/stop-plan.js';
 export * from './registry/carry-over-routes.js';
 export * from './registry/node-ranking.js';
+export * from './registry/lapse-window.js';
 export * from './registry/peer-reachability.js';
 export * from './registry/registry.js';
 export * from './registry/registry-sync.js';
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -159,6 +159,16 @@
 	readonly role: RegistryRole;
 	/** Time since the store last answered a read of each topic, in ms. */
 	readonly topicAgesMs: TopicAgesMs;
+	/** When the store answered, as far as the peer knows; absent if it never did, or if the peer is of an earlier version. */
+	readonly storeAnswers?: StoreAnswers;
+};
+
+/** A time over which the store answered reads of the targets, of any node, without an outage. */
+export type StoreAnswers = {
+	/** Time since the last answer, in ms. */
+	readonly ageMs: number;
+	/** Time from the first answer after the last outage, or from the first one known, to the last, in ms. */
+	readonly runMs: number;
 };
 
 /** Time since the store last answered a read of each topic, in ms. */
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -54,6 +54,8 @@
 	SignalReceived = 'signal-received',
 	/** A pause in the store's answers was taken for an outage, in which registrations of targets may have expired. */
 	StoreOutageAssumed = 'store-outage-assumed',
+	/** Peers have shown that the store answered them during an assumed outage. */
+	StoreOutageRuledOut = 'store-outage-ruled-out',
 	/** Reads of the store fail. */
 	StoreLost = 'store-lost',
 	/** The store answers again. */
--- a/packages/core/src/registry/lapse-window.ts
+++ b/packages/core/src/registry/lapse-window.ts
@@ -16,36 +16,73 @@
  */
 const LAPSE_WINDOW_MS = 2200;
 
-/** A pause between two answers of the store that is long enough for registrations to expire. */
+/** Longest time between the first answers that two nodes get after the same outage: the pauses of readers after failed reads. */
+const FIRST_ANSWER_SPREAD_MS = 1500;
+
+/** A time over which the store answered without an outage, on the monotonic clock of this node, in ms. */
+export type AnswerRun = {
+	readonly startedAtMs: number;
+	/** Time of the last answer. */
+	readonly endedAtMs: number;
+};
+
+/** An outage of the store that has ended, in which registrations may have expired although their targets live. */
 export type EndedOutage = {
-	/** Time between the two answers, in ms. */
+	/** Time between the answers before and after the outage, in ms. */
 	readonly pauseMs: number;
 };
 
 /**
- * Detects outages of the store, in which registrations expire although their targets live. Its input is when the store last
- * answered any node of the chain from which this one gets its records. A node that loses the store alone follows others
- * meanwhile, so that the answers that they got show it that there was no outage.
+ * Detects outages of the store, in which registrations expire although their targets live. Its input is when the store answered
+ * any node of which this one knows. A node that lost the store, was cut off or stood still sees a pause that the others did
+ * not: their answers show it that there was no outage.
  */
 export type LapseWindow = {
-	/** Records that the store answered a read of the targets at `atMs`. Returns the outage that it ended, if there was one. */
-	recordAnswer(atMs: number): EndedOutage | undefined;
+	/**
+	 * Records that the store answered this node or another one in the given time. Returns the outage that ended with it, if it
+	 * shows one.
+	 */
+	recordRun(run: AnswerRun): EndedOutage | undefined;
+	/** The latest run; undefined before the first answer. */
+	latestRun(): AnswerRun | undefined;
 	/** Monotonic time until which a removal may be a lapse, in ms; in the past if there was no outage lately. */
 	endsAtMs(): number;
 };
 
 export const createLapseWindow = (targetHeartbeatMs: number): LapseWindow => {
 	const outageMs = Math.max(CALM_PAUSE_LIMIT_MS, SAFE_HEARTBEAT_COUNT * targetHeartbeatMs - HEARTBEAT_JITTER_MS);
-	let lastAnswerAtMs: number | undefined;
-	let endsAtMs = Number.NEGATIVE_INFINITY;
+	let latest: AnswerRun | undefined;
+	let isAfterOutage = false;
+
+	const isJoined = (left: AnswerRun, right: AnswerRun): boolean =>
+		right.startedAtMs - left.endedAtMs < outageMs && left.startedAtMs - right.endedAtMs < outageMs;
+
+	/** After an outage, other nodes' first answers may be a little earlier, and the time for renewals stays as it is. */
+	const join = (known: AnswerRun, run: AnswerRun): AnswerRun => {
+		const isSameOutage = isAfterOutage && known.startedAtMs - run.startedAtMs <= FIRST_ANSWER_SPREAD_MS;
+		return {
+			startedAtMs: isSameOutage ? known.startedAtMs : Math.min(known.startedAtMs, run.startedAtMs),
+			endedAtMs: Math.max(known.endedAtMs, run.endedAtMs),
+		};
+	};
+
 	return {
-		recordAnswer(atMs) {
-			const pauseMs = atMs - (lastAnswerAtMs ?? atMs);
-			const isAfterOutage = pauseMs >= outageMs;
-			endsAtMs = isAfterOutage ? atMs + LAPSE_WINDOW_MS : endsAtMs;
-			lastAnswerAtMs = Math.max(lastAnswerAtMs ?? atMs, atMs);
-			return isAfterOutage ? {pauseMs} : undefined;
+		recordRun(run) {
+			if (latest === undefined || isJoined(latest, run)) {
+				latest = latest ? join(latest, run) : run;
+				return undefined;
+			}
+
+			if (run.endedAtMs < latest.endedAtMs) {
+				return undefined;
+			}
+
+			const pauseMs = run.startedAtMs - latest.endedAtMs;
+			latest = run;
+			isAfterOutage = true;
+			return {pauseMs};
 		},
-		endsAtMs: () => endsAtMs,
+		latestRun: () => latest,
+		endsAtMs: () => (latest && isAfterOutage ? latest.startedAtMs + LAPSE_WINDOW_MS : Number.NEGATIVE_INFINITY),
 	};
 };
--- a/packages/core/src/registry/registry-puller.ts
+++ b/packages/core/src/registry/registry-puller.ts
@@ -92,10 +92,10 @@
 			}
 
 			peerReachability.recordSuccess(address);
-			const {topics, isStale, role, topicAgesMs} = reply.value;
+			const {topics, isStale, role, topicAgesMs, storeAnswers} = reply.value;
 			sources.recordAnswer(role);
 			reportUnreadable(address, topics);
-			registry.apply(topics, topicAgesMs);
+			registry.apply(topics, {topicAgesMs, storeAnswers});
 			registry.setSourceLost(isStale);
 			if (isStale) {
 				sources.excludeStale(address, staleExclusionMs);
--- a/packages/core/src/registry/registry-sync.ts
+++ b/packages/core/src/registry/registry-sync.ts
@@ -10,6 +10,7 @@
 import {createSourceSearch} from './source-search.js';
 import type {StoreReader} from './store-reader.js';
 import {NEVER_READ_AGE_MS} from './topic-ages.js';
+import {verifyOutages} from './verify-outages.js';
 
 export type RegistrySyncOptions = {
 	readonly self: domain.RegisteredNode;
@@ -79,7 +80,7 @@
 	const lostStoreBackOff = createBackOff({random, ...LOST_STORE_BACK_OFF});
 	const sources = createRegistrySources({self, registry, clock});
 	const puller = createRegistryPuller({...options, sources});
-	const search = createSourceSearch({sources, peerClient: options.peerClient, clock});
+	const search = createSourceSearch({sources, registry, peerClient: options.peerClient, clock});
 	/** The peer whose last reply was fresh. */
 	let source: string | undefined;
 	let nextSourceCheckAtMs = 0;
@@ -289,6 +290,7 @@
 	await bootstrap();
 	await Promise.all([
 		followOrRead(),
+		verifyOutages({self, registry, random, clock, askPeers: search.askAll}, signal),
 		limitRecordAge(
 			{
 				registry,
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -3,7 +3,7 @@
 import {createChangeNotifier} from '../shared/change-notifier.js';
 import {groupBy} from '../shared/group-by.js';
 import {carryOverRoutes} from './carry-over-routes.js';
-import {createLapseWindow, DEFAULT_TARGET_HEARTBEAT_MS} from './lapse-window.js';
+import {createLapseWindow, DEFAULT_TARGET_HEARTBEAT_MS, type EndedOutage} from './lapse-window.js';
 import {createNodeRanking} from './node-ranking.js';
 import type {PeerReachability} from './peer-reachability.js';
 import {createReplica, type Replica} from './replica.js';
@@ -34,11 +34,19 @@
 	 */
 	rankReaders(limitCount: number): readonly domain.RegisteredNode[];
 	/**
-	 * Applies records from the store or a peer.
-	 *
-	 * @param topicAgesMs time since the store answered a read of each topic; topics without an age count as just read
+	 * Applies records from a peer, or from the store if the peer's knowledge of the store is absent. Topics without an age count
+	 * as just read.
 	 */
-	apply(topics: Partial<ports.PullRegistryReply['topics']>, topicAgesMs?: Partial<ports.TopicAgesMs>): void;
+	apply(
+		topics: Partial<ports.PullRegistryReply['topics']>,
+		peerKnowledge?: Partial<Pick<ports.PullRegistryReply, 'topicAgesMs' | 'storeAnswers'>>,
+	): void;
+	/** Records what a peer knows of the store's answers, which may show that an assumed outage was none. */
+	recordStoreAnswers(answers: ports.StoreAnswers): void;
+	/** Resolves when an outage of the store is assumed, after a minute, or when the signal is aborted. */
+	waitForOutage(signal: AbortSignal): Promise<void>;
+	/** Whether removals may be lapses now, since an outage of the store is assumed to have ended lately. */
+	isAfterOutage(): boolean;
 	/**
 	 * Records whether this node's source, the store or a peer, has failed or is stale itself. A loss is reported at once in the
 	 * replies to pending pulls, so that the followers change to another source before their records become stale.
@@ -85,6 +93,9 @@
 
 const TOPICS = Object.values(ports.RegistryTopic);
 
+/** Longest wait for an outage, in ms. Timers of several weeks would overflow. */
+const OUTAGE_WAIT_MS = 60_000;
+
 /** Age at which the target index is rebuilt, since after a store outage targets expire without a new record. */
 const INDEX_AGE_LIMIT_MS = 250;
 
@@ -130,6 +141,7 @@
 		[ports.RegistryTopic.Nodes]: createReplica(ports.RegistryTopic.Nodes, clock),
 	};
 	const notifier = createChangeNotifier(clock);
+	const outageNotifier = createChangeNotifier(clock);
 	const readTargetIndex = createTargetIndex(replicas.targets, clock);
 	const topicAges = createTopicAges(clock);
 	const lapseWindow = createLapseWindow(options.targetHeartbeatMs ?? DEFAULT_TARGET_HEARTBEAT_MS);
@@ -218,6 +230,43 @@
 		topicAges.confirm(topic, confirmedAgeMs);
 	};
 
+	const logOutage = ({pauseMs}: EndedOutage): void => {
+		logger.info('outage of the store assumed', {
+			event: ports.LogEvent.StoreOutageAssumed,
+			pauseMs: Math.round(pauseMs),
+			removalsKeptMs: Math.round(lapseWindow.endsAtMs() - clock.monotonicMs()),
+			role: currentRole,
+			topicAgesMs: topicAges.list(),
+		});
+	};
+
+	const isAfterOutage = (): boolean => lapseWindow.endsAtMs() > clock.monotonicMs();
+
+	const recordStoreAnswers = ({ageMs, runMs}: ports.StoreAnswers): void => {
+		const wasAfterOutage = isAfterOutage();
+		const endedAtMs = clock.monotonicMs() - ageMs;
+		const outage = lapseWindow.recordRun({startedAtMs: endedAtMs - runMs, endedAtMs});
+		if (outage && isAfterOutage()) {
+			logOutage(outage);
+			outageNotifier.notifyAll();
+		}
+
+		const hasRemoved = wasAfterOutage && replicas.targets.limitLapses(lapseWindow.endsAtMs());
+		if (wasAfterOutage && !isAfterOutage()) {
+			logger.info('outage of the store ruled out', {event: ports.LogEvent.StoreOutageRuledOut, hasRemoved, runMs});
+		}
+	};
+
+	const listStoreAnswers = (): ports.StoreAnswers | undefined => {
+		const run = lapseWindow.latestRun();
+		return (
+			run && {
+				ageMs: Math.round(clock.monotonicMs() - run.endedAtMs),
+				runMs: Math.round(run.endedAtMs - run.startedAtMs),
+			}
+		);
+	};
+
 	const hasChanges = ({fromOffsets}: ports.PullRegistryRequest): boolean =>
 		TOPICS.some(topic => replicas[topic].changesSince(fromOffsets[topic]).records.length > 0);
 
@@ -230,25 +279,16 @@
 		nodesOf,
 		rankNodes: ranking.rank,
 		rankReaders: limitCount => readerRanking.rank(READER_KEY, self.region, limitCount),
-		apply(given, topicAgesMs = {}) {
-			const targetsAgeMs = topicAgesMs.targets ?? 0;
+		apply(given, {topicAgesMs, storeAnswers} = {}) {
+			const targetsAgeMs = topicAgesMs?.targets ?? 0;
 			if (given.targets && targetsAgeMs < NEVER_READ_AGE_MS) {
-				const outage = lapseWindow.recordAnswer(clock.monotonicMs() - targetsAgeMs);
-				if (outage) {
-					logger.info('outage of the store assumed', {
-						event: ports.LogEvent.StoreOutageAssumed,
-						pauseMs: Math.round(outage.pauseMs),
-						removalsKeptMs: Math.round(lapseWindow.endsAtMs() - clock.monotonicMs()),
-						role: currentRole,
-						topicAgesMs: topicAges.list(),
-					});
-				}
+				recordStoreAnswers(storeAnswers ?? {ageMs: targetsAgeMs, runMs: 0});
 			}
 
 			const topics = {...given, [ports.RegistryTopic.Catalogue]: completeCatalogues(given.catalogue)};
 			const changedTopics = TOPICS.filter(topic => applyTopic(topic, topics[topic] as never));
 			TOPICS.filter(topic => topics[topic] !== undefined).forEach(topic => {
-				confirmTopic(topic, topicAgesMs[topic] ?? 0);
+				confirmTopic(topic, topicAgesMs?.[topic] ?? 0);
 			});
 			if (changedTopics.length > 0) {
 				adoptNewestCatalogue();
@@ -283,8 +323,12 @@
 				isStale: isStale(),
 				role: currentRole,
 				topicAgesMs: topicAges.list(),
+				storeAnswers: listStoreAnswers(),
 			};
 		},
+		recordStoreAnswers,
+		isAfterOutage,
+		waitForOutage: async signal => outageNotifier.wait(OUTAGE_WAIT_MS, signal),
 		waitForChange: async (waitMs, signal) => notifier.wait(waitMs, signal),
 	};
 };
--- a/packages/core/src/registry/replica.ts
+++ b/packages/core/src/registry/replica.ts
@@ -30,6 +30,8 @@
 	 * @param lapsesUntilMs monotonic time until which removed values stay in use, in ms, since they may be registered again
 	 */
 	apply(changes: ports.TopicChanges<Topic>, lapsesUntilMs?: number): boolean;
+	/** Ends lapses at the given monotonic time, in ms, if they would end later. True if a value that was in use is not any more. */
+	limitLapses(untilMs: number): boolean;
 	/** Changes for a peer whose replica continues from `fromOffset`. */
 	changesSince(fromOffset: number): ports.TopicChanges<Topic>;
 	stateOf(key: string): KeyState;
@@ -149,6 +151,16 @@
 			revision += changed.length > 0 ? 1 : 0;
 			return changed.length > 0;
 		},
+		limitLapses(untilMs) {
+			const nowMs = clock.monotonicMs();
+			const limited = [...entries].filter(([, {lapsing}]) => lapsing && lapsing.untilMs > Math.max(nowMs, untilMs));
+			limited.forEach(([key, {record, lapsing}]) => {
+				entries.set(key, {record, lapsing: {...lapsing!, untilMs}});
+			});
+			const isAnyEnded = limited.length > 0 && untilMs <= nowMs;
+			revision += isAnyEnded ? 1 : 0;
+			return isAnyEnded;
+		},
 		changesSince(fromOffset) {
 			const isWhole = fromOffset < removalsKnownFromOffset;
 			const records = [...entries.values()]
--- a/packages/core/src/registry/source-search.ts
+++ b/packages/core/src/registry/source-search.ts
@@ -3,9 +3,11 @@
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {readPeerReply} from './peer-reply.js';
 import type {RegistrySources} from './registry-sources.js';
+import type {Registry} from './registry.js';
 
 export type SourceSearchOptions = {
 	readonly sources: RegistrySources;
+	readonly registry: Pick<Registry, 'recordStoreAnswers'>;
 	readonly peerClient: ports.FleetPeerClient;
 	readonly clock: ports.Clock;
 };
@@ -36,6 +38,8 @@
 		candidates: readonly domain.RegisteredNode[],
 		signal: AbortSignal,
 	): Promise<domain.RegisteredNode | undefined>;
+	/** Checks all candidates, only to learn what they know of the store's answers. */
+	askAll(candidates: readonly domain.RegisteredNode[], signal: AbortSignal): Promise<void>;
 };
 
 export type FoundSource = {
@@ -101,7 +105,7 @@
 	},
 };
 
-export const createSourceSearch = ({sources, peerClient, clock}: SourceSearchOptions): SourceSearch => {
+export const createSourceSearch = ({sources, registry, peerClient, clock}: SourceSearchOptions): SourceSearch => {
 	const check = async (address: string, signal: AbortSignal): Promise<SourceState> => {
 		// Checks end soon by themselves, and many listeners on one signal would make Node.js print a warning.
 		const limits = {clock, timeoutMs: CHECK_TIMEOUT_MS, signal: new AbortController().signal};
@@ -109,8 +113,12 @@
 			peerClient.request(address, ports.FleetMessageKind.PullRegistry, CHECK_REQUEST, {signal: checkSignal}),
 		);
 		const state = readPeerReply(timed).match(
-			({isStale, role}) => {
+			({isStale, role, storeAnswers}) => {
 				sources.recordAnswer(role);
+				if (storeAnswers) {
+					registry.recordStoreAnswers(storeAnswers);
+				}
+
 				return (isStale ? STALE_STATES : FRESH_STATES)[role];
 			},
 			() => SourceState.Silent,
@@ -149,5 +157,8 @@
 			const states = await Promise.all(candidates.map(async ({address}) => check(address, signal)));
 			return candidates.find((_node, index) => states[index] === SourceState.Reading);
 		},
+		async askAll(candidates, signal) {
+			await Promise.all(candidates.map(async ({address}) => check(address, signal)));
+		},
 	};
 };
--- a/packages/fakes/src/__tests__/paused-nodes.test.ts
+++ b/packages/fakes/src/__tests__/paused-nodes.test.ts
@@ -104,6 +104,10 @@
 		name: 'the dispatcher and the reader',
 		list: ({rankDispatchers, rankReaders}) => [rankDispatchers()[0]!, rankReaders()[0]!],
 	},
+	{
+		name: 'the dispatcher and the first three readers',
+		list: ({rankDispatchers, rankReaders}) => [rankDispatchers()[0]!, ...rankReaders().slice(0, 3)],
+	},
 ];
 
 const NODE_COUNTS = [5, 12, 44];
@@ -138,3 +142,78 @@
 		);
 	});
 });
+
+/** Time after which a node that is back takes no pause of its own for an outage any more. */
+const VERIFICATION_LIMIT_MS = 1000;
+
+/** Half of the targets, so that more grants may be returned for a call than it may request. */
+const REMOVED_IDS = TARGET_IDS.slice(6);
+
+const LOSSES: ReadonlyArray<{
+	readonly name: string;
+	readonly lose: (fleet: Fleet, nodeId: string) => void;
+	readonly restore: (fleet: Fleet, nodeId: string) => void;
+}> = [
+	{
+		name: 'stood still',
+		lose: (fleet, nodeId) => fleet.pauseNode(nodeId),
+		restore: (fleet, nodeId) => fleet.resumeNode(nodeId),
+	},
+	{
+		name: 'were cut off',
+		lose(fleet, nodeId) {
+			fleet.cutNodeIds.add(nodeId);
+			fleet.store.refusedNodeIds.add(nodeId);
+		},
+		restore(fleet, nodeId) {
+			fleet.cutNodeIds.delete(nodeId);
+			fleet.store.refusedNodeIds.delete(nodeId);
+		},
+	},
+];
+
+const LOST_COUNTS: ReadonlyArray<{readonly name: string; readonly count: (nodeCount: number) => number}> = [
+	{name: 'one reader', count: () => 1},
+	{name: 'three readers', count: () => 3},
+	{name: 'half of the nodes', count: nodeCount => Math.floor(nodeCount / 2)},
+	{name: 'all nodes but one', count: nodeCount => nodeCount - 1},
+];
+
+const LOSS_CASES = LOSSES.flatMap(loss =>
+	LOST_COUNTS.flatMap(lost => NODE_COUNTS.map(nodeCount => ({loss, lost, nodeCount}))),
+);
+
+// Guards against nodes that take their own pause for an outage of the store, and offer targets that have left until 2.2 s after it.
+LOSS_CASES.forEach(({loss, lost, nodeCount}) => {
+	test(`targets removed while ${lost.name} of ${nodeCount} ${loss.name} are out of use there once the nodes are back`, async t => {
+		const fleet = createFleet(t, nodeCount, TARGET_REGION);
+		const {clock, store, nodes} = fleet;
+		await clock.advance(SETTLE_MS);
+		const lostIds = fleet.rankReaders().slice(0, lost.count(nodeCount));
+		lostIds.forEach(nodeId => {
+			loss.lose(fleet, nodeId);
+		});
+		await clock.advance(REMOVAL_DELAY_MS);
+		REMOVED_IDS.forEach(targetId => {
+			store.write(core.RegistryTopic.Targets, targetId, undefined);
+		});
+		await clock.advance(PAUSE_MS - REMOVAL_DELAY_MS);
+		lostIds.forEach(nodeId => {
+			loss.restore(fleet, nodeId);
+		});
+		const listIds = (isWanted: (registry: core.Registry, targetId: string) => boolean): readonly string[] =>
+			[...nodes.values()]
+				.filter(({registry}) => REMOVED_IDS.some(targetId => isWanted(registry, targetId)))
+				.map(({self}) => self.nodeId);
+		await clock.advance(VERIFICATION_LIMIT_MS);
+		t.deepEqual(
+			listIds(({replicas}, targetId) => replicas.targets.stateOf(targetId) === core.KeyState.Lapsing),
+			[],
+		);
+		await clock.advance(STABLE_MS - VERIFICATION_LIMIT_MS);
+		t.deepEqual(
+			listIds((registry, targetId) => registry.target(targetId) !== undefined),
+			[],
+		);
+	});
+});
