fix(registry): older records do not bring a removed target or node back

It is one of the reports of other operators: after a restart of a process, a server that had left was in use again.

What callers would see: a node starts while the store is down and pulls from its seeds at once. One of them stood still while a target was removed, and answers last. The new node uses the target, and goes on after the store is back, since no later record removes it there.

Change: a replica ignores a record of a key that it does not have if a whole copy reaches beyond the record's offset. Catalogues are exempt, since the last one stays in force when its record is removed.

--- a/packages/core/src/registry/replica.ts
+++ b/packages/core/src/registry/replica.ts
@@ -93,10 +93,15 @@
 		return value !== undefined && VALUE_COMPARATORS[topic](value, record.value);
 	};
 
+	/** Whether the replica has a newer record of the key, or a newer whole copy in which the key is missing. */
+	const isOutdated = (existing: ReplicaEntry<Topic> | undefined, record: ports.RegistryRecord<Topic>): boolean =>
+		existing
+			? existing.record.offset >= record.offset
+			: record.offset < removalsKnownFromOffset && !KEEPS_REMOVED_VALUE[topic];
+
 	const applyRecord = (record: ports.RegistryRecord<Topic>, lapsesUntilMs: number): boolean => {
 		const existing = entries.get(record.key);
-		const isOutdated = existing !== undefined && existing.record.offset >= record.offset;
-		if (isOutdated || isUnchanged(existing, record)) {
+		if (isOutdated(existing, record) || isUnchanged(existing, record)) {
 			return false;
 		}
 
--- a/packages/fakes/src/__tests__/paused-nodes.test.ts
+++ b/packages/fakes/src/__tests__/paused-nodes.test.ts
@@ -44,6 +44,7 @@
 	const endings: Array<{readonly nodeId: string; readonly atMs: number; readonly ending: domain.ProxyEnding}> = [];
 	const fleet = createRegistryFleet({
 		nodeCount,
+		seedIds: ['node-0', 'node-1'],
 		regionOf: nodeId => (ADDED_NODE_IDS.includes(nodeId) ? addedRegion : TARGET_REGION),
 		fillStore(store) {
 			store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(1, [buildHostRoute()]));
@@ -217,3 +218,27 @@
 		);
 	});
 });
+
+/** A node that starts waits this long, and longer, for the records of a seed. */
+const SEED_DELAY_MS = 300;
+
+// Guards against a removed target that is in use again on a restarted node, because the records of a seed that stood still arrive last.
+test('a node that starts without the store does not use a target that only a seed which stood still lists', async t => {
+	const fleet = createFleet(t, 5, TARGET_REGION);
+	const {clock, store, nodes} = fleet;
+	await clock.advance(SETTLE_MS);
+	fleet.pauseNode('node-1');
+	store.write(core.RegistryTopic.Targets, TARGET_IDS[0]!, undefined);
+	await clock.advance(SETTLE_MS);
+	store.isDown = true;
+	const [addedId] = ADDED_NODE_IDS;
+	fleet.startNode(addedId!, 5);
+	await clock.advance(SEED_DELAY_MS);
+	fleet.resumeNode('node-1');
+	await clock.advance(STABLE_MS);
+	const {registry} = nodes.get(addedId!)!;
+	t.deepEqual(
+		TARGET_IDS.filter(targetId => !registry.target(targetId)),
+		[TARGET_IDS[0]!],
+	);
+});
--- a/packages/fakes/src/__tests__/registry-replica.test.ts
+++ b/packages/fakes/src/__tests__/registry-replica.test.ts
@@ -37,6 +37,26 @@
 	t.false(replica.changesSince(9).isWhole);
 });
 
+// Guards against a removed target or node that comes back, because a peer with older records answers after one with newer ones.
+const testOlderRecords = <Topic extends core.RegistryTopic>(topic: Topic, value: core.RegistryValues[Topic]): void => {
+	test(`a key of the ${topic} that is missing from a complete read is not added by older records`, t => {
+		const replica = core.createReplica(topic, createVirtualClock());
+		replica.apply(buildCompleteChanges<Topic>([], 10));
+		t.false(replica.apply(buildCompleteChanges<Topic>([{key: 'a', offset: 4, value}], 7)));
+		t.true(replica.apply(buildChanges<Topic>([{key: 'b', offset: 12, value}], 13)));
+		t.deepEqual([...replica.values().keys()], ['b']);
+	});
+};
+
+testOlderRecords(Targets, target);
+testOlderRecords(Nodes, buildNode('a'));
+
+test('a catalogue that is missing from a complete read is added by older records, since it stays in force', t => {
+	const replica = core.createReplica(Catalogue, createVirtualClock());
+	replica.apply(buildCompleteChanges([], 10));
+	t.true(replica.apply(buildCompleteChanges([{key: 'config', offset: 4, value: buildFleetCatalogue(1, [])}], 7)));
+});
+
 test('keys that are missing from a complete read are removed, except for those written later', t => {
 	const replica = core.createReplica(Targets, createVirtualClock());
 	replica.apply(buildChanges([{key: 'a', offset: 1, value: target}], 2));
--- a/packages/fakes/src/registry-fleet.ts
+++ b/packages/fakes/src/registry-fleet.ts
@@ -23,6 +23,8 @@
 	readonly clock?: VirtualClock;
 	/** Region of a node; by default, all are in the region of the targets. */
 	readonly regionOf?: (nodeId: string) => string;
+	/** Nodes from which a node pulls at its start if the store does not answer; `node-0` by default. */
+	readonly seedIds?: readonly string[];
 	/** By default, replies arrive without delay. */
 	readonly deliverReply?: DeliverReply;
 	/** Network delay of each call to the store, in ms. */
@@ -58,7 +60,7 @@
 	store.write(core.RegistryTopic.Targets, 'a', buildTarget({targetId: 'a'}));
 };
 
-/** Starts nodes on a virtual clock, which replicate the records of the store. `node-0` is the seed of all nodes. */
+/** Starts nodes on a virtual clock, which replicate the records of the store. */
 export const createRegistryFleet = (options: RegistryFleetOptions) => {
 	const {
 		clock = createVirtualClock(),
@@ -68,6 +70,7 @@
 		fillStore = fillWithDefaults,
 		startDelayMs,
 		regionOf = () => TARGET_REGION,
+		seedIds = ['node-0'],
 		targetClient = UNREACHABLE_TARGETS,
 	} = options;
 	const store = createFakeRegistryStore(clock);
@@ -144,7 +147,7 @@
 					region: regionOf(nodeId),
 					...(nodes.has(nodeId) && {incarnationId: `${nodeId}#restarted-${startCount}`}),
 				}),
-				seedAddresses: [buildNode('node-0').address],
+				seedAddresses: seedIds.map(seedId => buildNode(seedId).address),
 			},
 		});
 		startCount++;
