fix(daemon): changed settings are used, or a warning says when they will be

Cause: the watch of the file applied the dispatchers' options only; all else had been copied at the start.

Each changed field that waits for the next start is one WARN line.

What else copies a setting at its start: addresses, node id, zone, region, capacity, zones, seeds and the store's address (next start, with the warning); the estimator of gray phases, whose bounds no file sets.

--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -28,8 +28,8 @@
 	/** Addresses of nodes to pull the registry from at startup when the store does not answer; they may be out of date. */
 	readonly seedAddresses: readonly string[];
 	readonly dispatcher?: Partial<DispatcherOptions>;
-	/** Time between two heartbeats of a target, in ms. */
-	readonly targetHeartbeatMs?: number;
+	/** Returns the time between two heartbeats of a target, in ms, or undefined for the default. May change at any time. */
+	readonly readTargetHeartbeatMs?: () => number | undefined;
 };
 
 /** One node of the proxy fleet. */
@@ -64,10 +64,10 @@
 
 export const createFleetNode = (options: {ports: FleetNodePorts; settings: FleetNodeSettings}): FleetNode => {
 	const {clock, random, logger, metrics, store, peerClient} = options.ports;
-	const {self, seedAddresses, targetHeartbeatMs} = options.settings;
+	const {self, seedAddresses, readTargetHeartbeatMs} = options.settings;
 	const stopping = new AbortController();
 	const peerReachability = createPeerReachability({clock, logger});
-	const registry = createRegistry({self, clock, logger, metrics, peerReachability, targetHeartbeatMs});
+	const registry = createRegistry({self, clock, logger, metrics, peerReachability, readTargetHeartbeatMs});
 	const storeReader = createStoreReader({registry, store, clock, random, logger});
 	const notices = createTargetNotices({clock, logger});
 	const dispatchers = createDispatcherTable({
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -46,6 +46,8 @@
 	ReportLost = 'report-lost',
 	/** The node now receives the registry from a different peer, or from the store itself. */
 	RegistrySourceChanged = 'registry-source-changed',
+	/** A changed setting is not in use until the process is started again. */
+	SettingNeedsRestart = 'setting-needs-restart',
 	/** Changed settings are in force. */
 	SettingsReloaded = 'settings-reloaded',
 	/** The settings file cannot be read. */
--- a/packages/core/src/registry/lapse-window.ts
+++ b/packages/core/src/registry/lapse-window.ts
@@ -49,13 +49,15 @@
 	endsAtMs(): number;
 };
 
-export const createLapseWindow = (targetHeartbeatMs: number): LapseWindow => {
-	const outageMs = Math.max(CALM_PAUSE_LIMIT_MS, SAFE_HEARTBEAT_COUNT * targetHeartbeatMs - HEARTBEAT_JITTER_MS);
+/** @param readTargetHeartbeatMs returns the time between two heartbeats of a target, in ms, which may change */
+export const createLapseWindow = (readTargetHeartbeatMs: () => number): LapseWindow => {
+	const outageMs = (): number =>
+		Math.max(CALM_PAUSE_LIMIT_MS, SAFE_HEARTBEAT_COUNT * readTargetHeartbeatMs() - HEARTBEAT_JITTER_MS);
 	let latest: AnswerRun | undefined;
 	let isAfterOutage = false;
 
 	const isJoined = (left: AnswerRun, right: AnswerRun): boolean =>
-		right.startedAtMs - left.endedAtMs < outageMs && left.startedAtMs - right.endedAtMs < outageMs;
+		right.startedAtMs - left.endedAtMs < outageMs() && left.startedAtMs - right.endedAtMs < outageMs();
 
 	/** After an outage, other nodes' first answers may be a little earlier, and the time for renewals stays as it is. */
 	const join = (known: AnswerRun, run: AnswerRun): AnswerRun => {
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -76,8 +76,8 @@
 	readonly logger: ports.Logger;
 	readonly metrics: ports.Metrics;
 	readonly peerReachability: PeerReachability;
-	/** Time between two heartbeats of a target, in ms. */
-	readonly targetHeartbeatMs?: number;
+	/** Returns the time between two heartbeats of a target, in ms, or undefined for the default. */
+	readonly readTargetHeartbeatMs?: () => number | undefined;
 };
 
 const MS_PER_SECOND = 1000;
@@ -144,7 +144,7 @@
 	const outageNotifier = createChangeNotifier(clock);
 	const readTargetIndex = createTargetIndex(replicas.targets, clock);
 	const topicAges = createTopicAges(clock);
-	const lapseWindow = createLapseWindow(options.targetHeartbeatMs ?? DEFAULT_TARGET_HEARTBEAT_MS);
+	const lapseWindow = createLapseWindow(() => options.readTargetHeartbeatMs?.() ?? DEFAULT_TARGET_HEARTBEAT_MS);
 	let isSourceMarkedLost = false;
 	let currentRole = ports.RegistryRole.Follower;
 	let catalogue: domain.FleetCatalogue | undefined;
--- a/packages/daemon/src/fleet/__tests__/fleet-harness.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -8,6 +8,7 @@
 import * as timersPromises from 'node:timers/promises';
 import * as workerThreads from 'node:worker_threads';
 import * as adapters from '@bilberrydoor/adapters';
+import type * as core from '@bilberrydoor/core';
 import * as platform from '@bilberrydoor/platform';
 import * as platformStandIn from '@bilberrydoor/platform/stand-in';
 import type {ExecutionContext} from 'ava';
@@ -58,8 +59,15 @@
 	/** Log lines that the node has written, in JSON. */
 	readonly lines: string[];
 	isReady(): Promise<boolean>;
+	/** Replaces the settings file by one with the given fields changed from those at the start. */
+	changeSettings(changes: Readonly<Record<string, unknown>>): Promise<void>;
+	/** Log lines of an event, parsed. */
+	listEvents(event: core.LogEvent): ReadonlyArray<Readonly<Record<string, unknown>>>;
 };
 
+// Each call adds more than one retry to the budget, so that the first calls of a test can be retried too.
+const DEFAULT_BOUNDS: readonly string[] = ['grace_s=6', 'retry_budget_ratio=1.2'];
+
 const requestStatus = async (url: string): Promise<number> => {
 	try {
 		const response = await undici.request(url);
@@ -74,7 +82,7 @@
 const startNode = async (
 	t: ExecutionContext,
 	nodeId: string,
-	addresses: {storeAddress: string; seeds: readonly string[]; control: string},
+	addresses: {storeAddress: string; seeds: readonly string[]; control: string; bounds: readonly string[]},
 ): Promise<RunningNode> => {
 	const front = `127.0.0.1:${await findFreePort()}`;
 	const ready = `127.0.0.1:${await findFreePort()}`;
@@ -89,20 +97,27 @@
 		listen: {front, ready, control: addresses.control},
 		internal_ports: [1],
 		seeds: addresses.seeds,
-		// Each call adds more than one retry to the budget, so that the first calls of a test can be retried too.
-		bounds: ['grace_s=6', 'retry_budget_ratio=1.2'],
+		bounds: addresses.bounds,
 		platform: {address: addresses.storeAddress},
 	};
 	// JSON is valid YAML.
-	await fs.writeFile(file, JSON.stringify(settings));
+	const writeSettings = async (changes: Readonly<Record<string, unknown>>): Promise<void> => {
+		await fs.writeFile(`${file}.new`, JSON.stringify({...settings, ...changes}));
+		await fs.rename(`${file}.new`, file);
+	};
+
+	await writeSettings({});
 	const program = path.resolve(import.meta.dirname, '../bilberryd-fleet.js');
 	const child = childProcess.spawn(process.execPath, [program], {
 		env: {...process.env, [platform.SETTINGS_FILE_VARIABLE]: file},
 		stdio: ['ignore', 'pipe', 'inherit'],
 	});
 	const lines: string[] = [];
+	let incompleteLine = '';
 	child.stdout.on('data', (chunk: Uint8Array) => {
-		lines.push(...new TextDecoder().decode(chunk).split('\n').filter(Boolean));
+		const parts = (incompleteLine + new TextDecoder().decode(chunk)).split('\n');
+		incompleteLine = parts.pop()!;
+		lines.push(...parts.filter(Boolean));
 	});
 	t.teardown(async () => {
 		child.kill('SIGKILL');
@@ -115,6 +130,9 @@
 		process: child,
 		lines,
 		isReady: async () => (await requestStatus(readinessUrl)) === 200,
+		changeSettings: writeSettings,
+		listEvents: event =>
+			lines.map(line => JSON.parse(line) as Readonly<Record<string, unknown>>).filter(entry => entry.event === event),
 	};
 };
 
@@ -160,7 +178,10 @@
 };
 
 /** Starts the stand-in for the store, targets and nodes, and waits until every node is ready. */
-export const startFleet = async (t: ExecutionContext, counts: {nodes: number; targets: number}) => {
+export const startFleet = async (
+	t: ExecutionContext,
+	counts: {nodes: number; targets: number; bounds?: readonly string[]},
+) => {
 	await acquireFleetPermit(t);
 	const store = platformStandIn.createStoreStandIn();
 	const storeListener = await adapters.startHttpListener(store.app, {});
@@ -195,6 +216,7 @@
 				storeAddress: storeListener.address,
 				seeds: controlAddresses.slice(0, 1),
 				control,
+				bounds: counts.bounds ?? DEFAULT_BOUNDS,
 			}),
 		),
 	);
--- a/packages/daemon/src/fleet/fleet-program.ts
+++ b/packages/daemon/src/fleet/fleet-program.ts
@@ -27,21 +27,21 @@
 		)
 		.option('--metrics-port <port>', 'port for metrics on the address of the VM')
 		.action(async (options: Options) => {
-			const settings = await loadFleetSettings(options.settings);
-			if (settings.isErr()) {
-				process.stderr.write(`${settings.error.join('\n')}\n`);
+			const loaded = await loadFleetSettings(options.settings);
+			if (loaded.isErr()) {
+				process.stderr.write(`${loaded.error.join('\n')}\n`);
 				process.exitCode = EXIT_SETTINGS_INVALID;
 				return;
 			}
 
 			if (options.check) {
-				process.stdout.write(`${options.settings}: valid settings for VM ${settings.value.nodeId}\n`);
+				process.stdout.write(`${options.settings}: valid settings for VM ${loaded.value.settings.nodeId}\n`);
 				return;
 			}
 
 			const metricsPort = options.metricsPort === undefined ? undefined : Number(options.metricsPort);
 			await runFleetDaemon({
-				settings: settings.value,
+				...loaded.value,
 				signals,
 				settingsFile: options.settings,
 				logLevel: options.logLevel,
--- a/packages/fakes/src/__tests__/lapse-window.test.ts
+++ b/packages/fakes/src/__tests__/lapse-window.test.ts
@@ -43,7 +43,7 @@
 // Guards against a node's own pause that counts as an outage, and against an outage that counts as a node's own pause.
 CASES.forEach(({name, evidence, isOutage}) => {
 	test(`the evidence ${name} ${isOutage ? 'leaves time for renewals' : 'shows that there was no outage'}`, t => {
-		const window = core.createLapseWindow(TARGET_HEARTBEAT_MS);
+		const window = core.createLapseWindow(() => TARGET_HEARTBEAT_MS);
 		window.recordRun({startedAtMs: 0, endedAtMs: LAST_ANSWER_AT_MS});
 		const answer = {startedAtMs: NEXT_ANSWER_AT_MS, endedAtMs: NEXT_ANSWER_AT_MS};
 		t.is(window.recordRun(answer)?.pauseMs, NEXT_ANSWER_AT_MS - LAST_ANSWER_AT_MS);
