--- a/packages/daemon/src/fleet/__tests__/upload-path.ts
+++ b/packages/daemon/src/fleet/__tests__/upload-path.ts
@@ -36,6 +36,8 @@
 	readonly results: readonly core.GrantResult[];
 	/** Called with the index of the granted target before an attempt at it begins. */
 	onGrant: (targetIndex: number, requestId: string) => void;
+	/** Awaited before each grant, as while all slots are in use. */
+	beforeGrant: () => Promise<void>;
 };
 
 /** Starts a front, a call proxy and a target client as a node does, before targets that are granted in their order. */
@@ -60,6 +62,7 @@
 	const results: core.GrantResult[] = [];
 	const grants: core.GrantClient = {
 		async acquire({excludedTargetIds, requestId}) {
+			await path.beforeGrant();
 			const index = registeredTargets.findIndex(({targetId}) => !excludedTargetIds.includes(targetId));
 			if (index === -1) {
 				return {isGranted: false, refusal: core.GrantRefusal.NoTarget, predictedWaitMs: 0};
@@ -116,6 +119,7 @@
 		targets,
 		results,
 		onGrant: (_targetIndex: number, _requestId: string): void => undefined,
+		beforeGrant: async (): Promise<void> => undefined,
 	};
 	return path;
 };
@@ -145,6 +149,8 @@
 	readonly answered: Promise<UploadAnswer>;
 	/** Closes the caller's connection. */
 	leave(): void;
+	/** Resets the caller's connection. */
+	reset(): void;
 };
 
 const readAnswer = async (request: http.ClientRequest): Promise<UploadAnswer> =>
@@ -222,6 +228,9 @@
 		leave() {
 			request.destroy();
 		},
+		reset() {
+			request.socket?.resetAndDestroy();
+		},
 	};
 };
 
