--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -261,7 +261,7 @@
 
 	/**
 	 * Whether the target is leaving or has left according to this node's records. Those of its dispatcher may be older, if it has
-	 * lost the store or stood still. A dispatcher of an earlier version does not say how old they are, so then this node's own
+	 * lost the store or was suspended. A dispatcher of an earlier version does not say how old they are, so then this node's own
 	 * records must be up to date.
 	 */
 	const isWithdrawn = ({target, targetOffset}: HeldGrant): boolean => {
--- a/packages/core/src/registry/lapse-window.ts
+++ b/packages/core/src/registry/lapse-window.ts
@@ -34,7 +34,7 @@
 
 /**
  * Detects outages of the store, in which registrations expire although their targets live. Its input is when the store answered
- * any node of which this one knows. A node that lost the store, was cut off or stood still sees a pause that the others did
+ * any node of which this one knows. A node that lost the store, was cut off or was suspended sees a pause that the others did
  * not: their answers show it that there was no outage.
  */
 export type LapseWindow = {
--- a/packages/core/src/registry/verify-outages.ts
+++ b/packages/core/src/registry/verify-outages.ts
@@ -14,7 +14,7 @@
 /** Peers that are asked at once. */
 const ASKED_PEER_COUNT = 6;
 
-/** Pauses after each question; the peers that were asked may have stood still too, and learn from others meanwhile. */
+/** Pauses after each question; the peers that were asked may have been suspended too, and learn from others meanwhile. */
 const QUESTION_PAUSES_MS = [100, 300, 600];
 
 /** Draws up to `limitCount` of the nodes at random. */
@@ -30,7 +30,7 @@
 		.map(({node}) => node);
 
 /**
- * Asks peers about each assumed outage of the store, until the signal is aborted. A node that stood still or was cut off has
+ * Asks peers about each assumed outage of the store, until the signal is aborted. A node that was suspended or was cut off has
  * seen a pause that was none for the others, and would offer targets that have left to other nodes. One peer that the store
  * answered is enough. Peers are drawn at random, so that it does not depend on which of them were lost as well.
  */
