feat(workspaces): calls are admitted by key before their bodies are read

Cause: deployments whose configuration lists tenants expect each request to carry a key; the fleet passed keys on to targets and let any key in.

Change: the catalogue holds the workspaces with digests of their keys. CallProxy.admit finds the route, checks the key and takes a call of the workspace's quota (unlimited for now) before the body is read; unknown, missing, malformed and repeated keys get 401. Targets get the workspace's name and never the key. Calls are ranked by the workspace's priority and then by the route's. Without workspaces in the catalogue nothing changes.

--- a/packages/adapters/src/__tests__/build-attempt.ts
+++ b/packages/adapters/src/__tests__/build-attempt.ts
@@ -6,6 +6,7 @@
 	requestIdHeader: 'x-request-id',
 	remainingMsHeader: 'x-remaining-ms',
 	expectedTargetHeader: 'x-expected-target',
+	workspaceHeader: 'x-workspace',
 	notRunHeader: 'x-not-run',
 	signatureHeader: 'x-signature',
 	leavingHeader: 'x-leaving',
--- a/packages/adapters/src/front/proxy-app.ts
+++ b/packages/adapters/src/front/proxy-app.ts
@@ -8,6 +8,7 @@
 import type {WireDialect} from '../http/wire-dialect.js';
 import {writeBody} from '../http/write-body.js';
 import {BodyReadError, readCallBody} from './read-call-body.js';
+import {readCredential, removeIdentityHeaders} from './read-credential.js';
 
 export type ProxyAppOptions = {
 	readonly dialect: WireDialect;
@@ -39,8 +40,11 @@
 	[domain.RefusalReason.UnknownRoute]: 404,
 	[domain.RefusalReason.BadRequest]: 400,
 	[domain.RefusalReason.BodyTooLarge]: 413,
+	[domain.RefusalReason.Unauthenticated]: 401,
+	[domain.RefusalReason.QuotaExceeded]: 429,
 };
 const DEFAULT_REFUSED_STATUS = 503;
+const UNAUTHENTICATED_STATUS = 401;
 
 /** Statuses of calls that may have run, where they differ from 502. None of them states that the call was not run. */
 const FAILED_STATUSES: Partial<Record<domain.RefusalReason, number>> = {
@@ -105,7 +109,7 @@
 		[Outcome in domain.ProxyOutcome]: (
 			outgoing: http.ServerResponse,
 			ending: Extract<domain.ProxyEnding, {outcome: Outcome}>,
-			call: domain.ProxiedCall,
+			call: Pick<domain.ProxiedCall, 'requestId' | 'method'>,
 		) => Promise<void>;
 	};
 
@@ -113,9 +117,10 @@
 		[domain.ProxyOutcome.Answered]: async (outgoing, ending, call) => writeAnswer(outgoing, ending.answer, call.method),
 		async [domain.ProxyOutcome.Refused](outgoing, ending, call) {
 			const status = REFUSED_STATUSES[ending.reason] ?? DEFAULT_REFUSED_STATUS;
-			const extraHeaders: Record<string, string> =
-				ending.retryAfterMs === undefined ? {} : {'retry-after': formatSeconds(ending.retryAfterMs)};
-			writeEmptyResponse(outgoing, status, call.requestId, extraHeaders);
+			writeEmptyResponse(outgoing, status, call.requestId, {
+				...(ending.retryAfterMs !== undefined && {'retry-after': formatSeconds(ending.retryAfterMs)}),
+				...(status === UNAUTHENTICATED_STATUS && {'www-authenticate': 'Bearer'}),
+			});
 		},
 		async [domain.ProxyOutcome.Failed](outgoing, ending, call) {
 			writeEmptyResponse(outgoing, FAILED_STATUSES[ending.reason] ?? DEFAULT_FAILED_STATUS, call.requestId);
@@ -140,6 +145,20 @@
 		outgoing.on('close', () => {
 			controller.abort(core.STOP_REASON);
 		});
+		const method = incoming.method ?? 'GET';
+		const head: domain.CallHead = {
+			requestId,
+			host: incoming.headers.host ?? '',
+			pathAndQuery: incoming.url ?? '/',
+			receivedAtMs,
+			readCredential: () => readCredential(headerList),
+		};
+		const admission = await options.proxy.admit(head, controller.signal);
+		if (!admission.isAdmitted) {
+			await endingWriters[admission.ending.outcome](outgoing, admission.ending, {requestId, method});
+			return;
+		}
+
 		const read = await readCallBody(incoming, {heldBytes, totalBytes: options.getBodyLimitBytes()});
 		if (read.isErr()) {
 			options.logger.info('request body refused', {event: core.LogEvent.BodyRefused, requestId, problem: read.error});
@@ -151,15 +170,17 @@
 		}
 
 		const {close, ...body} = read.value;
+		const forwardable = headers.selectForwardableHeaders(headerList).filter(([name]) => !proxySetHeaders.has(name));
 		const call: domain.ProxiedCall = {
 			requestId,
-			host: incoming.headers.host ?? '',
-			method: incoming.method ?? 'GET',
-			pathAndQuery: incoming.url ?? '/',
-			headers: headers.selectForwardableHeaders(headerList).filter(([name]) => !proxySetHeaders.has(name)),
+			host: head.host,
+			method,
+			pathAndQuery: head.pathAndQuery,
+			headers: admission.isKeyed ? removeIdentityHeaders(forwardable, dialect.workspaceHeader) : forwardable,
 			...body,
 			deadlineMs: parseDeadline(headers.findHeader(headerList, dialect.remainingMsHeader)),
 			receivedAtMs,
+			workspace: admission.workspace,
 		};
 		try {
 			const ending = await options.proxy.handle(call, controller.signal);
--- a/packages/adapters/src/front/refusal-statuses.ts
+++ b/packages/adapters/src/front/refusal-statuses.ts
@@ -6,6 +6,8 @@
 	[domain.RefusalReason.UnreadableRoute]: 503,
 	[domain.RefusalReason.MethodNotAllowed]: 405,
 	[domain.RefusalReason.BadRequest]: 400,
+	[domain.RefusalReason.Unauthenticated]: 401,
+	[domain.RefusalReason.QuotaExceeded]: 429,
 	[domain.RefusalReason.BodyTooLarge]: 413,
 	[domain.RefusalReason.NoCatalogue]: 503,
 	[domain.RefusalReason.NoTarget]: 503,
--- a/packages/adapters/src/http/wire-dialect.ts
+++ b/packages/adapters/src/http/wire-dialect.ts
@@ -6,6 +6,8 @@
 	readonly remainingMsHeader: string;
 	/** Id of the only target that may run the request. */
 	readonly expectedTargetHeader: string;
+	/** Name of the workspace of the call's key, as the fleet tells it to targets. */
+	readonly workspaceHeader: string;
 	/** Present in the answer to a request that the target did not run. */
 	readonly notRunHeader: string;
 	/** Signature that shows that the target itself produced the answer. */
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -17,6 +17,7 @@
 export * from './peer/peer-envelope.js';
 export * from './peer/peer-message-schemas.js';
 export * from './peer/with-fallback.js';
+export * from './platform/digest-key.js';
 export * from './platform/fleet-key-authenticator.js';
 export * from './platform/http-log-service.js';
 export * from './platform/http-vm-list.js';
--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -40,6 +40,15 @@
 	latencyObjectiveMs: zod.number(),
 	attemptLimit: zod.int().positive(),
 	priority: zod.number(),
+	isPublic: zod.boolean().optional(),
+});
+
+const workspaceSchema = zod.object({
+	name: zod.string(),
+	keyDigests: zod.array(zod.string()),
+	priority: zod.number().optional(),
+	ratePerSecond: zod.number().nonnegative(),
+	burstCount: zod.number().nonnegative(),
 });
 
 const optionalTextSchema = withFallback(zod.string().optional(), undefined);
@@ -75,6 +84,7 @@
 		headerTimeoutMs: zod.number(),
 		idleTimeoutMs: zod.number(),
 	}),
+	workspaces: zod.array(workspaceSchema).optional(),
 });
 
 const joinRoutes = ({
@@ -140,6 +150,7 @@
 	service: zod.string(),
 	region: zod.string(),
 	priority: zod.number(),
+	workspace: zod.string().optional(),
 	repeatability: repeatabilitySchema,
 	attemptIndex: zod.int().nonnegative(),
 	// Nodes of earlier versions omit this field. Without the default, newer nodes would refuse their requests during a
--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -55,6 +55,7 @@
 	[dialect.requestIdHeader]: call.requestId,
 	[dialect.remainingMsHeader]: String(Math.max(1, Math.floor(remainingMs))),
 	[dialect.expectedTargetHeader]: target.targetId,
+	...(call.workspace !== undefined && {[dialect.workspaceHeader]: call.workspace}),
 	...(call.bodyLengthBytes !== undefined && {'content-length': String(call.bodyLengthBytes)}),
 });
 
--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -104,6 +104,7 @@
 	});
 
 	const proxy: CallProxy = {
+		admit: callProxy.admit,
 		async handle(call, signal) {
 			callCount++;
 			try {
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -50,7 +50,10 @@
 	readonly service: string;
 	/** Region of the group's targets. */
 	readonly region: string;
+	/** Priority of the call's workspace and route together; 0 is the highest. */
 	readonly priority: number;
+	/** Workspace of the call; absent if it has none, or if the requesting node is of an earlier version. */
+	readonly workspace?: string;
 	readonly repeatability: domain.Repeatability;
 	/** 0 for the first attempt of a call. */
 	readonly attemptIndex: number;
--- a/packages/core/src/ports/registry-store.ts
+++ b/packages/core/src/ports/registry-store.ts
@@ -21,6 +21,8 @@
 	RouteLeftOut = 'route-left-out',
 	/** The rule is used, and its calls run at most once. */
 	RunsOnce = 'runs-once',
+	/** The workspace's entry is left out, and its keys are not accepted. */
+	WorkspaceLeftOut = 'workspace-left-out',
 	/** The service's entry is left out. */
 	ServiceLeftOut = 'service-left-out',
 	/** A default takes the place of the value. */
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -1,17 +1,21 @@
 import * as domain from '@bilberrydoor/domain';
 import type {GrantAnswer, GrantClient, HeldGrant} from '../grants/grant-client.js';
 import * as ports from '../ports/index.js';
+import type {WorkspaceQuotas} from '../quotas/workspace-quotas.js';
 import type {Registry} from '../registry/registry.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
+import {combinePriorities} from '../workspaces/combine-priorities.js';
 import {limitAnswerTime} from './limit-answer-time.js';
 import {ANSWER_VERDICTS, ERROR_VERDICTS, GRANT_REFUSAL_REASONS} from './attempt-verdicts.js';
 import {canSendBody, isBodyBroken} from './call-body.js';
 import type {CallState} from './call-state.js';
-import {createHostRoutes, RouteMatchKind, type HostRoutes} from './host-routes.js';
+import {createCallAdmissions, refuse, type CallAdmission} from './call-admission.js';
+import {createCatalogueIndex} from './catalogue-index.js';
 import {pickService} from './pick-service.js';
 import {DEFAULT_PROXY_OPTIONS, type ProxyOptions} from './proxy-options.js';
 import {createEndingRecorder} from './record-ending.js';
+import {computeRetryAfterMs} from './retry-after.js';
 import {createSlowAttemptReplacer} from './replace-slow-attempt.js';
 import {mayStart, type StopPlan} from './stop-plan.js';
 
@@ -24,59 +28,34 @@
 	readonly logger: ports.Logger;
 	readonly metrics: ports.Metrics;
 	readonly options?: Partial<ProxyOptions>;
+	/** Limits of the workspaces' calls; by default there are none. */
+	readonly quotas?: WorkspaceQuotas;
 	/** The plan of the node's shutdown; undefined while it is not stopping. */
 	readonly readStopPlan?: () => StopPlan | undefined;
 };
 
 /** Proxies calls from callers to targets. */
 export type CallProxy = {
+	/**
+	 * Decides by a call's head whether it may be handled, before its body is read. A refusal is recorded as the call's ending.
+	 */
+	admit(head: domain.CallHead, signal: AbortSignal): Promise<CallAdmission>;
 	/** Handles one call; `signal` is aborted when the caller disconnects. */
 	handle(call: domain.ProxiedCall, signal: AbortSignal): Promise<domain.ProxyEnding>;
 };
 
-/** Shortest `Retry-After` of calls that are refused because this node has no catalogue yet. */
-const NO_CATALOGUE_RETRY_MS = 500;
-
 /** Meanings of answers that may be forwarded to the caller. */
 const FORWARDABLE_MEANINGS: ReadonlySet<ports.AnswerMeaning> = new Set([
 	ports.AnswerMeaning.Completed,
 	ports.AnswerMeaning.Failed,
 ]);
 
-const refuse = (reason: domain.RefusalReason, retryAfterMs?: number): domain.RefusedEnding => ({
-	outcome: domain.ProxyOutcome.Refused,
-	reason,
-	retryAfterMs,
-});
-
-/** Shortest `Retry-After` of calls whose rule cannot be read: the operator has to write it again. */
-const UNREADABLE_ROUTE_RETRY_MS = 1000;
-
-/** Refusals of calls without a route. */
-const UNROUTED_REFUSALS: Record<
-	Exclude<RouteMatchKind, RouteMatchKind.Readable>,
-	(retryAfterMs: number) => domain.RefusedEnding
-> = {
-	[RouteMatchKind.None]: () => refuse(domain.RefusalReason.UnknownRoute),
-	[RouteMatchKind.Unreadable]: retryAfterMs => refuse(domain.RefusalReason.UnreadableRoute, retryAfterMs),
-};
-
 export const createCallProxy = (parts: CallProxyParts): CallProxy => {
 	const {registry, grants, clock, logger, metrics} = parts;
 	const options = {...DEFAULT_PROXY_OPTIONS, ...parts.options};
 	const {readStopPlan = () => undefined} = parts;
-	let cachedIndex: {readonly version: number; readonly routes: HostRoutes} | undefined;
-
-	const indexRoutes = (catalogue: domain.FleetCatalogue): HostRoutes => {
-		if (cachedIndex?.version !== catalogue.version) {
-			cachedIndex = {
-				version: catalogue.version,
-				routes: createHostRoutes(catalogue.routes, catalogue.unreadableRoutes),
-			};
-		}
-
-		return cachedIndex.routes;
-	};
+	const readIndex = createCatalogueIndex(registry);
+	const admissions = createCallAdmissions({readIndex, random: parts.random, options, quotas: parts.quotas});
 
 	const remainingMs = (state: CallState): number => state.deadlineAtMs - clock.monotonicMs();
 
@@ -88,13 +67,6 @@
 
 	const mayStartNow = (state: CallState): boolean => mayStart(readStopPlan(), clock.monotonicMs(), remainingMs(state));
 
-	/** Jitters the predicted wait up to twice its length, so that refused callers do not retry at the same time. */
-	const computeRetryAfterMs = (predictedWaitMs: number): number =>
-		Math.min(
-			options.retryAfterMaximumMs,
-			Math.max(options.retryAfterMinimumMs, predictedWaitMs) * (1 + parts.random.fraction()),
-		);
-
 	const acquire = async (state: CallState, signal: AbortSignal): Promise<GrantAnswer> => {
 		const isNewCall = !state.isGrantRequested;
 		state.isGrantRequested = true;
@@ -104,7 +76,8 @@
 				requestId: state.call.requestId,
 				routeId: state.route.routeId,
 				service: state.service,
-				priority: state.route.priority,
+				priority: state.priority,
+				workspace: state.call.workspace,
 				repeatability: state.route.repeatability,
 				isBulk: state.route.isBulk,
 				attemptIndex: state.sentCount,
@@ -252,7 +225,7 @@
 
 		return state.mayHaveRun
 			? {outcome: domain.ProxyOutcome.Failed, reason: state.lastReason}
-			: refuse(reason, computeRetryAfterMs(predictedWaitMs));
+			: refuse(reason, computeRetryAfterMs(predictedWaitMs, parts.random.fraction(), options));
 	};
 
 	const canTryAgain = (state: CallState): boolean => {
@@ -328,28 +301,20 @@
 	const recordEnding = createEndingRecorder({registry, clock, logger, metrics});
 
 	const handleCall = async (call: domain.ProxiedCall, signal: AbortSignal): Promise<domain.ProxyEnding> => {
-		const refuseUnrouted = (refused: domain.RefusedEnding): domain.RefusedEnding => {
-			recordEnding(call, refused);
-			return refused;
-		};
-
-		const catalogue = registry.catalogue();
-		if (!catalogue) {
-			return refuseUnrouted(refuse(domain.RefusalReason.NoCatalogue, computeRetryAfterMs(NO_CATALOGUE_RETRY_MS)));
-		}
-
-		const match = indexRoutes(catalogue).find(call.host, call.pathAndQuery.split('?', 1)[0]!);
-		if (match.kind !== RouteMatchKind.Readable) {
-			return refuseUnrouted(UNROUTED_REFUSALS[match.kind](computeRetryAfterMs(UNREADABLE_ROUTE_RETRY_MS)));
+		const resolution = admissions.resolveRoute(call);
+		if (!resolution.isFound) {
+			recordEnding(call, resolution.ending);
+			return resolution.ending;
 		}
 
-		const {route} = match;
-
+		const {route, index} = resolution;
+		const workspace = index.workspaces?.find(call.workspace ?? '');
 		const state: CallState = {
 			call,
 			route,
 			service: pickService(route.shares, parts.random.fraction()),
-			catalogueVersion: catalogue.version,
+			priority: index.workspaces ? combinePriorities(workspace?.priority, route.priority) : route.priority,
+			catalogueVersion: index.catalogue.version,
 			callerSignal: signal,
 			deadlineAtMs: call.receivedAtMs + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
 			excludedTargetIds: [],
@@ -371,5 +336,15 @@
 		return ending;
 	};
 
-	return {handle: handleCall};
+	return {
+		async admit(head, signal) {
+			const admission = await admissions.admit(head, signal);
+			if (!admission.isAdmitted) {
+				recordEnding(head, admission.ending);
+			}
+
+			return admission;
+		},
+		handle: handleCall,
+	};
 };
--- a/packages/core/src/proxy/call-state.ts
+++ b/packages/core/src/proxy/call-state.ts
@@ -6,6 +6,8 @@
 	readonly call: domain.ProxiedCall;
 	readonly route: domain.HostRoute;
 	readonly service: string;
+	/** Priority of the call's workspace and route together; 0 is the highest. */
+	readonly priority: number;
 	readonly catalogueVersion: number;
 	/** Aborted when the caller disconnects, but not at the call's deadline. */
 	readonly callerSignal: AbortSignal;
--- a/packages/core/src/proxy/record-ending.ts
+++ b/packages/core/src/proxy/record-ending.ts
@@ -11,7 +11,11 @@
 };
 
 /** Counts and logs how a call ended; `state` is absent when the call had no route. */
-export type EndingRecorder = (call: domain.ProxiedCall, ending: domain.ProxyEnding, state?: CallState) => void;
+export type EndingRecorder = (
+	call: Pick<domain.ProxiedCall, 'requestId' | 'host' | 'pathAndQuery' | 'receivedAtMs' | 'workspace'>,
+	ending: domain.ProxyEnding,
+	state?: CallState,
+) => void;
 
 const MS_PER_SECOND = 1000;
 const FAILURE_STATUS_MINIMUM = 500;
@@ -44,6 +48,7 @@
 			requestId: call.requestId,
 			routeId: state?.route.routeId,
 			service: state?.service,
+			workspace: call.workspace,
 			catalogueVersion: state?.catalogueVersion ?? registry.catalogue()?.version,
 			...(state === undefined && {host: call.host, path: call.pathAndQuery.split('?', 1)[0]}),
 			registryAgeMs: Math.round(registry.ageMs()),
--- a/packages/domain/src/fleet-catalogue.ts
+++ b/packages/domain/src/fleet-catalogue.ts
@@ -26,6 +26,21 @@
 	readonly attemptLimit: number;
 	/** Priority of the route's calls; 0 is the highest. */
 	readonly priority: number;
+	/** Whether calls without a workspace's key are allowed. Absent means false; without workspaces, no call needs a key. */
+	readonly isPublic?: boolean;
+};
+
+/** A workspace whose callers identify themselves by one of its keys. */
+export type FleetWorkspace = {
+	readonly name: string;
+	/** SHA-256 digests of the workspace's keys, in hexadecimal. The keys themselves are not kept. */
+	readonly keyDigests: readonly string[];
+	/** Priority of the workspace's calls, which goes before that of their routes; 0 is the highest. */
+	readonly priority?: number;
+	/** Calls a second that the workspace may make across all nodes; 0 if there is no limit. */
+	readonly ratePerSecond: number;
+	/** Calls that the workspace may make at once beyond its rate. */
+	readonly burstCount: number;
 };
 
 /**
@@ -65,4 +80,6 @@
 	readonly unreadableRoutes: readonly UnreadableRoute[];
 	readonly services: readonly FleetService[];
 	readonly limits: CallerLimits;
+	/** Workspaces whose keys are accepted; absent if calls need no key. */
+	readonly workspaces?: readonly FleetWorkspace[];
 };
--- a/packages/domain/src/proxied-call.ts
+++ b/packages/domain/src/proxied-call.ts
@@ -31,6 +31,28 @@
 	readonly deadlineMs: number | undefined;
 	/** Monotonic time at which the request's head arrived, in ms. */
 	readonly receivedAtMs: number;
+	/** Workspace of the caller's key; absent if the call needs no key and has none. */
+	readonly workspace?: string;
+};
+
+/** What a caller presents to identify its workspace. */
+export enum CredentialKind {
+	/** No key. */
+	Absent = 'absent',
+	/** Something that is not exactly one key of the expected form. */
+	Malformed = 'malformed',
+	/** A key, which may be unknown. */
+	Key = 'key',
+}
+
+export type CallerCredential =
+	| {readonly kind: CredentialKind.Absent | CredentialKind.Malformed}
+	| {readonly kind: CredentialKind.Key; /** SHA-256 digest of the key, in hexadecimal. */ readonly digest: string};
+
+/** The parts of a call that are known when its head has arrived. */
+export type CallHead = Pick<ProxiedCall, 'requestId' | 'host' | 'pathAndQuery' | 'receivedAtMs'> & {
+	/** Computes a digest, so it is called only when the catalogue asks for keys. */
+	readonly readCredential: () => CallerCredential;
 };
 
 /** A target's answer to a proxied call. */
--- a/packages/domain/src/refusal-reason.ts
+++ b/packages/domain/src/refusal-reason.ts
@@ -4,6 +4,8 @@
 	UnreadableRoute = 'unreadable-route',
 	MethodNotAllowed = 'method-not-allowed',
 	BadRequest = 'bad-request',
+	Unauthenticated = 'unauthenticated',
+	QuotaExceeded = 'quota-exceeded',
 	BodyTooLarge = 'body-too-large',
 	NoCatalogue = 'no-catalogue',
 	NoTarget = 'no-target',
