test(workspaces): keys, what targets get, and what stays out of the logs

Guards against calls without exactly one known key, keys that are passed on to targets or logged, and removed keys that stay in use on open connections.

--- a/packages/adapters/src/front/read-credential.ts
+++ b/packages/adapters/src/front/read-credential.ts
@@ -3,8 +3,8 @@
 
 export const CREDENTIAL_HEADER = 'authorization';
 
-/** `Bearer KEY`, as RFC 6750 defines it. The scheme's name is not case-sensitive. */
-const BEARER_PATTERN = /^bearer +([\w.~+/-]+=*) *$/i;
+/** `Bearer KEY`. The scheme's name is not case-sensitive, and a key has any printable characters but spaces. */
+const BEARER_PATTERN = /^bearer +([!-~]+) *$/i;
 
 /** Reads the caller's key. A key that is given twice is malformed, since it does not tell which one is meant. */
 export const readCredential = (headerList: domain.HeaderList): domain.CallerCredential => {
--- a/packages/daemon/src/fleet/__tests__/fleet-harness.ts
+++ b/packages/daemon/src/fleet/__tests__/fleet-harness.ts
@@ -196,7 +196,11 @@
 		store.write(platformStandIn.SERVERS_TOPIC, target.targetId, record);
 	};
 
-	const publishCatalogue = (version: number, services: readonly string[], given: {timeoutS?: number} = {}): void => {
+	const publishCatalogue = (
+		version: number,
+		services: readonly string[],
+		given: Parameters<typeof platformStandIn.buildConfigRecord>[2] = {},
+	): void => {
 		const record = platformStandIn.buildConfigRecord(version, services, given);
 		store.write(platformStandIn.OPERATOR_TOPIC, 'config', record);
 	};
--- a/packages/daemon/src/fleet/__tests__/stand-in-target.ts
+++ b/packages/daemon/src/fleet/__tests__/stand-in-target.ts
@@ -183,6 +183,8 @@
 	readonly runIds: string[];
 	/** Ids of the requests that reached the target, whether it ran them or not. */
 	readonly arrivedIds: string[];
+	/** Names and values of the headers of each request that reached the target, by request id. */
+	readonly arrivedHeaders: Map<string, readonly string[]>;
 	/** Counts the open connections. */
 	countConnections(): Promise<number>;
 };
@@ -191,6 +193,7 @@
 export const startTarget = async (t: ExecutionContext, targetId: string): Promise<StandInTarget> => {
 	const runIds: string[] = [];
 	const arrivedIds: string[] = [];
+	const arrivedHeaders = new Map<string, readonly string[]>();
 	/** Refusals that are sent again on their connections. */
 	const refusalsToRepeat = new WeakMap<net.Socket, string>();
 	const target = {
@@ -199,6 +202,7 @@
 		behaviour: TargetBehaviour.Serve,
 		runIds,
 		arrivedIds,
+		arrivedHeaders,
 		countConnections: async () =>
 			new Promise<number>((resolve, reject) => {
 				server.getConnections((error, count) => {
@@ -230,6 +234,7 @@
 		}
 
 		arrivedIds.push(requestId);
+		arrivedHeaders.set(requestId, incoming.rawHeaders);
 		if (!REFUSING_BEHAVIOURS.has(target.behaviour)) {
 			runIds.push(requestId);
 		}
