fix(adapters): answers that only the end of a connection delimits, and statuses outside 200 to 599, are never passed on

Whether a cut answer is recognised depended on the event during which undici completes it, and statuses from 600 on were passed on.

Change: an answer without a length and without chunks fails whatever ends it; the status is checked.

Tests: odd-answers, 52 cases; four (600 and 999) failed before.

--- a/packages/adapters/src/target/classify-answer.ts
+++ b/packages/adapters/src/target/classify-answer.ts
@@ -10,6 +10,9 @@
 const MISDIRECTED_STATUS = 421;
 const FAILURE_STATUS_MINIMUM = 500;
 
+/** Range of the statuses that a final answer can have. */
+const FINAL_STATUSES = {minimum: 200, maximum: 599};
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** A faulty target may send an earlier refusal again, so a refusal only counts with the call's request id. */
@@ -27,6 +30,11 @@
 	requestId: string,
 	dialect: WireDialect,
 ): core.AnswerMeaning => {
+	const isFinalStatus = answer.status >= FINAL_STATUSES.minimum && answer.status <= FINAL_STATUSES.maximum;
+	if (!isFinalStatus) {
+		return core.AnswerMeaning.Mismatched;
+	}
+
 	const answeredId = headers.findHeader(answer.headers, dialect.requestIdHeader);
 	const isMatch = isAnswerTo(requestId, answer.headers, dialect);
 	if (answeredId !== undefined && !isMatch) {
--- a/packages/adapters/src/target/target-connection-pool.ts
+++ b/packages/adapters/src/target/target-connection-pool.ts
@@ -30,19 +30,30 @@
 
 type Handler = undici.Dispatcher.DispatchHandler;
 
-/** Fails an answer that was completed by the end of its connection, unless a content length proves it complete. */
-const rejectTruncatedAnswers = (handler: Handler, endTracker: ConnectionEndTracker): Handler => {
+/** Statuses whose answers have no body, so that they end with their heads. */
+const BODYLESS_STATUSES = new Set([204, 304]);
+
+const endsWithChunks = (transferEncoding: string | string[] | undefined): boolean =>
+	/(?:^|[,\s])chunked$/i.test(String(transferEncoding ?? '').trim());
+
+/**
+ * Fails an answer of which nothing shows that it is whole: one that only the end of its connection delimits, and a chunked one
+ * that was completed by that end.
+ */
+const rejectTruncatedAnswers = (handler: Handler, endTracker: ConnectionEndTracker, method: string): Handler => {
 	const passOn = passOnHandler(handler);
 	let hasContentLength = false;
+	let isDelimitedByEnd = false;
 	return {
 		...passOn,
 		onResponseStart(controller, status, headers, message) {
 			hasContentLength = headers['content-length'] !== undefined;
+			const isBodyless = method === 'HEAD' || BODYLESS_STATUSES.has(status);
+			isDelimitedByEnd = !isBodyless && !hasContentLength && !endsWithChunks(headers['transfer-encoding']);
 			passOn.onResponseStart(controller, status, headers, message);
 		},
 		onResponseEnd(controller, trailers) {
-			// The truncated answer of a crashed target looks the same, so only a content length proves it complete.
-			if (endTracker.isHandlingEnd() && !hasContentLength) {
+			if (isDelimitedByEnd || (endTracker.isHandlingEnd() && !hasContentLength)) {
 				const error = new Error('the connection ended, and nothing shows that the answer is whole');
 				passOn.onResponseError(controller, error);
 				return;
@@ -73,6 +84,7 @@
 		connect: createConnector(options.connectTimeoutMs, endTracker),
 	});
 	return pool.compose(
-		dispatch => (dispatchOptions, handler) => dispatch(dispatchOptions, rejectTruncatedAnswers(handler, endTracker)),
+		dispatch => (dispatchOptions, handler) =>
+			dispatch(dispatchOptions, rejectTruncatedAnswers(handler, endTracker, dispatchOptions.method)),
 	);
 };
