--- a/packages/measures/src/run-measure.ts
+++ b/packages/measures/src/run-measure.ts
@@ -10,6 +10,7 @@
 	catalogue: async () => (await import('./catalogue/measure-catalogue.js')).measureCatalogue,
 	crest: async () => (await import('./crest.js')).measureCrest,
 	detection: async () => (await import('./detection/measure-detection.js')).measureDetection,
+	dispatch: async () => (await import('./grants/measure-dispatch.js')).measureDispatch,
 	grants: async () => (await import('./grants/measure-grants.js')).measureGrants,
 	losses: async () => (await import('./losses.js')).measureLosses,
 	membership: async () => (await import('./membership.js')).measureMembership,
