fix(grants): failed repeatable calls get a second target while calls wait

A retry without budget waited when it lost the budget to others after its admission; it now reserves it. A region without budget, where the call is not counted, hid that the call's own region was busy, and its last resort was not asked for.

--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -153,6 +153,7 @@
 	workspace: zod.string().optional(),
 	repeatability: repeatabilitySchema,
 	attemptIndex: zod.int().nonnegative(),
+	isReplacement: zod.boolean().optional(),
 	// Nodes of earlier versions omit this field. Without the default, newer nodes would refuse their requests during a
 	// rolling update.
 	isNewCall: zod.boolean().default(false),
--- a/packages/core/src/grants/fleet-retry-budget.ts
+++ b/packages/core/src/grants/fleet-retry-budget.ts
@@ -10,7 +10,16 @@
 export type FleetRetryBudget = {
 	/** Adds the retry allowance of a call that no other dispatcher has counted. */
 	recordCall(): void;
+	/** Whether a retry is available that no waiting call has reserved. */
 	hasRetry(): boolean;
+	/**
+	 * Reserves a retry for a call that waits for a slot, so that a later one is refused instead of waiting in vain. The reservation
+	 * does not charge the budget and does not keep what expires.
+	 */
+	reserveRetry(): void;
+	releaseRetry(): void;
+	/** Whether a retry is available for a call that has reserved one. */
+	hasReservedRetry(): boolean;
 	consumeRetry(): void;
 };
 
@@ -22,6 +31,7 @@
 	clock: Pick<ports.Clock, 'monotonicMs'>,
 ): FleetRetryBudget => {
 	let availableRetryCount = 0;
+	let reservedRetryCount = 0;
 	/** Retries that recent calls allow. Caps the available ones, so that unused retries do not accumulate. */
 	let recentAllowance = 0;
 	let updatedAtMs = clock.monotonicMs();
@@ -37,6 +47,16 @@
 			addRetries(options.retryRatio);
 		},
 		hasRetry() {
+			addRetries(0);
+			return availableRetryCount - reservedRetryCount >= 1;
+		},
+		reserveRetry() {
+			reservedRetryCount++;
+		},
+		releaseRetry() {
+			reservedRetryCount--;
+		},
+		hasReservedRetry() {
 			addRetries(0);
 			return availableRetryCount >= 1;
 		},
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -5,6 +5,7 @@
 import {buildGroupId, type Registry} from '../registry/registry.js';
 import {KeyState} from '../registry/replica.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
+import {compareDenials, FINAL_REFUSALS} from './compare-denials.js';
 import type {DispatcherTable} from './dispatcher-table.js';
 import {createNoticeExchange} from './notice-exchange.js';
 import type {TargetNotices} from './target-notices.js';
@@ -239,15 +240,12 @@
 			denials.push({query, denial: answer});
 		}
 
-		const shortestWait = denials.toSorted(
-			(left, right) => left.denial.predictedWaitMs - right.denial.predictedWaitMs,
-		)[0];
+		const shortestWait = denials.toSorted(({denial: left}, {denial: right}) => compareDenials(left, right))[0];
 		if (!shortestWait) {
 			return {isGranted: false, refusal: ports.GrantRefusal.NoTarget, predictedWaitMs: 0};
 		}
 
-		const isFinal = [ports.GrantRefusal.NoBudget, ports.GrantRefusal.TooLate].includes(shortestWait.denial.refusal);
-		if (isFinal || signal.aborted) {
+		if (FINAL_REFUSALS.has(shortestWait.denial.refusal) || signal.aborted) {
 			return shortestWait.denial;
 		}
 
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -100,15 +100,8 @@
 	const isWithinBudget = ({attemptIndex}: ports.AcquireGrantRequest): boolean =>
 		attemptIndex === 0 || budget.hasRetry();
 
-	/**
-	 * Grants a target immediately if one is available. Checks and charges the retry budget here, since other retries may have
-	 * used it up while this one waited.
-	 */
+	/** Grants a target immediately if one is available, and charges the retry budget. */
 	const tryGrant = (request: ports.AcquireGrantRequest): ports.Grant | undefined => {
-		if (!isWithinBudget(request)) {
-			return undefined;
-		}
-
 		const pick = decisionClock.decide(() =>
 			pickTarget(request, {
 				ledgers: listReadyLedgers(),
@@ -141,6 +134,12 @@
 		};
 	};
 
+	const deny = (refusal: ports.GrantRefusal, predictedWaitMs: number): ports.GrantDenial => ({
+		isGranted: false,
+		refusal,
+		predictedWaitMs: Math.round(predictedWaitMs),
+	});
+
 	/** Whether any target that is neither set aside nor paused has a free slot. */
 	const hasAnyFreeSlot = (): boolean =>
 		listReadyLedgers().some(
@@ -159,9 +158,11 @@
 		}
 
 		calls.forEach(call => {
-			const grant = tryGrant(call.request);
-			if (grant) {
-				call.resolve(grant);
+			// Budget that is not used expires, also while it is reserved.
+			const isWithinReserve = call.request.attemptIndex === 0 || budget.hasReservedRetry();
+			const reply = isWithinReserve ? tryGrant(call.request) : deny(ports.GrantRefusal.NoBudget, 0);
+			if (reply) {
+				call.resolve(reply);
 			}
 		});
 	};
@@ -173,12 +174,6 @@
 		}
 	};
 
-	const deny = (refusal: ports.GrantRefusal, predictedWaitMs: number): ports.GrantDenial => ({
-		isGranted: false,
-		refusal,
-		predictedWaitMs: Math.round(predictedWaitMs),
-	});
-
 	/** Expected wait of a call of this priority, from the number of calls ahead of it and their mean duration, in ms. */
 	const predictWaitMs = (priority: number): number => {
 		const ready = listReadyLedgers();
@@ -218,15 +213,16 @@
 	const waitForGrant = async (
 		request: ports.AcquireGrantRequest,
 		signal: AbortSignal,
-	): Promise<ports.Grant | undefined> => {
+	): Promise<ports.AcquireGrantReply | undefined> => {
+		const isRetry = request.attemptIndex > 0;
 		const deadlineMs = clock.monotonicMs() + request.waitLimitMs;
 		const controller = new AbortController();
-		const outcome: {grant?: ports.Grant} = {};
+		const outcome: {reply?: ports.AcquireGrantReply} = {};
 		const call: WaitingCall = {
 			request,
 			arrivalNumber: sequenceNumber++,
-			resolve(granted) {
-				outcome.grant = granted;
+			resolve(reply) {
+				outcome.reply = reply;
 				waitingCalls.remove(call);
 				controller.abort(STOP_REASON);
 			},
@@ -237,14 +233,22 @@
 
 		signal.addEventListener('abort', stop, {once: true});
 		waitingCalls.add(call);
-		while (!outcome.grant && !signal.aborted && clock.monotonicMs() < deadlineMs) {
+		if (isRetry) {
+			budget.reserveRetry();
+		}
+
+		while (!outcome.reply && !signal.aborted && clock.monotonicMs() < deadlineMs) {
 			await clock.sleep(Math.min(WAITING_CALLS_CHECK_MS, deadlineMs - clock.monotonicMs()), controller.signal);
 			grantWaitingCallsIfDue();
 		}
 
 		waitingCalls.remove(call);
 		signal.removeEventListener('abort', stop);
-		return outcome.grant;
+		if (isRetry) {
+			budget.releaseRetry();
+		}
+
+		return outcome.reply;
 	};
 
 	const countStandings = (): ReadonlyMap<GrantStanding, number> => {
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -57,6 +57,11 @@
 	readonly repeatability: domain.Repeatability;
 	/** 0 for the first attempt of a call. */
 	readonly attemptIndex: number;
+	/**
+	 * Whether the attempt is to replace one that still runs and may succeed. Absent if not, or if the requesting node is of an
+	 * earlier version.
+	 */
+	readonly isReplacement?: boolean;
 	/**
 	 * Whether this is the first request for the call to any dispatcher. A call counts towards the retry budget once,
 	 * even when the reply is lost and the request is repeated at another dispatcher.
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -81,6 +81,7 @@
 				repeatability: state.route.repeatability,
 				isBulk: state.route.isBulk,
 				attemptIndex: state.sentCount,
+				isReplacement: state.isAttempting,
 				remainingMs: usableMs(state),
 				objectiveLeftMs: state.call.receivedAtMs + state.route.latencyObjectiveMs - clock.monotonicMs(),
 				excludedTargetIds: state.excludedTargetIds,
