feat(grants): waiting calls and targets are indexed, and workspaces share the slots

Each report tried each waiting call against each target; now one freed slot costs one try in the usual case. Calls whose usual work no longer fits are refused at once; the predicted wait follows from the routes that wait.

--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -82,6 +82,11 @@
 		help: 'Calls waiting for a slot',
 		labelNames: ['group', 'workClass'],
 	},
+	[core.GaugeName.WaitingCalls]: {
+		name: 'waiting_calls',
+		help: 'Calls that wait for a slot of a group whose dispatcher runs here',
+		labelNames: ['group'],
+	},
 	[core.GaugeName.OperationRecords]: {name: 'operation_records', help: 'Records of operations', labelNames: []},
 	[core.GaugeName.CatalogueAtRisk]: {
 		name: 'catalogue_at_risk',
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -1,22 +1,21 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
-import {STOP_REASON} from '../shared/stop-reason.js';
 import {createDecisionClock} from './decision-clock.js';
+import {deny} from './deny.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
+import {createDispatcherRecords} from './dispatcher-records.js';
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
 import {createGrayPhaseEstimator} from './gray-phase-estimator.js';
 import {createLedgerTable} from './ledger-table.js';
-import {hasFreeSlot, pickTarget} from './pick-target.js';
+import {pickTarget} from './pick-target.js';
+import {createTargetIndex} from './target-index.js';
 import {createTargetLedger, GrantStanding} from './target-ledger.js';
 import type {TargetNotices} from './target-notices.js';
 import {createToldNotices} from './told-notices.js';
 import {createUnservedRatio} from './unserved-ratio.js';
 import {createUsualDurations} from './usual-durations.js';
 import {createUsualFailureRatio} from './usual-failure-ratio.js';
-import {createWaitingCalls, type WaitingCall} from './waiting-calls.js';
-
-/** Interval at which waiting calls are checked for a free target; set-aside periods and shed pauses end without an event. */
-const WAITING_CALLS_CHECK_MS = 100;
+import {createWaitingRoom} from './waiting-room.js';
 
 /** A call is refused when less than this fraction of its route's mean duration remains before its deadline. */
 const MIN_REMAINING_TIME_RATIO = 0.5;
@@ -27,8 +26,6 @@
 /** Mean duration assumed until the group's first successful call. */
 const DEFAULT_DURATION_MS = 250;
 
-const MS_PER_SECOND = 1000;
-
 /** Grants slots of one group's targets. */
 export type GroupDispatcher = {
 	acquire(request: ports.AcquireGrantRequest, signal: AbortSignal): Promise<ports.AcquireGrantReply>;
@@ -55,25 +52,18 @@
 /** Requesting nodes for which it is kept which notices they have. */
 const TOLD_NODE_LIMIT_COUNT = 4096;
 
-/** Id of no node. A target's standing for it does not depend on the paths that single nodes have lost. */
-const NO_NODE_ID = '';
-
-/** Standings of targets that get no calls, except as a last resort or to meet the floor. */
-const STANDINGS_WITHOUT_GRANTS: ReadonlySet<GrantStanding> = new Set([GrantStanding.SetAside, GrantStanding.Paused]);
-
 export const createGroupDispatcher = (parts: GroupDispatcherParts): GroupDispatcher => {
-	const {options, clock, logger, metrics, notices, groupId} = parts;
+	const {options, clock, notices, random} = parts;
 	const decisionClock = createDecisionClock(clock);
 	const failureRatio = createUsualFailureRatio();
 	const durations = createUsualDurations();
-	const waitingCalls = createWaitingCalls();
 	const phases = createGrayPhaseEstimator(options);
 	const budget = createFleetRetryBudget(options, clock);
 	const unservedRatio = createUnservedRatio(clock);
 	const toldNotices = createToldNotices(notices, TOLD_NODE_LIMIT_COUNT);
-	/** Makes grant ids unique and orders the waiting calls by arrival. */
+	const records = createDispatcherRecords(parts);
+	/** Makes grant ids unique. */
 	let sequenceNumber = 0;
-	let waitingCallsCheckedAtMs = -WAITING_CALLS_CHECK_MS;
 	let lastRepeatableAtMs = -REPEATABLE_WORK_WINDOW_MS;
 
 	const readTrialRepeatability = (): domain.Repeatability =>
@@ -95,18 +85,15 @@
 				readTrialRepeatability,
 			}),
 	});
-	const listReadyLedgers = ledgers.listReady;
-
-	const isWithinBudget = ({attemptIndex}: ports.AcquireGrantRequest): boolean =>
-		attemptIndex === 0 || budget.hasRetry();
+	const index = createTargetIndex({clock: decisionClock, random, listReady: ledgers.listReady});
 
 	/** Grants a target immediately if one is available, and charges the retry budget. */
 	const tryGrant = (request: ports.AcquireGrantRequest): ports.Grant | undefined => {
 		const pick = decisionClock.decide(() =>
 			pickTarget(request, {
-				ledgers: listReadyLedgers(),
+				index,
 				options,
-				random: parts.random,
+				random,
 				isFloorEnforced: unservedRatio.read() >= options.floorUnservedRatio,
 				hasRetry: budget.hasRetry,
 			}),
@@ -116,7 +103,6 @@
 		}
 
 		const {ledger, isForFloor} = pick;
-
 		const grantId = `${request.requestId}.${request.attemptIndex}.${sequenceNumber++}`;
 		const standing = ledger.standingFor(request.nodeId);
 		if (request.attemptIndex > 0) {
@@ -124,6 +110,7 @@
 		}
 
 		ledger.open(grantId, request, {ttlMs: request.remainingMs + options.grantSlackMs, isForFloor});
+		index.update(ledger);
 		return {
 			isGranted: true,
 			grantId,
@@ -134,56 +121,31 @@
 		};
 	};
 
-	const deny = (refusal: ports.GrantRefusal, predictedWaitMs: number): ports.GrantDenial => ({
-		isGranted: false,
-		refusal,
-		predictedWaitMs: Math.round(predictedWaitMs),
-	});
-
-	/** Whether any target that is neither set aside nor paused has a free slot. */
-	const hasAnyFreeSlot = (): boolean =>
-		listReadyLedgers().some(
-			ledger => hasFreeSlot(ledger) && !STANDINGS_WITHOUT_GRANTS.has(ledger.standingFor(NO_NODE_ID)),
-		);
+	const overallDurationMs = (): number => durations.overall() ?? DEFAULT_DURATION_MS;
 
-	const hasReachableTarget = (nodeId: string): boolean =>
-		listReadyLedgers().some(ledger => ledger.standingFor(nodeId) !== GrantStanding.PathLost);
-
-	const grantWaitingCalls = (): void => {
-		waitingCallsCheckedAtMs = clock.monotonicMs();
-		const calls = waitingCalls.list();
-		const isLastResortWaiting = calls.some(({request}) => request.isLastResort);
-		if (calls.length === 0 || !(hasAnyFreeSlot() || isLastResortWaiting)) {
-			return;
-		}
+	const room = createWaitingRoom({
+		clock,
+		budget,
+		usualDurationMs: routeId => durations.ofRoute(routeId) ?? overallDurationMs(),
+		tryGrant,
+		hasRoom: index.hasRoom,
+		recordCount: records.recordWaitingCount,
+	});
 
-		calls.forEach(call => {
-			// Budget that is not used expires, also while it is reserved.
-			const isWithinReserve = call.request.attemptIndex === 0 || budget.hasReservedRetry();
-			const reply = isWithinReserve ? tryGrant(call.request) : deny(ports.GrantRefusal.NoBudget, 0);
-			if (reply) {
-				call.resolve(reply);
-			}
-		});
+	/** Expected wait of a call, from the work of the calls that get slots before it and of one that has to end, in ms. */
+	const predictWaitMs = (request: ports.AcquireGrantRequest): number => {
+		const {slotCount} = index.soundLoad({excludedTargetIds: []});
+		return shortestPauseMs() + (overallDurationMs() + room.workBeforeMs(request)) / Math.max(1, slotCount);
 	};
 
-	/** Runs at most one check per interval for all waiting calls together, so that its cost is linear in their number. */
-	const grantWaitingCallsIfDue = (): void => {
-		if (clock.monotonicMs() - waitingCallsCheckedAtMs >= WAITING_CALLS_CHECK_MS) {
-			grantWaitingCalls();
-		}
+	/** Time until the first pause ends if all targets pause; calls wait for that only then. */
+	const shortestPauseMs = (): number => {
+		const pausesMs = index.isPaused() ? ledgers.listReady().map(ledger => ledger.pauseLeftMs()) : [0];
+		return Math.min(...pausesMs);
 	};
 
-	/** Expected wait of a call of this priority, from the number of calls ahead of it and their mean duration, in ms. */
-	const predictWaitMs = (priority: number): number => {
-		const ready = listReadyLedgers();
-		const sound = ready.filter(ledger => ledger.standingFor(NO_NODE_ID) === GrantStanding.Sound);
-		const slotCount = sound.reduce((sum, ledger) => sum + ledger.slotCount(), 0);
-		const durationMs = durations.overall() ?? DEFAULT_DURATION_MS;
-		// Calls wait for a pause to end only if all targets have asked for one.
-		const shortestPauseMs = ready.length === 0 ? 0 : Math.min(...ready.map(ledger => ledger.pauseLeftMs()));
-		return shortestPauseMs + (durationMs * (waitingCalls.countBefore(priority) + 1)) / Math.max(1, slotCount);
-	};
+	const hasReachableTarget = (nodeId: string): boolean =>
+		ledgers.listReady().some(ledger => ledger.standingFor(nodeId) !== GrantStanding.PathLost);
 
 	/** Leaving targets of which a requesting node has not been told. Pauses are short, and this dispatcher sees to them. */
 	const tellLeavingTargets = (nodeId: string): readonly ports.TargetNotice[] => {
@@ -207,57 +169,8 @@
 			return deny(ports.GrantRefusal.TooLate, 0);
 		}
 
-		return isWithinBudget(request) ? undefined : deny(ports.GrantRefusal.NoBudget, 0);
-	};
-
-	const waitForGrant = async (
-		request: ports.AcquireGrantRequest,
-		signal: AbortSignal,
-	): Promise<ports.AcquireGrantReply | undefined> => {
-		const isRetry = request.attemptIndex > 0;
-		const deadlineMs = clock.monotonicMs() + request.waitLimitMs;
-		const controller = new AbortController();
-		const outcome: {reply?: ports.AcquireGrantReply} = {};
-		const call: WaitingCall = {
-			request,
-			arrivalNumber: sequenceNumber++,
-			resolve(reply) {
-				outcome.reply = reply;
-				waitingCalls.remove(call);
-				controller.abort(STOP_REASON);
-			},
-		};
-		const stop = (): void => {
-			controller.abort(STOP_REASON);
-		};
-
-		signal.addEventListener('abort', stop, {once: true});
-		waitingCalls.add(call);
-		if (isRetry) {
-			budget.reserveRetry();
-		}
-
-		while (!outcome.reply && !signal.aborted && clock.monotonicMs() < deadlineMs) {
-			await clock.sleep(Math.min(WAITING_CALLS_CHECK_MS, deadlineMs - clock.monotonicMs()), controller.signal);
-			grantWaitingCallsIfDue();
-		}
-
-		waitingCalls.remove(call);
-		signal.removeEventListener('abort', stop);
-		if (isRetry) {
-			budget.releaseRetry();
-		}
-
-		return outcome.reply;
-	};
-
-	const countStandings = (): ReadonlyMap<GrantStanding, number> => {
-		const counts = new Map<GrantStanding, number>();
-		listReadyLedgers().forEach(ledger => {
-			const standing = ledger.standingFor(NO_NODE_ID);
-			counts.set(standing, (counts.get(standing) ?? 0) + 1);
-		});
-		return counts;
+		const isWithinBudget = request.attemptIndex === 0 || budget.hasRetry();
+		return isWithinBudget ? undefined : deny(ports.GrantRefusal.NoBudget, 0);
 	};
 
 	const acquire = async (request: ports.AcquireGrantRequest, signal: AbortSignal): Promise<ports.AcquireGrantReply> => {
@@ -276,61 +189,38 @@
 		}
 
 		// Calls that are already waiting take precedence.
-		grantWaitingCalls();
+		room.serve();
 		const grant = tryGrant(request);
 		if (grant) {
 			return grant;
 		}
 
-		const predictedWaitMs = predictWaitMs(request.priority);
+		const predictedWaitMs = predictWaitMs(request);
 		if (!hasReachableTarget(request.nodeId)) {
 			return deny(ports.GrantRefusal.NoTarget, predictedWaitMs);
 		}
 
-		if (predictedWaitMs > request.waitLimitMs) {
-			return deny(ports.GrantRefusal.Busy, predictedWaitMs);
+		const startLeftMs = room.startLeftMs(request);
+		if (startLeftMs < 0 && !request.isLastResort) {
+			return deny(ports.GrantRefusal.TooLate, predictedWaitMs);
 		}
 
-		const awaited = await waitForGrant(request, signal);
-		return awaited ?? deny(ports.GrantRefusal.Busy, predictWaitMs(request.priority));
-	};
-
-	/** Records metrics of a decision, including the time that the call waited for it. */
-	const recordDecision = (
-		{service}: ports.AcquireGrantRequest,
-		reply: ports.AcquireGrantReply,
-		waitMs: number,
-	): void => {
-		const result = reply.isGranted ? reply.standing : reply.refusal;
-		metrics.increment(ports.CounterName.Grants, {service, result});
-		metrics.observe(ports.HistogramName.QueueSeconds, {}, waitMs / MS_PER_SECOND);
-		const verdictAgeMs = reply.isGranted ? ledgers.get(reply.target.targetId)?.verdictAgeMs() : undefined;
-		if (verdictAgeMs !== undefined) {
-			metrics.observe(ports.HistogramName.VerdictAgeSeconds, {}, verdictAgeMs / MS_PER_SECOND);
+		if (predictedWaitMs > Math.min(request.waitLimitMs, startLeftMs)) {
+			return deny(ports.GrantRefusal.Busy, predictedWaitMs);
 		}
-	};
 
-	const logSetAside = (request: ports.ReportResultRequest): void => {
-		metrics.increment(ports.CounterName.Ejections, {service: request.service, reason: request.result});
-		logger.info('target set aside', {
-			event: ports.LogEvent.TargetSetAside,
-			groupId,
-			targetId: request.targetId,
-			grantId: request.grantId,
-			result: request.result,
-			reporter: request.nodeId,
-			usualFailureRatio: Number(failureRatio.read().toFixed(4)),
-			usualPhaseMs: Math.round(phases.usualMs()),
-			standings: Object.fromEntries(countStandings()),
-			waitingCount: waitingCalls.list().length,
-		});
+		const awaited = await room.wait(request, signal);
+		return awaited ?? deny(ports.GrantRefusal.Busy, predictWaitMs(request));
 	};
 
 	return {
 		async acquire(request, signal) {
 			const requestedAtMs = clock.monotonicMs();
 			const reply = await acquire(request, signal);
-			recordDecision(request, reply, clock.monotonicMs() - requestedAtMs);
+			records.recordDecision(request, reply, {
+				waitMs: clock.monotonicMs() - requestedAtMs,
+				verdictAgeMs: reply.isGranted ? ledgers.get(reply.target.targetId)?.verdictAgeMs() : undefined,
+			});
 			if (!reply.isGranted) {
 				unservedRatio.record(false);
 			}
@@ -344,29 +234,30 @@
 			const ledger = ledgers.get(request.targetId);
 			const graySinceMs = ledger?.graySinceMs();
 			const closed = ledger?.close(request);
+			if (ledger) {
+				index.update(ledger);
+			}
+
 			// Calls sent only to meet the floor are left out: their failures at gray targets would keep the floor enforced.
 			if (request.result !== ports.GrantResult.Cancelled && !closed?.isForFloor) {
 				unservedRatio.record(request.result === ports.GrantResult.Success);
 			}
 
 			if (closed?.isSetAside) {
-				logSetAside(request);
+				records.recordSetAside(request, {
+					usualFailureRatio: failureRatio.read(),
+					usualPhaseMs: phases.usualMs(),
+					standings: index.countStandings(),
+					waitingCount: room.count(),
+				});
 			}
 
 			if (graySinceMs !== undefined && ledger?.graySinceMs() === undefined) {
-				const grayMs = Math.round(clock.monotonicMs() - graySinceMs);
-				const {targetId, grantId} = request;
-				logger.info('target passed its trial', {
-					event: ports.LogEvent.TargetReturned,
-					groupId,
-					targetId,
-					grantId,
-					grayMs,
-				});
+				records.recordReturn(request, clock.monotonicMs() - graySinceMs);
 			}
 
-			grantWaitingCalls();
+			room.serve();
 		},
-		countStandings,
+		countStandings: index.countStandings,
 	};
 };
--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -1,16 +1,16 @@
 import * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
-import {groupBy} from '../shared/group-by.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {pickUnusedTarget} from './pick-unused-target.js';
-import {GrantStanding, type GrantRequester, type TargetLedger} from './target-ledger.js';
+import {TargetPool, type TargetIndex} from './target-index.js';
+import type {GrantRequester, TargetLedger} from './target-ledger.js';
 
 /** Range of the random cost that breaks ties between targets. */
 const COST_JITTER = 0.05;
 
 export type TargetPickInput = {
 	/** Targets that are registered and ready. */
-	readonly ledgers: readonly TargetLedger[];
+	readonly index: TargetIndex;
 	readonly options: Pick<DispatcherOptions, 'trialOccupancyRatio' | 'floorRatio'>;
 	readonly random: ports.Random;
 	/** Whether the floor is enforced, because too many calls of the group fail or are refused. */
@@ -25,8 +25,6 @@
 	readonly isForFloor: boolean;
 };
 
-export const hasFreeSlot = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
-
 const pickCheapest = (
 	candidates: readonly TargetLedger[],
 	requester: GrantRequester,
@@ -45,40 +43,30 @@
 /** Whether the call should go to a target on trial. */
 const isTrialDue = (
 	request: ports.AcquireGrantRequest,
-	sound: readonly TargetLedger[],
-	{options, hasRetry}: TargetPickInput,
+	hasFreeSound: boolean,
+	{index, options, hasRetry}: TargetPickInput,
 ): boolean => {
-	const openCount = sound.reduce((sum, ledger) => sum + ledger.openCount(), 0);
-	const slotCount = sound.reduce((sum, ledger) => sum + ledger.slotCount(), 0);
+	const {openCount, slotCount} = index.soundLoad(request);
 	const canRetryFailure =
 		request.repeatability === domain.Repeatability.Repeatable && request.attemptIndex === 0 && hasRetry();
 	const isScarce = openCount >= slotCount * options.trialOccupancyRatio;
-	return canRetryFailure || isScarce || !sound.some(hasFreeSlot);
+	return canRetryFailure || isScarce || !hasFreeSound;
 };
 
 /** Picks a target by standing, then by cost. */
 const pickByStanding = (request: ports.AcquireGrantRequest, input: TargetPickInput): TargetLedger | undefined => {
-	const {random} = input;
-	const excluded = new Set(request.excludedTargetIds);
-	const usable = input.ledgers.filter(ledger => !excluded.has(ledger.target().targetId));
-	const byStanding = groupBy(usable, ledger => ledger.standingFor(request.nodeId));
-	const listByStanding = (standing: GrantStanding): readonly TargetLedger[] => byStanding.get(standing) ?? [];
-	const sound = listByStanding(GrantStanding.Sound);
-	const onTrial = listByStanding(GrantStanding.OnTrial).filter(ledger => ledger.openCount() === 0);
-	if (onTrial.length > 0 && isTrialDue(request, sound, input)) {
+	const {index, random} = input;
+	const sound = index.listCandidates(TargetPool.FreeSound, request);
+	const onTrial = index.listCandidates(TargetPool.Trial, request);
+	if (onTrial.length > 0 && isTrialDue(request, sound.length > 0, input)) {
 		return pickCheapest(onTrial, request, random);
 	}
 
 	// When all targets of a service shed load, single refusals are random, so a resting target may still accept a call.
-	const resting = listByStanding(GrantStanding.Resting).filter(hasFreeSlot);
-	const best = pickCheapest(sound.filter(hasFreeSlot), request, random) ?? pickCheapest(resting, request, random);
-	if (best !== undefined || !request.isLastResort) {
-		return best;
-	}
-
-	return [...listByStanding(GrantStanding.OnTrial), ...listByStanding(GrantStanding.SetAside)]
-		.filter(hasFreeSlot)
-		.toSorted((left, right) => left.lastFaultAtMs() - right.lastFaultAtMs())[0];
+	const best =
+		pickCheapest(sound, request, random) ??
+		pickCheapest(index.listCandidates(TargetPool.FreeResting, request), request, random);
+	return best === undefined && request.isLastResort ? index.findLastResort(request) : best;
 };
 
 /**
@@ -87,7 +75,7 @@
  * request allows a last resort, the one on trial or set aside whose last fault is the oldest.
  */
 export const pickTarget = (request: ports.AcquireGrantRequest, input: TargetPickInput): TargetPick | undefined => {
-	const unused = input.isFloorEnforced ? pickUnusedTarget(request, input.ledgers, input.options) : undefined;
+	const unused = input.isFloorEnforced ? pickUnusedTarget(request, input.index, input.options) : undefined;
 	const ledger = unused ?? pickByStanding(request, input);
 	return ledger && {ledger, isForFloor: unused !== undefined};
 };
--- a/packages/core/src/grants/pick-unused-target.ts
+++ b/packages/core/src/grants/pick-unused-target.ts
@@ -1,13 +1,8 @@
 import type * as ports from '../ports/index.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
+import type {TargetIndex} from './target-index.js';
 import {GrantStanding, type TargetLedger} from './target-ledger.js';
 
-/**
- * A target without a grant for this long counts as unused. The platform's limit is 2 s without a call; the difference leaves
- * time for the call to reach the target.
- */
-const UNUSED_AFTER_MS = 1700;
-
 /** Order in which unused targets are picked. */
 const STANDING_ORDER: Record<GrantStanding, number> = {
 	[GrantStanding.Sound]: 0,
@@ -23,21 +18,19 @@
  * Prefers the best standing, then the oldest fault.
  */
 export const pickUnusedTarget = (
-	request: ports.AcquireGrantRequest,
-	ledgers: readonly TargetLedger[],
+	{nodeId, excludedTargetIds}: Pick<ports.AcquireGrantRequest, 'nodeId' | 'excludedTargetIds'>,
+	index: TargetIndex,
 	{floorRatio}: Pick<DispatcherOptions, 'floorRatio'>,
 ): TargetLedger | undefined => {
 	// A target that asked for a pause is not absent by the dispatcher's choice.
-	const available = ledgers.filter(ledger => ledger.pauseLeftMs() === 0);
-	const unused = available.filter(ledger => ledger.sinceGrantMs() >= UNUSED_AFTER_MS && ledger.openCount() === 0);
-	if (unused.length <= Math.floor(available.length * (1 - floorRatio))) {
+	const {ledgers, availableCount} = index.unused();
+	if (ledgers.length <= Math.floor(availableCount * (1 - floorRatio))) {
 		return undefined;
 	}
 
-	const excluded = new Set(request.excludedTargetIds);
-	const rank = (ledger: TargetLedger): number => STANDING_ORDER[ledger.standingFor(request.nodeId)];
-	return unused
-		.filter(ledger => !excluded.has(ledger.target().targetId))
-		.filter(ledger => ledger.standingFor(request.nodeId) !== GrantStanding.PathLost)
+	const rank = (ledger: TargetLedger): number => STANDING_ORDER[ledger.standingFor(nodeId)];
+	return ledgers
+		.filter(ledger => !excludedTargetIds.includes(ledger.target().targetId))
+		.filter(ledger => ledger.standingFor(nodeId) !== GrantStanding.PathLost)
 		.toSorted((left, right) => rank(left) - rank(right) || left.lastFaultAtMs() - right.lastFaultAtMs())[0];
 };
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -3,6 +3,7 @@
 import {updateMovingAverage} from '../shared/update-moving-average.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import type {GrayPhaseEstimator} from './gray-phase-estimator.js';
+import {createOpenGrants} from './open-grants.js';
 import {computeTargetCost, isOverdue} from './target-cost.js';
 import type {TargetNotices} from './target-notices.js';
 import type {UsualDurations} from './usual-durations.js';
@@ -23,6 +24,12 @@
 	PathLost = 'path-lost',
 }
 
+/**
+ * A target without a grant for this long counts as unused. The platform's limit is 2 s without a call; the difference leaves
+ * time for the call to reach the target.
+ */
+const UNUSED_AFTER_MS = 1700;
+
 /** Half-life of the evidence against a target. */
 const EVIDENCE_HALF_LIFE_MS = 5000;
 
@@ -46,12 +53,6 @@
 	ports.GrantResult.TimedOut,
 ]);
 
-type OpenGrant = Pick<ports.AcquireGrantRequest, 'routeId' | 'repeatability'> & {
-	readonly isForFloor: boolean;
-	readonly grantedAtMs: number;
-	readonly expiresAtMs: number;
-};
-
 /** Time for which a gray target is set aside, and the trial that follows it. */
 type SetAsidePeriod = {
 	/** When the target was first found gray. */
@@ -99,10 +100,15 @@
 	costFor(requester: GrantRequester): number;
 	/** Monotonic time of the last fault, in ms; 0 if there was none. */
 	lastFaultAtMs(): number;
-	/** Time since the last grant of the target, or since this ledger was created if there was none, in ms. */
-	sinceGrantMs(): number;
 	/** Time for which the target still wants no calls, in ms. */
 	pauseLeftMs(): number;
+	/**
+	 * Earliest time on the monotonic clock at which its standing, or whether it has a free slot or counts as unused, may change
+	 * without a grant, a report or a notice; infinite if there is none.
+	 */
+	nextChangeAtMs(): number;
+	/** Whether the target has had no grant for `UNUSED_AFTER_MS` and has none open. */
+	isUnused(): boolean;
 	/** Time since the last success or fault of the target, in ms; undefined before the first. */
 	verdictAgeMs(): number | undefined;
 	/** Monotonic time at which the target was found gray, in ms; undefined if it was not, or has passed a trial since. */
@@ -119,9 +125,7 @@
 export const createTargetLedger = (initialTarget: domain.RegisteredTarget, parts: LedgerParts): TargetLedger => {
 	const {options, clock, failureRatio, durations, phases} = parts;
 	const priorLogOdds = Math.log(options.grayPrior / (1 - options.grayPrior));
-	const openGrants = new Map<string, OpenGrant>();
-	/** No open grant expires before this time. */
-	let firstExpiryMs = Number.POSITIVE_INFINITY;
+	const openGrants = createOpenGrants(clock);
 	const pathLostUntilMs = new Map<string, number>();
 	const lastUseByNode = new Map<string, number>();
 	const createdAtMs = clock.monotonicMs();
@@ -144,20 +148,6 @@
 		return evidence;
 	};
 
-	const removeExpiredGrants = (): void => {
-		const nowMs = clock.monotonicMs();
-		if (nowMs < firstExpiryMs) {
-			return;
-		}
-
-		[...openGrants]
-			.filter(([, grant]) => grant.expiresAtMs <= nowMs)
-			.forEach(([grantId]) => {
-				openGrants.delete(grantId);
-			});
-		firstExpiryMs = Math.min(...[...openGrants.values()].map(({expiresAtMs}) => expiresAtMs));
-	};
-
 	const slotCount = (): number => target.slotCount;
 
 	/**
@@ -271,10 +261,7 @@
 		update(newer) {
 			target = newer;
 		},
-		openCount() {
-			removeExpiredGrants();
-			return openGrants.size;
-		},
+		openCount: openGrants.count,
 		slotCount,
 		standingFor(nodeId) {
 			if (parts.notices.pauseLeftMs(target) > 0) {
@@ -300,13 +287,14 @@
 		},
 		costFor({nodeId, availabilityZone, repeatability}) {
 			const nowMs = clock.monotonicMs();
-			const overdueCount = [...openGrants.values()].filter(grant =>
-				isOverdue(nowMs - grant.grantedAtMs, durations.ofRoute(grant.routeId)),
-			).length;
+			const overdueCount = openGrants
+				.list()
+				.filter(grant => isOverdue(nowMs - grant.grantedAtMs, durations.ofRoute(grant.routeId))).length;
+			const openCount = openGrants.count();
 			return computeTargetCost({
 				repeatability,
-				occupancy: (openGrants.size + 1) / slotCount(),
-				openCount: openGrants.size,
+				occupancy: (openCount + 1) / slotCount(),
+				openCount,
 				overdueCount,
 				slowness,
 				evidence: readEvidence(),
@@ -318,7 +306,20 @@
 		},
 		lastFaultAtMs: () => lastFaultAtMs,
 		pauseLeftMs: () => parts.notices.pauseLeftMs(target),
-		sinceGrantMs: () => clock.monotonicMs() - lastGrantAtMs,
+		nextChangeAtMs() {
+			const nowMs = clock.monotonicMs();
+			const trialStartMs = setAsidePeriod?.untilMs ?? 0;
+			const timesMs = [
+				trialStartMs,
+				trialStartMs + options.trialLimitMs,
+				restingUntilMs,
+				nowMs + parts.notices.pauseLeftMs(target),
+				openGrants.firstExpiryMs(),
+				lastGrantAtMs + UNUSED_AFTER_MS,
+			];
+			return Math.min(...timesMs.filter(timeMs => timeMs > nowMs));
+		},
+		isUnused: () => clock.monotonicMs() - lastGrantAtMs >= UNUSED_AFTER_MS && openGrants.count() === 0,
 		verdictAgeMs() {
 			const lastAtMs = Math.max(lastFaultAtMs, lastSuccessAtMs ?? 0);
 			return lastAtMs === 0 ? undefined : clock.monotonicMs() - lastAtMs;
@@ -326,15 +327,13 @@
 		graySinceMs: () => setAsidePeriod?.sinceMs,
 		open(grantId, {nodeId, routeId, repeatability}, {ttlMs, isForFloor}) {
 			const nowMs = clock.monotonicMs();
-			openGrants.set(grantId, {routeId, repeatability, isForFloor, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
-			firstExpiryMs = Math.min(firstExpiryMs, nowMs + ttlMs);
+			openGrants.open(grantId, {routeId, repeatability, isForFloor, grantedAtMs: nowMs, expiresAtMs: nowMs + ttlMs});
 			lastUseByNode.set(nodeId, nowMs);
 			lastGrantAtMs = nowMs;
 		},
 		close(report) {
 			lastUseByNode.set(report.nodeId, clock.monotonicMs());
-			const grant = openGrants.get(report.grantId);
-			openGrants.delete(report.grantId);
+			const grant = openGrants.close(report.grantId);
 			const isForFloor = grant?.isForFloor ?? false;
 			if (isForFloor && setAsidePeriod !== undefined) {
 				recordFloorCall(report);
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -22,6 +22,7 @@
 	HealthySlots = 'healthySlots',
 	FloorSlots = 'floorSlots',
 	QueuedCalls = 'queuedCalls',
+	WaitingCalls = 'waitingCalls',
 	OperationRecords = 'operationRecords',
 	CatalogueAtRisk = 'catalogueAtRisk',
 	CatalogueVersion = 'catalogueVersion',
--- a/packages/core/src/waiting/ordered-tree.ts
+++ b/packages/core/src/waiting/ordered-tree.ts
@@ -16,22 +16,22 @@
  * Items in an order, with the sum of their work. Adding, removing and summing up to an item cost the logarithm of their number. The
  * installed library of trees (`bintrees`) keeps no sums.
  */
-export type OrderedTree<Item> = {
+export type OrderedTree<Item, Key = Item> = {
 	add(item: Item): void;
 	remove(item: Item): void;
 	first(): Item | undefined;
 	count(): number;
 	/** Work of all items, in ms. */
 	workMs(): number;
-	/** Number of the items before the given one, which need not be in the tree, and their work. */
-	before(item: Item): {readonly count: number; readonly workMs: number};
+	/** Number of the items before a place in their order, and their work. */
+	before(key: Key): {readonly count: number; readonly workMs: number};
 	/** The first items in their order, at most `limitCount`. */
 	listFirst(limitCount: number): readonly Item[];
 };
 
-export type OrderedTreeParts<Item> = {
+export type OrderedTreeParts<Item, Key = Item> = {
 	/** A total order: 0 only for the same item. */
-	readonly compare: (left: Item, right: Item) => number;
+	readonly compare: (left: Key, right: Key) => number;
 	/** Work of an item in ms; must not change while the item is in the tree. */
 	readonly readWorkMs: (item: Item) => number;
 };
@@ -39,7 +39,10 @@
 const countOf = <Item>(node: Subtree<Item>): number => node?.count ?? 0;
 const workOf = <Item>(node: Subtree<Item>): number => node?.workMs ?? 0;
 
-export const createOrderedTree = <Item>({compare, readWorkMs}: OrderedTreeParts<Item>): OrderedTree<Item> => {
+export const createOrderedTree = <Item extends Key, Key = Item>({
+	compare,
+	readWorkMs,
+}: OrderedTreeParts<Item, Key>): OrderedTree<Item, Key> => {
 	let root: Subtree<Item>;
 
 	const join = (left: Subtree<Item>, item: Item, right: Subtree<Item>): Node<Item> => ({
@@ -134,11 +137,11 @@
 		first: () => root && findFirst(root),
 		count: () => countOf(root),
 		workMs: () => workOf(root),
-		before(item) {
+		before(key) {
 			let count = 0;
 			let workMs = 0;
 			for (let node = root; node; ) {
-				if (compare(node.item, item) < 0) {
+				if (compare(node.item, key) < 0) {
 					count += countOf(node.left) + 1;
 					workMs += workOf(node.left) + readWorkMs(node.item);
 					node = node.right;
--- a/packages/core/src/waiting/priority-level.ts
+++ b/packages/core/src/waiting/priority-level.ts
@@ -22,7 +22,7 @@
 	tagMs: number;
 	/** Orders flows that are due at the same virtual time. */
 	turnNumber: number;
-	readonly calls: Readonly<Record<WaitingClass, OrderedTree<Call>>>;
+	readonly calls: Readonly<Record<WaitingClass, OrderedTree<Call, WaitingCall>>>;
 };
 
 /**
@@ -40,7 +40,7 @@
 	/** Work of all calls, in ms. */
 	workMs(): number;
 	/** Work of the calls that get slots before a new one, in ms. */
-	workBeforeMs(call: Call, waitingClass: WaitingClass): number;
+	workBeforeMs(call: WaitingCall, waitingClass: WaitingClass): number;
 };
 
 const sumOf = (figures: readonly number[]): number => figures.reduce((sum, figure) => sum + figure, 0);
@@ -57,7 +57,10 @@
 			readWorkMs: () => 0,
 		});
 	const createCallTree = (waitingClass: WaitingClass) =>
-		createOrderedTree<Call>({compare: createCallComparison(waitingClass), readWorkMs: ({workMs}) => workMs});
+		createOrderedTree<Call, WaitingCall>({
+			compare: createCallComparison(waitingClass),
+			readWorkMs: ({workMs}) => workMs,
+		});
 	const forEachClass = <Value>(create: (waitingClass: WaitingClass) => Value): Record<WaitingClass, Value> => ({
 		[WaitingClass.Retry]: create(WaitingClass.Retry),
 		[WaitingClass.InTime]: create(WaitingClass.InTime),
@@ -109,7 +112,7 @@
 	};
 
 	/** Work of the calls of the same class that get slots before a new call of a workspace. */
-	const workBeforeInClassMs = (call: Call, waitingClass: WaitingClass): number => {
+	const workBeforeInClassMs = (call: WaitingCall, waitingClass: WaitingClass): number => {
 		const own = flows.get(call.workspace);
 		const ownWorkMs = own?.calls[waitingClass].before(call).workMs ?? 0;
 		const startTagMs = Math.max(virtualMs, own?.tagMs ?? virtualMs) + ownWorkMs;
--- a/packages/core/src/waiting/waiting-queue.ts
+++ b/packages/core/src/waiting/waiting-queue.ts
@@ -15,7 +15,7 @@
 	next(nowMs: number): Call | undefined;
 	count(): number;
 	/** Work of the calls that would get slots before a new one, in ms. */
-	workBeforeMs(call: Call, nowMs: number): number;
+	workBeforeMs(call: WaitingCall, nowMs: number): number;
 };
 
 export const createWaitingQueue = <Call extends WaitingCall>(): WaitingQueue<Call> => {
