--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -179,6 +179,7 @@
 		isGranted: zod.literal(false),
 		refusal: withFallback(zod.enum(core.GrantRefusal), core.GrantRefusal.Busy),
 		predictedWaitMs: zod.number(),
+		roomAfterMs: zod.number().nonnegative().optional(),
 		targetNotices: zod.array(targetNoticeSchema).optional(),
 	}),
 ]);
--- a/packages/core/src/grants/waiting-room.ts
+++ b/packages/core/src/grants/waiting-room.ts
@@ -46,8 +46,8 @@
 	count(): number;
 	/** Work of the waiting calls that would get slots before a call of this request, in ms. */
 	workBeforeMs(request: ports.AcquireGrantRequest): number;
-	/** Time until the call could not be served in time if it started then, in ms; negative if that has passed. */
-	startLeftMs(request: ports.AcquireGrantRequest): number;
+	/** Usual duration of the request's route, in ms. */
+	workMs(request: ports.AcquireGrantRequest): number;
 };
 
 const readKind = ({attemptIndex, isReplacement}: ports.AcquireGrantRequest): AttemptKind => {
@@ -192,6 +192,6 @@
 		},
 		count: queue.count,
 		workBeforeMs: request => queue.workBeforeMs(describe(request), clock.monotonicMs()),
-		startLeftMs: request => describe(request).deadlineStartMs - clock.monotonicMs(),
+		workMs: request => describe(request).workMs,
 	};
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -74,6 +74,7 @@
 export * from './proxy/host-routes.js';
 export * from './proxy/pick-service.js';
 export * from './proxy/proxy-options.js';
+export * from './proxy/retry-after.js';
 export * from './proxy/stop-plan.js';
 export * from './registry/carry-over-routes.js';
 export * from './registry/node-ranking.js';
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -113,6 +113,11 @@
 	readonly refusal: GrantRefusal;
 	/** Time until a slot is expected to be free, in ms. */
 	readonly predictedWaitMs: number;
+	/**
+	 * Time after which there will be room for the call if its caller comes back, in ms. Absent if a later request for the call may
+	 * still be granted, or if the dispatcher is of an earlier version.
+	 */
+	readonly roomAfterMs?: number;
 };
 
 export type AcquireGrantReply = (Grant | GrantDenial) & {
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -15,7 +15,7 @@
 import {pickService} from './pick-service.js';
 import {DEFAULT_PROXY_OPTIONS, type ProxyOptions} from './proxy-options.js';
 import {createEndingRecorder} from './record-ending.js';
-import {computeRetryAfterMs} from './retry-after.js';
+import {computeReturnMs} from './retry-after.js';
 import {createSlowAttemptReplacer} from './replace-slow-attempt.js';
 import {mayStart, type StopPlan} from './stop-plan.js';
 
@@ -218,15 +218,23 @@
 	const concludeCall = (
 		state: CallState,
 		reason: domain.RefusalReason,
-		predictedWaitMs: number,
+		denial?: ports.GrantDenial,
 	): domain.ProxyEnding => {
 		if (state.lastAnswer) {
 			return {outcome: domain.ProxyOutcome.Answered, answer: state.lastAnswer};
 		}
 
-		return state.mayHaveRun
-			? {outcome: domain.ProxyOutcome.Failed, reason: state.lastReason}
-			: refuse(reason, computeRetryAfterMs(predictedWaitMs, parts.random.fraction(), options));
+		if (state.mayHaveRun) {
+			return {outcome: domain.ProxyOutcome.Failed, reason: state.lastReason};
+		}
+
+		const times = {
+			predictedWaitMs: denial?.predictedWaitMs ?? 0,
+			roomAfterMs: denial?.roomAfterMs,
+			remainingMs: remainingMs(state),
+			isTooLate: reason === domain.RefusalReason.DeadlineTooShort,
+		};
+		return refuse(reason, computeReturnMs(times, parts.random.fraction(), options));
 	};
 
 	const canTryAgain = (state: CallState): boolean => {
@@ -243,7 +251,7 @@
 			const replacement = state.replacementGrant;
 			state.replacementGrant = undefined;
 			if (!replacement && !mayStartNow(state)) {
-				return concludeCall(state, domain.RefusalReason.Draining, 0);
+				return concludeCall(state, domain.RefusalReason.Draining);
 			}
 
 			const grant = replacement ?? (await acquire(state, signal));
@@ -256,12 +264,13 @@
 			}
 
 			if (!grant.isGranted) {
-				return concludeCall(state, GRANT_REFUSAL_REASONS[grant.refusal], grant.predictedWaitMs);
+				state.lastDenial = grant;
+				return concludeCall(state, GRANT_REFUSAL_REASONS[grant.refusal], grant);
 			}
 
 			if (!replacement && !mayStartNow(state)) {
 				grants.report(grant, ports.GrantResult.Cancelled, 0);
-				return concludeCall(state, domain.RefusalReason.Draining, 0);
+				return concludeCall(state, domain.RefusalReason.Draining);
 			}
 
 			if (state.sentCount > 0) {
@@ -278,7 +287,7 @@
 			}
 		}
 
-		return signal.aborted ? {outcome: domain.ProxyOutcome.Abandoned} : concludeCall(state, state.lastReason, 0);
+		return signal.aborted ? {outcome: domain.ProxyOutcome.Abandoned} : concludeCall(state, state.lastReason);
 	};
 
 	/** Ends the call at its deadline even if an attempt is still running. */
@@ -296,7 +305,7 @@
 
 		return state.isAttempting
 			? {outcome: domain.ProxyOutcome.Failed, reason: domain.RefusalReason.DeadlineExceeded}
-			: concludeCall(state, domain.RefusalReason.DeadlineExceeded, 0);
+			: concludeCall(state, domain.RefusalReason.DeadlineExceeded);
 	};
 
 	const recordEnding = createEndingRecorder({registry, clock, logger, metrics});
--- a/packages/core/src/proxy/call-state.ts
+++ b/packages/core/src/proxy/call-state.ts
@@ -1,5 +1,6 @@
 import type * as domain from '@bilberrydoor/domain';
 import type {HeldGrant} from '../grants/grant-client.js';
+import type * as ports from '../ports/index.js';
 
 /** State of one call during its attempts. */
 export type CallState = {
@@ -30,6 +31,8 @@
 	lastAnswer?: domain.TargetAnswer;
 	/** Refusal reason that follows from the last attempt; `DeadlineTooShort` before the first. */
 	lastReason: domain.RefusalReason;
+	/** The denial that ended the call, if one did. */
+	lastDenial?: ports.GrantDenial;
 	/** Grant for the attempt that replaces a slow one. */
 	replacementGrant?: HeldGrant;
 };
--- a/packages/core/src/proxy/record-ending.ts
+++ b/packages/core/src/proxy/record-ending.ts
@@ -56,6 +56,8 @@
 			attempts: state?.sentCount,
 			unreachable: state?.unreachableCount,
 			elapsedMs: Math.round(elapsedMs),
+			predictedWaitMs: state?.lastDenial?.predictedWaitMs,
+			roomAfterMs: state?.lastDenial?.roomAfterMs,
 			...describeEnding(ending),
 		});
 	};
