--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -57,6 +57,11 @@
 	readonly repeatability: domain.Repeatability;
 	/** 0 for the first attempt of a call. */
 	readonly attemptIndex: number;
+	/**
+	 * Whether the attempt is to replace one that still runs and may succeed. Absent if not, or if the requesting node is of an
+	 * earlier version.
+	 */
+	readonly isReplacement?: boolean;
 	/**
 	 * Whether this is the first request for the call to any dispatcher. A call counts towards the retry budget once,
 	 * even when the reply is lost and the request is repeated at another dispatcher.
@@ -108,6 +113,11 @@
 	readonly refusal: GrantRefusal;
 	/** Time until a slot is expected to be free, in ms. */
 	readonly predictedWaitMs: number;
+	/**
+	 * Time after which there will be room for the call if its caller comes back, in ms. Absent if a later request for the call may
+	 * still be granted, or if the dispatcher is of an earlier version.
+	 */
+	readonly roomAfterMs?: number;
 };
 
 export type AcquireGrantReply = (Grant | GrantDenial) & {
