--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -1,7 +1,5 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
-import {createRefusedCalls, type CallTraits} from '../waiting/refused-calls.js';
-import {createReturnSchedule} from '../waiting/return-schedule.js';
 import {createDecisionClock} from './decision-clock.js';
 import {deny} from './deny.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
@@ -10,6 +8,7 @@
 import {createGrayPhaseEstimator} from './gray-phase-estimator.js';
 import {createLedgerTable} from './ledger-table.js';
 import {pickTarget} from './pick-target.js';
+import {createReturningCalls} from './returning-calls.js';
 import {createTargetIndex} from './target-index.js';
 import {createTargetLedger, GrantStanding} from './target-ledger.js';
 import type {TargetNotices} from './target-notices.js';
@@ -64,8 +63,6 @@
 	const unservedRatio = createUnservedRatio(clock);
 	const toldNotices = createToldNotices(notices, TOLD_NODE_LIMIT_COUNT);
 	const records = createDispatcherRecords(parts);
-	const returns = createReturnSchedule();
-	const refusedCalls = createRefusedCalls();
 	/** Makes grant ids unique. */
 	let sequenceNumber = 0;
 	let lastRepeatableAtMs = -REPEATABLE_WORK_WINDOW_MS;
@@ -136,6 +133,12 @@
 		recordCount: records.recordWaitingCount,
 	});
 
+	const returningCalls = createReturningCalls({
+		clock,
+		usualDurationMs: room.workMs,
+		slotCount: () => index.soundLoad({excludedTargetIds: []}).slotCount,
+	});
+
 	/** Expected wait of a call, from the work of the calls that get slots before it and of one that has to end, in ms. */
 	const predictWaitMs = (request: ports.AcquireGrantRequest): number => {
 		const {slotCount} = index.soundLoad({excludedTargetIds: []});
@@ -177,38 +180,6 @@
 		return isWithinBudget ? undefined : deny(ports.GrantRefusal.NoBudget, 0);
 	};
 
-	const readTraits = ({routeId, workspace = '', remainingMs}: ports.AcquireGrantRequest): CallTraits => ({
-		routeId,
-		workspace,
-		deadlineAtMs: clock.monotonicMs() + remainingMs,
-	});
-
-	/** The request with the objective of its caller's first visit, if this dispatcher has refused that. */
-	const restoreObjective = (request: ports.AcquireGrantRequest): ports.AcquireGrantRequest => {
-		const objectiveAtMs = refusedCalls.findObjectiveAtMs(readTraits(request), clock.monotonicMs());
-		return objectiveAtMs === undefined
-			? request
-			: {...request, objectiveLeftMs: Math.min(request.objectiveLeftMs, objectiveAtMs - clock.monotonicMs())};
-	};
-
-	/** Adds to the denial of the last request for a call when its caller should come back. */
-	const addReturnTime = (request: ports.AcquireGrantRequest, denial: ports.GrantDenial): ports.GrantDenial => {
-		const {priority, remainingMs} = request;
-		const {predictedWaitMs} = denial;
-		const workMs = room.workMs(request);
-		const {slotCount} = index.soundLoad({excludedTargetIds: []});
-		const refused = {priority, predictedWaitMs, startLeftMs: remainingMs - workMs, remainingMs, workMs, slotCount};
-		if (!request.isLastResort || denial.refusal !== ports.GrantRefusal.Busy) {
-			return denial;
-		}
-
-		const nowMs = clock.monotonicMs();
-		const roomAfterMs = Math.round(returns.allot(refused, nowMs));
-		const objectiveAtMs = nowMs + request.objectiveLeftMs;
-		refusedCalls.record(readTraits(request), {objectiveAtMs, returnAtMs: nowMs + roomAfterMs});
-		return {...denial, roomAfterMs};
-	};
-
 	const acquire = async (request: ports.AcquireGrantRequest, signal: AbortSignal): Promise<ports.AcquireGrantReply> => {
 		recordNotices(request);
 		if (request.repeatability === domain.Repeatability.Repeatable) {
@@ -251,10 +222,10 @@
 
 	return {
 		async acquire(given, signal) {
-			const request = restoreObjective(given);
+			const request = returningCalls.restoreObjective(given);
 			const requestedAtMs = clock.monotonicMs();
 			const decision = await acquire(request, signal);
-			const reply = decision.isGranted ? decision : addReturnTime(request, decision);
+			const reply = decision.isGranted ? decision : returningCalls.addReturnTime(request, decision);
 			records.recordDecision(request, reply, {
 				waitMs: clock.monotonicMs() - requestedAtMs,
 				verdictAgeMs: reply.isGranted ? ledgers.get(reply.target.targetId)?.verdictAgeMs() : undefined,
--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -2,7 +2,8 @@
 import type * as ports from '../ports/index.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {pickUnusedTarget} from './pick-unused-target.js';
-import {TargetPool, type TargetIndex} from './target-index.js';
+import {TargetPool} from './target-entry.js';
+import type {TargetIndex} from './target-index.js';
 import type {GrantRequester, TargetLedger} from './target-ledger.js';
 
 /** Range of the random cost that breaks ties between targets. */
--- a/packages/core/src/grants/target-index.ts
+++ b/packages/core/src/grants/target-index.ts
@@ -1,56 +1,23 @@
 import type * as ports from '../ports/index.js';
 import {createOrderedTree} from '../waiting/ordered-tree.js';
 import {createSampledSet, type SampledSet} from './sampled-set.js';
+import {
+	evaluateTarget,
+	hasFreeSlot,
+	LAST_RESORT_STANDINGS,
+	POOLS,
+	TargetPool,
+	type TargetEntry,
+} from './target-entry.js';
 import {GrantStanding, type TargetLedger} from './target-ledger.js';
 
-/** Id of no node. A target's standing for it does not depend on the paths that single nodes have lost. */
-export const NO_NODE_ID = '';
-
 /** Candidates that are compared for a grant: from the requesting node's availability zone, and from all zones. */
 const ZONE_SAMPLE_COUNT = 12;
 const SAMPLE_COUNT = 24;
 
-/** Sets of targets that are equal for a decision. */
-export enum TargetPool {
-	/** Sound, with a free slot. */
-	FreeSound = 'free-sound',
-	/** Resting, with a free slot. */
-	FreeResting = 'free-resting',
-	/** On trial, without an open grant. */
-	Trial = 'trial',
-}
-
-/** What the index holds of one target. Replaced as a whole when the target changes. */
-type Entry = {
-	readonly ledger: TargetLedger;
-	readonly standing: GrantStanding;
-	readonly pool: TargetPool | undefined;
-	/** Whether it may be granted as a last resort. */
-	readonly isLastResort: boolean;
-	readonly isUnused: boolean;
-	readonly zone: string;
-	readonly openCount: number;
-	readonly slotCount: number;
-	readonly lastFaultAtMs: number;
-	/** Makes the order of entries with the same time total. */
-	readonly sequence: number;
-};
-
 /** When an entry has to be evaluated again. */
 type Due = {readonly atMs: number; readonly sequence: number; readonly ledger: TargetLedger};
 
-type StandingPool = {readonly standing: GrantStanding; readonly isAvailable: (ledger: TargetLedger) => boolean};
-
-export const hasFreeSlot = (ledger: TargetLedger): boolean => ledger.openCount() < ledger.slotCount();
-
-const POOLS: Record<TargetPool, StandingPool> = {
-	[TargetPool.FreeSound]: {standing: GrantStanding.Sound, isAvailable: hasFreeSlot},
-	[TargetPool.FreeResting]: {standing: GrantStanding.Resting, isAvailable: hasFreeSlot},
-	[TargetPool.Trial]: {standing: GrantStanding.OnTrial, isAvailable: ledger => ledger.openCount() === 0},
-};
-
-const LAST_RESORT_STANDINGS: ReadonlySet<GrantStanding> = new Set([GrantStanding.OnTrial, GrantStanding.SetAside]);
-
 export type TargetIndexParts = {
 	readonly clock: Pick<ports.Clock, 'monotonicMs'>;
 	readonly random: Pick<ports.Random, 'fraction'>;
@@ -93,8 +60,8 @@
 
 export const createTargetIndex = ({clock, random, listReady}: TargetIndexParts): TargetIndex => {
 	let indexed: readonly TargetLedger[] | undefined;
-	let entries = new Map<TargetLedger, Entry>();
-	let entriesById = new Map<string, Entry>();
+	let entries = new Map<TargetLedger, TargetEntry>();
+	let entriesById = new Map<string, TargetEntry>();
 	let pools = createPools();
 	let zones = new Map<string, SampledSet<TargetLedger>>();
 	let unused = createSampledSet<TargetLedger>();
@@ -105,7 +72,7 @@
 	let dueTimes = new Map<TargetLedger, Due>();
 
 	const createLastResorts = () =>
-		createOrderedTree<Entry>({
+		createOrderedTree<TargetEntry>({
 			compare: (left, right) => left.lastFaultAtMs - right.lastFaultAtMs || left.sequence - right.sequence,
 			readWorkMs: () => 0,
 		});
@@ -117,24 +84,6 @@
 	let lastResorts = createLastResorts();
 	let dues = createDues();
 
-	const evaluate = (ledger: TargetLedger): Entry => {
-		const standing = ledger.standingFor(NO_NODE_ID);
-		return {
-			ledger,
-			standing,
-			pool: Object.values(TargetPool).find(
-				pool => POOLS[pool].standing === standing && POOLS[pool].isAvailable(ledger),
-			),
-			isLastResort: LAST_RESORT_STANDINGS.has(standing) && hasFreeSlot(ledger),
-			isUnused: standing !== GrantStanding.Paused && ledger.isUnused(),
-			zone: ledger.target().availabilityZone,
-			openCount: ledger.openCount(),
-			slotCount: ledger.slotCount(),
-			lastFaultAtMs: ledger.lastFaultAtMs(),
-			sequence: sequence++,
-		};
-	};
-
 	const zoneOf = (zone: string): SampledSet<TargetLedger> => {
 		const set = zones.get(zone) ?? createSampledSet<TargetLedger>();
 		zones.set(zone, set);
@@ -142,7 +91,7 @@
 	};
 
 	/** Adds or removes what an entry contributes to the sums. */
-	const count = ({standing, openCount, slotCount}: Entry, sign: 1 | -1): void => {
+	const count = ({standing, openCount, slotCount}: TargetEntry, sign: 1 | -1): void => {
 		standingCounts.set(standing, (standingCounts.get(standing) ?? 0) + sign);
 		soundOpenCount += standing === GrantStanding.Sound ? sign * openCount : 0;
 		soundSlotCount += standing === GrantStanding.Sound ? sign * slotCount : 0;
@@ -190,7 +139,7 @@
 
 	const apply = (ledger: TargetLedger): void => {
 		const previous = entries.get(ledger);
-		const entry = evaluate(ledger);
+		const entry = evaluateTarget(ledger, sequence++);
 		if (previous) {
 			count(previous, -1);
 		}
@@ -277,7 +226,7 @@
 		},
 		findLastResort({nodeId, excludedTargetIds}) {
 			refresh();
-			const isAllowed = ({ledger}: Entry): boolean =>
+			const isAllowed = ({ledger}: TargetEntry): boolean =>
 				!excludedTargetIds.includes(ledger.target().targetId) &&
 				LAST_RESORT_STANDINGS.has(ledger.standingFor(nodeId)) &&
 				hasFreeSlot(ledger);
