feat(zones): calls leave their zone or region when that pays

What staying saves (crossing time, bytes) is weighed against what the caller loses by waiting, in ms, in place of a constant bonus and a fixed fifth of the objective. Slots of a zone or region are kept for its own callers, the bytes and the share of calls over the region link are bounded, and regions known to be full or lost are not asked.

--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -62,6 +62,21 @@
 		help: 'Records of the store, or parts of them, that cannot be read, by what follows',
 		labelNames: ['topic', 'effect'],
 	},
+	[core.CounterName.PlacedCalls]: {
+		name: 'placed_calls_total',
+		help: 'Attempts at targets, by where the target is',
+		labelNames: ['relation'],
+	},
+	[core.CounterName.PlacedBytes]: {
+		name: 'placed_bytes_total',
+		help: 'Bytes of calls and answers, by where the target is; messages between nodes are estimated',
+		labelNames: ['relation'],
+	},
+	[core.CounterName.RegionStays]: {
+		name: 'region_stays_total',
+		help: 'Calls that their region did not serve and that did not go to another region, by reason',
+		labelNames: ['reason'],
+	},
 };
 
 const GAUGES: Record<core.GaugeName, MetricDefinition> = {
--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -149,6 +149,8 @@
 	routeId: zod.string(),
 	service: zod.string(),
 	region: zod.string(),
+	isFromOtherRegion: zod.boolean().optional(),
+	bodyBytes: zod.number().nonnegative().optional(),
 	priority: zod.number(),
 	workspace: zod.string().optional(),
 	repeatability: repeatabilitySchema,
@@ -246,3 +248,23 @@
 	[core.FleetMessageKind.ReportResult]: reply => reply,
 	[core.FleetMessageKind.PullRegistry]: encodePullRegistryReply,
 };
+
+type RequestEncoders = {
+	readonly [Kind in core.FleetMessageKind]: (request: core.FleetMessages[Kind]['request']) => unknown;
+};
+
+/** Fields that receivers of every version complete with the same value, and which most requests have. */
+const omitDefaults = (request: Pick<core.ReportResultRequest, 'targetNotices'>): Record<string, unknown> => ({
+	...request,
+	targetNotices: request.targetNotices.length === 0 ? undefined : request.targetNotices,
+});
+
+/** Converts each request to the form that its schema decodes. Bytes between regions are paid for, so defaults are left out. */
+export const FLEET_REQUEST_ENCODERS: RequestEncoders = {
+	[core.FleetMessageKind.AcquireGrant]: request => ({
+		...omitDefaults(request),
+		isNewCall: request.isNewCall || undefined,
+	}),
+	[core.FleetMessageKind.ReportResult]: request => omitDefaults(request),
+	[core.FleetMessageKind.PullRegistry]: request => request,
+};
--- a/packages/adapters/src/peer/fleet-peer-client.ts
+++ b/packages/adapters/src/peer/fleet-peer-client.ts
@@ -3,7 +3,7 @@
 import * as undici from 'undici';
 import {collectBody} from '../http/collect-body.js';
 import {isConnectError} from '../http/connect-error.js';
-import {FLEET_MESSAGE_SCHEMAS} from './fleet-message-schemas.js';
+import {FLEET_MESSAGE_SCHEMAS, FLEET_REQUEST_ENCODERS} from './fleet-message-schemas.js';
 import {FLEET_PATH} from './fleet-peer-app.js';
 
 export type FleetPeerClientOptions = {
@@ -49,7 +49,7 @@
 					dispatcher: agent,
 					method: 'POST',
 					headers: {'content-type': 'application/json'},
-					body: JSON.stringify(request),
+					body: JSON.stringify(FLEET_REQUEST_ENCODERS[kind](request)),
 					signal,
 				});
 				const bytes = await collectBody(response.body, {limitBytes: options.replyLimitBytes, noteProgress});
--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -3,6 +3,7 @@
 import type {DispatcherOptions} from '../grants/dispatcher-options.js';
 import {createGrantClient} from '../grants/grant-client.js';
 import {createTargetNotices} from '../grants/target-notices.js';
+import {completeZoneOptions, type ZoneOptions} from '../zones/zone-options.js';
 import * as ports from '../ports/index.js';
 import {createCallProxy, type CallProxy} from '../proxy/call-proxy.js';
 import {planStop, type StopPlan} from '../proxy/stop-plan.js';
@@ -28,6 +29,8 @@
 	/** Addresses of nodes to pull the registry from at startup when the store does not answer; they may be out of date. */
 	readonly seedAddresses: readonly string[];
 	readonly dispatcher?: Partial<DispatcherOptions>;
+	/** Decisions between zones and regions. */
+	readonly zones?: Partial<ZoneOptions>;
 	/** Returns the time between two heartbeats of a target, in ms, or undefined for the default. May change at any time. */
 	readonly readTargetHeartbeatMs?: () => number | undefined;
 };
@@ -41,6 +44,8 @@
 	readonly messageHandlers: ports.FleetMessageHandlers;
 	/** Whether the node can serve callers: it is not stopping and has read the catalogue and the targets. */
 	isReady(): boolean;
+	/** Changes the decisions between zones and regions; what is not given gets its default. */
+	configureZones(given: Partial<ZoneOptions>): void;
 	/** Keeps the registry up to date and the node registered until the signal is aborted. */
 	run(signal: AbortSignal): Promise<void>;
 	/** Calls that are being handled. */
@@ -70,8 +75,11 @@
 	const registry = createRegistry({self, clock, logger, metrics, peerReachability, readTargetHeartbeatMs});
 	const storeReader = createStoreReader({registry, store, clock, random, logger});
 	const notices = createTargetNotices({clock, logger});
+	/** Shared by all parts, so that a change applies to running ones as well. */
+	const zoneOptions: ZoneOptions = completeZoneOptions(options.settings.zones ?? {});
 	const dispatchers = createDispatcherTable({
 		registry,
+		zoneOptions,
 		options: options.settings.dispatcher,
 		clock,
 		random,
@@ -89,6 +97,8 @@
 		logger,
 		metrics,
 		notices,
+		random,
+		zoneOptions,
 	});
 	let callCount = 0;
 	let stopPlan: StopPlan | undefined;
@@ -100,6 +110,7 @@
 		random,
 		logger,
 		metrics,
+		recordBytes: grants.recordBytes,
 		readStopPlan: () => stopPlan,
 	});
 
@@ -154,6 +165,9 @@
 			},
 			[ports.FleetMessageKind.PullRegistry]: async (request, signal) => registry.pull(request, signal),
 		},
+		configureZones(given) {
+			Object.assign(zoneOptions, completeZoneOptions(given));
+		},
 		countCalls: () => callCount,
 		isReady: () =>
 			!stopping.signal.aborted && registry.catalogue() !== undefined && registry.replicas.targets.nextOffset() >= 0,
--- a/packages/core/src/grants/dispatcher-table.ts
+++ b/packages/core/src/grants/dispatcher-table.ts
@@ -1,5 +1,6 @@
 import type * as ports from '../ports/index.js';
 import {buildGroupId, type Registry} from '../registry/registry.js';
+import type {ZoneOptions} from '../zones/zone-options.js';
 import {DEFAULT_DISPATCHER_OPTIONS, type DispatcherOptions} from './dispatcher-options.js';
 import {createGroupDispatcher, type GroupDispatcher} from './group-dispatcher.js';
 import type {TargetNotices} from './target-notices.js';
@@ -7,6 +8,8 @@
 export type DispatcherTableParts = {
 	readonly registry: Registry;
 	readonly options?: Partial<DispatcherOptions>;
+	/** Decisions between zones; the defaults if absent. */
+	readonly zoneOptions?: ZoneOptions;
 	readonly clock: ports.Clock;
 	readonly random: ports.Random;
 	readonly logger: ports.Logger;
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -1,6 +1,8 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
+import {createGroupZones} from '../zones/group-zones.js';
+import {DEFAULT_ZONE_OPTIONS, type ZoneOptions} from '../zones/zone-options.js';
 import {createDecisionClock} from './decision-clock.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
@@ -40,6 +42,8 @@
 export type GroupDispatcherParts = {
 	readonly groupId: string;
 	readonly options: DispatcherOptions;
+	/** Decisions between zones; the defaults if absent. */
+	readonly zoneOptions?: ZoneOptions;
 	readonly clock: ports.Clock;
 	readonly random: ports.Random;
 	readonly logger: ports.Logger;
@@ -71,6 +75,7 @@
 	const budget = createFleetRetryBudget(options, clock);
 	const unservedRatio = createUnservedRatio(clock);
 	const toldNotices = createToldNotices(notices, TOLD_NODE_LIMIT_COUNT);
+	const zones = createGroupZones({groupId, options: parts.zoneOptions ?? DEFAULT_ZONE_OPTIONS, clock, logger});
 	/** Makes grant ids unique and orders the waiting calls by arrival. */
 	let sequenceNumber = 0;
 	let waitingCallsCheckedAtMs = -WAITING_CALLS_CHECK_MS;
@@ -92,6 +97,7 @@
 				durations,
 				phases,
 				notices,
+				zones,
 				readTrialRepeatability,
 			}),
 	});
@@ -116,6 +122,7 @@
 				random: parts.random,
 				isFloorEnforced: unservedRatio.read() >= options.floorUnservedRatio,
 				hasRetry: budget.hasRetry,
+				listPermitted: zones.listPermitted,
 			}),
 		);
 		if (!pick) {
@@ -131,7 +138,7 @@
 		}
 
 		ledger.open(grantId, request, {ttlMs: request.remainingMs + options.grantSlackMs, isForFloor});
-		return {
+		const grant: ports.Grant = {
 			isGranted: true,
 			grantId,
 			target: ledger.target(),
@@ -139,6 +146,8 @@
 			standing,
 			usualDurationMs: durations.ofRoute(request.routeId),
 		};
+		zones.recordGrant(request, grant, ledger.openCount() / ledger.slotCount());
+		return grant;
 	};
 
 	/** Whether any target that is neither set aside nor paused has a free slot. */
@@ -258,6 +267,7 @@
 
 	const acquire = async (request: ports.AcquireGrantRequest, signal: AbortSignal): Promise<ports.AcquireGrantReply> => {
 		recordNotices(request);
+		zones.recordDemand(request);
 		if (request.repeatability === domain.Repeatability.Repeatable) {
 			lastRepeatableAtMs = clock.monotonicMs();
 		}
@@ -337,6 +347,7 @@
 		},
 		report(request) {
 			recordNotices(request);
+			zones.recordResult(request);
 			const ledger = ledgers.get(request.targetId);
 			const graySinceMs = ledger?.graySinceMs();
 			const closed = ledger?.close(request);
--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -1,6 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
 import {groupBy} from '../shared/group-by.js';
+import type {GroupZones} from '../zones/group-zones.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {pickUnusedTarget} from './pick-unused-target.js';
 import {GrantStanding, type GrantRequester, type TargetLedger} from './target-ledger.js';
@@ -15,6 +16,8 @@
 	readonly random: ports.Random;
 	/** Whether the floor is enforced, because too many calls of the group fail or are refused. */
 	readonly isFloorEnforced: boolean;
+	/** The free targets that the request may get, since others are kept for callers of their own zone or region. */
+	readonly listPermitted: GroupZones['listPermitted'];
 	/** Whether the retry budget allows repeating a call that fails on a trial. */
 	readonly hasRetry: () => boolean;
 };
@@ -71,7 +74,8 @@
 
 	// When all targets of a service shed load, single refusals are random, so a resting target may still accept a call.
 	const resting = listByStanding(GrantStanding.Resting).filter(hasFreeSlot);
-	const best = pickCheapest(sound.filter(hasFreeSlot), request, random) ?? pickCheapest(resting, request, random);
+	const permitted = input.listPermitted(request, sound.filter(hasFreeSlot), sound);
+	const best = pickCheapest(permitted, request, random) ?? pickCheapest(resting, request, random);
 	if (best !== undefined || !request.isLastResort) {
 		return best;
 	}
--- a/packages/core/src/grants/target-cost.ts
+++ b/packages/core/src/grants/target-cost.ts
@@ -9,14 +9,10 @@
 /** Bounds of a target's relative slowness, so that a single very fast or very slow call does not dominate the cost. */
 const SLOWNESS_RANGE = {minimum: 0.7, maximum: 4};
 
-/**
- * Costs in units of a target's full occupancy. The bonuses prefer a near target while it has up to one call more than another,
- * which keeps bodies in their zone and reuses connections without uneven load.
- */
+/** Costs in units of a target's full occupancy. The bonus reuses connections without uneven load. */
 const OVERDUE_COST = 0.5;
 const EVIDENCE_COST = 0.2;
 const CONNECTION_BONUS = 0.1;
-const ZONE_BONUS = 0.15;
 
 /**
  * Cost of a target without a recent success. Such a target may have turned gray undetected, and the first call to it would
@@ -49,8 +45,8 @@
 	/** Evidence against the target, in log odds above the prior. */
 	readonly evidence: number;
 	readonly isWarmingUp: boolean;
-	/** Whether the target is in the requesting node's availability zone. */
-	readonly isSameZone: boolean;
+	/** What the target's availability zone saves for the requesting node, in units of a target's full occupancy. */
+	readonly zoneSaving: number;
 	/** Time since the requesting node last used the target, in ms. */
 	readonly sinceUseMs: number;
 	/** Time since the target's last success, in ms; undefined before the first. */
@@ -73,6 +69,6 @@
 		(isUntried ? UNTRIED_BONUS : 0) +
 		Math.max(0, input.evidence) * EVIDENCE_COST -
 		(input.sinceUseMs < CONNECTION_REUSE_MS ? CONNECTION_BONUS : 0) -
-		(input.isSameZone ? ZONE_BONUS : 0)
+		input.zoneSaving
 	);
 };
--- a/packages/core/src/grants/target-ledger.ts
+++ b/packages/core/src/grants/target-ledger.ts
@@ -1,6 +1,7 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
 import {updateMovingAverage} from '../shared/update-moving-average.js';
+import type {GroupZones} from '../zones/group-zones.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import type {GrayPhaseEstimator} from './gray-phase-estimator.js';
 import {computeTargetCost, isOverdue} from './target-cost.js';
@@ -73,7 +74,10 @@
 export type AttemptReport = Pick<ports.ReportResultRequest, 'grantId' | 'nodeId' | 'routeId' | 'result' | 'durationMs'>;
 
 /** Properties of the requesting node and its call on which the cost of a target depends. */
-export type GrantRequester = Pick<ports.AcquireGrantRequest, 'nodeId' | 'availabilityZone' | 'repeatability'>;
+export type GrantRequester = Pick<
+	ports.AcquireGrantRequest,
+	'nodeId' | 'availabilityZone' | 'repeatability' | 'routeId' | 'bodyBytes'
+>;
 
 export type LedgerParts = {
 	readonly options: DispatcherOptions;
@@ -82,6 +86,7 @@
 	readonly durations: UsualDurations;
 	readonly phases: GrayPhaseEstimator;
 	readonly notices: TargetNotices;
+	readonly zones: Pick<GroupZones, 'savingFor'>;
 	/** Repeatability of the calls that the group can use for trials. */
 	readonly readTrialRepeatability: () => domain.Repeatability;
 };
@@ -298,7 +303,8 @@
 
 			return nowMs < restingUntilMs ? GrantStanding.Resting : GrantStanding.Sound;
 		},
-		costFor({nodeId, availabilityZone, repeatability}) {
+		costFor(requester) {
+			const {nodeId, repeatability, routeId} = requester;
 			const nowMs = clock.monotonicMs();
 			const overdueCount = [...openGrants.values()].filter(grant =>
 				isOverdue(nowMs - grant.grantedAtMs, durations.ofRoute(grant.routeId)),
@@ -311,7 +317,7 @@
 				slowness,
 				evidence: readEvidence(),
 				isWarmingUp: nowMs - createdAtMs < target.warmUpLeftMs,
-				isSameZone: target.availabilityZone === availabilityZone,
+				zoneSaving: parts.zones.savingFor(requester, target, durations.ofRoute(routeId) ?? DEFAULT_DURATION_MS),
 				sinceUseMs: nowMs - (lastUseByNode.get(nodeId) ?? Number.NEGATIVE_INFINITY),
 				sinceSuccessMs: lastSuccessAtMs === undefined ? undefined : nowMs - lastSuccessAtMs,
 			});
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -50,6 +50,10 @@
 	readonly service: string;
 	/** Region of the group's targets. */
 	readonly region: string;
+	/** Whether the requesting node is in another region; absent if it is not, or if it is of an earlier version. */
+	readonly isFromOtherRegion?: boolean;
+	/** Expected bytes of the bodies of the call and its answer; absent for requests of other regions and of earlier versions. */
+	readonly bodyBytes?: number;
 	/** Priority of the call's workspace and route together; 0 is the highest. */
 	readonly priority: number;
 	/** Workspace of the call; absent if it has none, or if the requesting node is of an earlier version. */
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -54,6 +54,10 @@
 	SettingsUnreadable = 'settings-unreadable',
 	/** The process received a signal. */
 	SignalReceived = 'signal-received',
+	/** A zone or region has begun to send a notable part of its calls to another one. */
+	SpillStarted = 'spill-started',
+	/** A zone or region has ended to send calls to another one. */
+	SpillEnded = 'spill-ended',
 	/** A pause in the store's answers was taken for an outage, in which registrations of targets may have expired. */
 	StoreOutageAssumed = 'store-outage-assumed',
 	/** Peers have shown that the store answered them during an assumed outage. */
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -14,6 +14,9 @@
 	StoreCalls = 'storeCalls',
 	Grants = 'grants',
 	UnreadableRecords = 'unreadableRecords',
+	PlacedCalls = 'placedCalls',
+	PlacedBytes = 'placedBytes',
+	RegionStays = 'regionStays',
 }
 
 export enum GaugeName {
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -1,5 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
-import type {GrantAnswer, GrantClient, HeldGrant} from '../grants/grant-client.js';
+import type {ByteRecorder, GrantClient} from '../grants/grant-client.js';
+import type {GrantAnswer, HeldGrant} from '../grants/held-grant.js';
 import * as ports from '../ports/index.js';
 import type {WorkspaceQuotas} from '../quotas/workspace-quotas.js';
 import type {Registry} from '../registry/registry.js';
@@ -8,7 +9,7 @@
 import {combinePriorities} from '../workspaces/combine-priorities.js';
 import {limitAnswerTime} from './limit-answer-time.js';
 import {ANSWER_VERDICTS, ERROR_VERDICTS, GRANT_REFUSAL_REASONS} from './attempt-verdicts.js';
-import {canSendBody, isBodyBroken} from './call-body.js';
+import {canSendBody, isBodyBroken, measureAnswer, measureBody} from './call-body.js';
 import type {CallState} from './call-state.js';
 import {createCallAdmissions, refuse, type CallAdmission} from './call-admission.js';
 import {createCatalogueIndex} from './catalogue-index.js';
@@ -30,6 +31,8 @@
 	readonly options?: Partial<ProxyOptions>;
 	/** Limits of the workspaces' calls; by default there are none. */
 	readonly quotas?: WorkspaceQuotas;
+	/** Called with the bytes of each attempt; by default they are not counted. */
+	readonly recordBytes?: ByteRecorder;
 	/** The plan of the node's shutdown; undefined while it is not stopping. */
 	readonly readStopPlan?: () => StopPlan | undefined;
 };
@@ -80,6 +83,7 @@
 				workspace: state.call.workspace,
 				repeatability: state.route.repeatability,
 				isBulk: state.route.isBulk,
+				bodyBytes: measureBody(state.call),
 				attemptIndex: state.sentCount,
 				remainingMs: usableMs(state),
 				objectiveLeftMs: state.call.receivedAtMs + state.route.latencyObjectiveMs - clock.monotonicMs(),
@@ -171,6 +175,11 @@
 		const grantResult = isBrokenByCaller ? ports.GrantResult.Cancelled : verdict.result;
 		const {announcement} = result.isOk() ? result.value : result.error;
 		grants.report(grant, grantResult, durationMs, announcement);
+		if (verdict.isSent) {
+			const answerBytes = result.isOk() ? measureAnswer(result.value.answer) : undefined;
+			parts.recordBytes?.(grant, {requestBytes: measureBody(state.call) ?? 0, answerBytes});
+		}
+
 		logAttempt(state, grant, grantResult, {
 			targetRecord,
 			earlierSendCount,
--- a/packages/core/src/proxy/call-state.ts
+++ b/packages/core/src/proxy/call-state.ts
@@ -1,5 +1,5 @@
 import type * as domain from '@bilberrydoor/domain';
-import type {HeldGrant} from '../grants/grant-client.js';
+import type {HeldGrant} from '../grants/held-grant.js';
 
 /** State of one call during its attempts. */
 export type CallState = {
--- a/packages/core/src/proxy/replace-slow-attempt.ts
+++ b/packages/core/src/proxy/replace-slow-attempt.ts
@@ -1,4 +1,5 @@
-import type {GrantAnswer, GrantClient, HeldGrant} from '../grants/grant-client.js';
+import type {GrantClient} from '../grants/grant-client.js';
+import type {GrantAnswer, HeldGrant} from '../grants/held-grant.js';
 import * as ports from '../ports/index.js';
 import type {CallState} from './call-state.js';
 import type {ProxyOptions} from './proxy-options.js';
--- a/packages/fakes/src/build-grants.ts
+++ b/packages/fakes/src/build-grants.ts
@@ -11,6 +11,11 @@
 	readonly nodes?: readonly domain.RegisteredNode[];
 	readonly peerClient: core.FleetPeerClient;
 	readonly dispatcher?: Partial<core.DispatcherOptions>;
+	readonly zones?: Partial<core.ZoneOptions>;
+	/** This node; by default one of the first region. */
+	readonly self?: domain.RegisteredNode;
+	readonly logger?: core.Logger;
+	readonly seed?: number;
 	/** Clock of the node; one that no other node shares by default. */
 	readonly clock?: VirtualClock;
 };
@@ -18,11 +23,10 @@
 /** Builds a node's registry with the given records, its dispatchers and its grant client, on a virtual clock. */
 export const buildGrantParts = (options: GrantPartsOptions) => {
 	const {clock = createVirtualClock()} = options;
-	const logger = createSilentLogger();
+	const {logger = createSilentLogger(), self = buildNode('self')} = options;
 	const metrics = createFakeMetrics();
-	const random = createSeededRandom(1);
+	const random = createSeededRandom(options.seed ?? 1);
 	const peerReachability = core.createPeerReachability({clock, logger});
-	const self = buildNode('self');
 	const registry = core.createRegistry({self, clock, logger, metrics, peerReachability});
 	const targets = options.targets.map((value, offset) => ({key: value.targetId, offset, value}));
 	const nodes = (options.nodes ?? []).map((value, offset) => ({key: value.nodeId, offset, value}));
@@ -31,8 +35,10 @@
 		[core.RegistryTopic.Nodes]: buildCompleteChanges(nodes, nodes.length),
 	});
 	const notices = core.createTargetNotices({clock, logger});
+	const zoneOptions = {...core.DEFAULT_ZONE_OPTIONS, ...options.zones};
 	const dispatchers = core.createDispatcherTable({
 		registry,
+		zoneOptions,
 		options: options.dispatcher,
 		clock,
 		random,
@@ -51,6 +57,8 @@
 		logger,
 		metrics,
 		notices,
+		random,
+		zoneOptions,
 	});
 	return {clock, logger, metrics, random, registry, dispatchers, notices, grants};
 };
