fix(zones): a region that refuses one late call is still asked for others

A reserve of two or three slots keeps a region's own callers from being refused; a larger one refused calls of the other region beside free slots.

--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -73,9 +73,10 @@
 	}
 
 	// When all targets of a service shed load, single refusals are random, so a resting target may still accept a call.
-	const resting = listByStanding(GrantStanding.Resting).filter(hasFreeSlot);
-	const permitted = input.listPermitted(request, sound.filter(hasFreeSlot), sound);
-	const best = pickCheapest(permitted, request, random) ?? pickCheapest(resting, request, random);
+	const resting = listByStanding(GrantStanding.Resting);
+	const pickPermitted = (ledgers: readonly TargetLedger[]): TargetLedger | undefined =>
+		pickCheapest(input.listPermitted(request, ledgers.filter(hasFreeSlot), [...sound, ...resting]), request, random);
+	const best = pickPermitted(sound) ?? pickPermitted(resting);
 	if (best !== undefined || !request.isLastResort) {
 		return best;
 	}
--- a/packages/core/src/zones/region-outlook.ts
+++ b/packages/core/src/zones/region-outlook.ts
@@ -50,8 +50,8 @@
 /** What this node knows about a service's group in another region. */
 export type RegionOutlook = {
 	recordGrant(roundTripMs: number, waitMs: number): void;
-	recordDenial(reason: HoldReason, roundTripMs: number, predictedWaitMs: number): void;
-	recordRoundTrip(roundTripMs: number): void;
+	/** Records a refusal; `reason` is undefined if it says nothing of other calls. */
+	recordDenial(reason: HoldReason | undefined, roundTripMs: number, predictedWaitMs: number): void;
 	recordLoss(): void;
 	/**
 	 * Why the group is not asked now; undefined if it may be. When a hold has ended, one call asks, and the others wait for what
@@ -111,10 +111,9 @@
 			const nowMs = clock.monotonicMs();
 			roundTrip.record(nowMs, roundTripMs);
 			lastWait = {waitMs: predictedWaitMs, atMs: nowMs};
-			startHold(reason, predictedWaitMs);
-		},
-		recordRoundTrip(roundTripMs) {
-			roundTrip.record(clock.monotonicMs(), roundTripMs);
+			if (reason) {
+				startHold(reason, predictedWaitMs);
+			}
 		},
 		recordLoss() {
 			startHold(HoldReason.Lost, 0);
--- a/packages/core/src/zones/region-planner.ts
+++ b/packages/core/src/zones/region-planner.ts
@@ -11,6 +11,7 @@
 
 /** Decides when calls of this node wait in their own region and when they ask another one. */
 export type RegionPlanner = {
+	readonly routes: RouteKnowledge;
 	/** The other regions, the one with the smallest expected loss first. */
 	sortRegions(service: string, regions: readonly string[]): readonly string[];
 	/** How long a call may wait in its own region before leaving it pays, in ms. */
@@ -31,7 +32,6 @@
 	expectBodyBytes(call: Pick<PlannedCall, 'routeId' | 'bodyBytes'>): number;
 	/** Bytes that cross between regions if the call is served in another one. */
 	expectBytes(call: Pick<PlannedCall, 'routeId' | 'bodyBytes'>): number;
-	readonly routes: RouteKnowledge;
 };
 
 export type RegionPlannerParts = {
@@ -229,7 +229,9 @@
 			}
 
 			const latestMs = call.remainingMs - outlook.crossingMs() - times.workMs;
-			return {isAsked: true, waitLimitMs: Math.max(0, Math.min(planShortWaitMs(call), latestMs))};
+			const shortWaitMs = planShortWaitMs(call);
+			const wantedMs = isNeeded ? Math.max(shortWaitMs, planLastWaitMs(call) - outlook.crossingMs()) : shortWaitMs;
+			return {isAsked: true, waitLimitMs: Math.max(0, Math.min(wantedMs, latestMs))};
 		},
 		predictAwayWaitMs(service, region) {
 			const outlook = outlookOf(service, region);
@@ -255,13 +257,11 @@
 			const hasWaited = reply.refusal === ports.GrantRefusal.Busy && reply.predictedWaitMs <= waitLimitMs;
 			const roundTripMs = Math.max(0, elapsedMs - (hasWaited ? waitLimitMs : 0));
 			linkBudget.charge(MESSAGE_BYTES);
-			if (reply.refusal === ports.GrantRefusal.TooLate && reply.predictedWaitMs === 0) {
-				// The call had too little time left, which says nothing of the slots.
-				outlook.recordRoundTrip(roundTripMs);
-				return;
-			}
-
-			outlook.recordDenial(HOLD_REASONS[reply.refusal], roundTripMs, reply.predictedWaitMs);
+			// A refusal that is due to the little time of the call says nothing of other calls.
+			const isOnlyLate =
+				HOLD_REASONS[reply.refusal] === HoldReason.Full && !hasWaited && reply.predictedWaitMs < MIN_REGION_WAIT_MS;
+			const reason = isOnlyLate ? undefined : HOLD_REASONS[reply.refusal];
+			outlook.recordDenial(reason, roundTripMs, reply.predictedWaitMs);
 		},
 		recordGrant(service, region) {
 			const nowMs = clock.monotonicMs();
--- a/packages/core/src/zones/slot-reserve.ts
+++ b/packages/core/src/zones/slot-reserve.ts
@@ -36,7 +36,7 @@
 const DEMAND_WINDOW_MS = 2000;
 
 /** Slots are kept for the calls that are expected within this time, in ms; by then others have become free. */
-const RESERVE_HORIZON_MS = 100;
+const RESERVE_HORIZON_MS = 50;
 
 /** Pairs of zone and priority whose demand is kept. Both come from peers, so their number must have a bound. */
 const DEMAND_LIMIT_COUNT = 256;
@@ -75,23 +75,39 @@
 			});
 	};
 
+	/** Whether more slots are free than are kept for the calls that are expected. Counts all slots only if that may matter. */
+	const isOpen = (
+		free: readonly SlotView[],
+		expectedCount: number,
+		listUsable: () => readonly SlotView[],
+		ratio: number,
+	) => {
+		const freeCount = expectedCount === 0 ? Number.POSITIVE_INFINITY : countFree(free);
+		return freeCount > expectedCount || freeCount > Math.ceil(countSlots(listUsable()) * ratio);
+	};
+
 	/** A region's own callers come first: calls of other regions get no reserved slot, however long they wait. */
-	const isOpenToOtherRegions = (request: ReserveRequest, usable: readonly SlotView[]): boolean => {
-		const limitCount = Math.ceil(countSlots(usable) * options.regionReserveRatio);
-		return (
-			countFree(usable) >
-			Math.min(
-				limitCount,
-				expectCalls(request.priority, () => true),
-			)
+	const isOpenToOtherRegions = (
+		{priority}: ReserveRequest,
+		free: readonly SlotView[],
+		usable: readonly SlotView[],
+	): boolean =>
+		isOpen(
+			free,
+			expectCalls(priority, () => true),
+			() => usable,
+			options.regionReserveRatio,
 		);
-	};
 
-	const isZoneOpen = (request: ReserveRequest, zone: string, usable: readonly SlotView[]): boolean => {
-		const ofZone = usable.filter(view => view.target().availabilityZone === zone);
-		const limitCount = Math.ceil(countSlots(ofZone) * options.zoneReserveRatio);
-		const expectedCount = expectCalls(request.priority, ({availabilityZone}) => availabilityZone === zone);
-		return countFree(ofZone) > Math.min(limitCount, expectedCount);
+	const isZoneOpen = (
+		{priority}: ReserveRequest,
+		zone: string,
+		free: readonly SlotView[],
+		usable: readonly SlotView[],
+	): boolean => {
+		const isOfZone = (view: SlotView): boolean => view.target().availabilityZone === zone;
+		const expectedCount = expectCalls(priority, ({availabilityZone}) => availabilityZone === zone);
+		return isOpen(free.filter(isOfZone), expectedCount, () => usable.filter(isOfZone), options.zoneReserveRatio);
 	};
 
 	/** Whether the request may take a reserved slot of another zone, since it has waited or cannot wait. */
@@ -127,12 +143,12 @@
 			}
 
 			if (request.isFromOtherRegion) {
-				return isOpenToOtherRegions(request, usable) ? free : [];
+				return isOpenToOtherRegions(request, free, usable) ? free : [];
 			}
 
 			const zones = [...new Set(free.map(view => view.target().availabilityZone))];
 			const closed = new Set(
-				zones.filter(zone => zone !== request.availabilityZone && !isZoneOpen(request, zone, usable)),
+				zones.filter(zone => zone !== request.availabilityZone && !isZoneOpen(request, zone, free, usable)),
 			);
 			if (closed.size === 0) {
 				return free;
--- a/packages/core/src/zones/zone-options.ts
+++ b/packages/core/src/zones/zone-options.ts
@@ -46,7 +46,8 @@
 	linkBytesPerSecond: 5_250_000,
 	linkRatio: 0.5,
 	linkRatioLimit: 0.9,
-	regionReserveRatio: 0.1,
+	// Two or three slots are enough to keep a group's own callers from being refused because of others.
+	regionReserveRatio: 0.06,
 	zoneReserveRatio: 0.05,
 	// One check of the waiting calls.
 	zoneReserveHoldMs: 100,
