--- a/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
+++ b/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
@@ -3,7 +3,7 @@
 import * as core from '@bilberrydoor/core';
 import * as domain from '@bilberrydoor/domain';
 import test from 'ava';
-import {FLEET_MESSAGE_SCHEMAS, FLEET_REPLY_ENCODERS} from '../peer/fleet-message-schemas.js';
+import {FLEET_MESSAGE_SCHEMAS, FLEET_REPLY_ENCODERS, FLEET_REQUEST_ENCODERS} from '../peer/fleet-message-schemas.js';
 
 const {PullRegistry} = core.FleetMessageKind;
 
@@ -155,3 +155,38 @@
 	const received = transfer(FLEET_REPLY_ENCODERS[PullRegistry](reply as core.PullRegistryReply));
 	t.is(received.data?.role, core.RegistryRole.Reader);
 });
+
+const GRANT_REQUEST: core.AcquireGrantRequest = {
+	requestId: 'request',
+	nodeId: 'entry-1',
+	availabilityZone: 'kinondoni',
+	routeId: 'route',
+	service: 'malipo',
+	region: 'bara',
+	isFromOtherRegion: true,
+	priority: 1,
+	repeatability: domain.Repeatability.Single,
+	attemptIndex: 1,
+	isNewCall: false,
+	remainingMs: 2000,
+	objectiveLeftMs: 1200,
+	waitLimitMs: 0,
+	isLastResort: false,
+	excludedTargetIds: [],
+	targetNotices: [],
+};
+const NOTICE: core.TargetNotice = {targetId: 'a', startedAtMs: 1, isLeaving: true, pauseLeftMs: 0};
+
+const GRANT_REQUEST_CASES = [
+	{name: 'with defaults', request: GRANT_REQUEST},
+	{name: 'with notices', request: {...GRANT_REQUEST, isNewCall: true, targetNotices: [NOTICE], bodyBytes: 1500}},
+];
+
+// Guards against fields that are left out to save bytes and that the receiver completes in another way.
+GRANT_REQUEST_CASES.forEach(({name, request}) => {
+	test(`a request for a grant ${name} is received unchanged`, t => {
+		const {AcquireGrant} = core.FleetMessageKind;
+		const text = JSON.stringify(FLEET_REQUEST_ENCODERS[AcquireGrant](request));
+		t.deepEqual(FLEET_MESSAGE_SCHEMAS[AcquireGrant].request.parse(JSON.parse(text)), request);
+	});
+});
