--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -39,4 +39,5 @@
 export * from './target/fleet-target-client.js';
 export * from './target/classify-answer.js';
 export * from './observability/line-writer.js';
+export * from './observability/explain-app.js';
 export * from './observability/metrics-app.js';
--- a/packages/cli/src/command-table.ts
+++ b/packages/cli/src/command-table.ts
@@ -7,6 +7,7 @@
 import {catalogueList} from './commands/catalogue-list.js';
 import {catalogueRevert} from './commands/catalogue-revert.js';
 import {explain} from './commands/explain.js';
+import {explainCall} from './commands/explain-call.js';
 import {fleetStatus} from './commands/fleet-status.js';
 import {operationsShow} from './commands/operations-show.js';
 import {services} from './commands/services.js';
@@ -27,6 +28,7 @@
 	Services = 'services',
 	OperationsShow = 'operations show',
 	Explain = 'explain',
+	ExplainCall = 'explain-call',
 	Trace = 'trace',
 }
 
@@ -43,6 +45,7 @@
 	[CommandName.Services]: services,
 	[CommandName.OperationsShow]: operationsShow,
 	[CommandName.Explain]: explain,
+	[CommandName.ExplainCall]: explainCall,
 	[CommandName.Trace]: trace,
 };
 
--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -13,6 +13,7 @@
 import {createStoreReader} from '../registry/store-reader.js';
 import {createBackOff} from '../shared/back-off.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
+import {createCallExplainer, type CallExplainer} from './explain-call.js';
 
 export type FleetNodePorts = {
 	readonly clock: ports.Clock;
@@ -42,6 +43,8 @@
 	readonly registry: Registry;
 	readonly dispatchers: DispatcherTable;
 	readonly messageHandlers: ports.FleetMessageHandlers;
+	/** Explains where a request would go now, without sending it. */
+	readonly explainCall: CallExplainer;
 	/** Whether the node can serve callers: it is not stopping and has read the catalogue and the targets. */
 	isReady(): boolean;
 	/** Changes the decisions between zones and regions; what is not given gets its default. */
@@ -168,6 +171,7 @@
 		configureZones(given) {
 			Object.assign(zoneOptions, completeZoneOptions(given));
 		},
+		explainCall: createCallExplainer({self, registry, dispatchers, planner: grants.planner}),
 		countCalls: () => callCount,
 		isReady: () =>
 			!stopping.signal.aborted && registry.catalogue() !== undefined && registry.replicas.targets.nextOffset() >= 0,
--- a/packages/core/src/grants/dispatcher-table.ts
+++ b/packages/core/src/grants/dispatcher-table.ts
@@ -21,6 +21,8 @@
 export type DispatcherTable = {
 	/** The dispatcher of a group; created at the first call. */
 	get(service: string, region: string): GroupDispatcher;
+	/** The dispatcher of a group; undefined if it has had no call on this node. */
+	find(service: string, region: string): GroupDispatcher | undefined;
 	/** Changes options of all dispatchers, including those that are already running. */
 	configure(changes: Partial<DispatcherOptions>): void;
 };
@@ -29,6 +31,7 @@
 	const options: DispatcherOptions = {...DEFAULT_DISPATCHER_OPTIONS, ...parts.options};
 	const dispatchers = new Map<string, GroupDispatcher>();
 	return {
+		find: (service, region) => dispatchers.get(buildGroupId(service, region)),
 		get(service, region) {
 			const groupId = buildGroupId(service, region);
 			const existing = dispatchers.get(groupId);
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -6,7 +6,7 @@
 import {KeyState} from '../registry/replica.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {PlaceRelation, relatePlaces} from '../zones/place-relation.js';
-import {createRegionPlanner, MESSAGE_BYTES} from '../zones/region-planner.js';
+import {createRegionPlanner, MESSAGE_BYTES, type RegionPlanner} from '../zones/region-planner.js';
 import {DEFAULT_ZONE_OPTIONS, type ZoneOptions} from '../zones/zone-options.js';
 import {createRegionAcquirer} from './acquire-from-regions.js';
 import type {DispatcherTable} from './dispatcher-table.js';
@@ -53,7 +53,10 @@
 
 const REPORT_TIMEOUT_MS = 1000;
 
-export const createGrantClient = (parts: GrantClientParts): GrantClient & {readonly recordBytes: ByteRecorder} => {
+/** The grant client of a node with what the node's other parts use. */
+export type NodeGrants = GrantClient & {readonly recordBytes: ByteRecorder; readonly planner: RegionPlanner};
+
+export const createGrantClient = (parts: GrantClientParts): NodeGrants => {
 	const {self, registry, dispatchers, metrics, notices} = parts;
 	const noticeExchange = createNoticeExchange({self, registry, notices, logger: parts.logger});
 	const planner = createRegionPlanner({
@@ -190,5 +193,6 @@
 		},
 		report,
 		recordBytes,
+		planner,
 	};
 };
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -5,6 +5,7 @@
 import {DEFAULT_ZONE_OPTIONS, type ZoneOptions} from '../zones/zone-options.js';
 import {createDecisionClock} from './decision-clock.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
+import {explainTargets, type GroupExplanation} from './explain-targets.js';
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
 import {createGrayPhaseEstimator} from './gray-phase-estimator.js';
 import {createLedgerTable} from './ledger-table.js';
@@ -37,6 +38,8 @@
 	report(request: ports.ReportResultRequest): void;
 	/** Targets by standing, for metrics. */
 	countStandings(): ReadonlyMap<GrantStanding, number>;
+	/** What a request would meet now. */
+	explain(request: ports.AcquireGrantRequest): GroupExplanation;
 };
 
 export type GroupDispatcherParts = {
@@ -375,5 +378,10 @@
 			grantWaitingCalls();
 		},
 		countStandings,
+		explain: request => ({
+			predictedWaitMs: Math.round(predictWaitMs(request.priority)),
+			waitingCount: waitingCalls.list().length,
+			targets: explainTargets(request, listReadyLedgers(), zones.listPermitted),
+		}),
 	};
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -60,6 +60,8 @@
 export * from './workspaces/combine-priorities.js';
 export * from './workspaces/workspace-directory.js';
 export * from './fleet/create-fleet-node.js';
+export * from './fleet/explain-call.js';
+export type * from './grants/explain-targets.js';
 export * from './grants/dispatcher-options.js';
 export * from './grants/dispatcher-table.js';
 export * from './grants/grant-client.js';
--- a/packages/core/src/zones/region-plan.ts
+++ b/packages/core/src/zones/region-plan.ts
@@ -1,4 +1,5 @@
 import type * as ports from '../ports/index.js';
+import type {HoldReason} from './region-outlook.js';
 
 /** A call whose region is to be decided. */
 export type PlannedCall = {
@@ -40,6 +41,16 @@
 	| {readonly isAsked: true; readonly waitLimitMs: number}
 	| {readonly isAsked: false; readonly reason: StayReason};
 
+/** What a node knows of a group in another region. */
+export type RegionView = {
+	/** Delay of a call that finds a free slot there, in ms. */
+	readonly crossingMs: number;
+	/** Wait for a slot that was last seen, less what has passed, in ms. */
+	readonly waitMs: number;
+	/** Why the group is not asked now; absent if it may be. */
+	readonly hold?: HoldReason;
+};
+
 /** A reply of another region's dispatcher, or that there was none. */
 export type AwayReply = {
 	readonly reply: ports.AcquireGrantReply | undefined;
--- a/packages/core/src/zones/region-planner.ts
+++ b/packages/core/src/zones/region-planner.ts
@@ -4,7 +4,14 @@
 import {createDecayedCount} from './decayed-count.js';
 import {createLinkBudget} from './link-budget.js';
 import {createRegionOutlook, HoldReason, type RegionOutlook} from './region-outlook.js';
-import {StayReason, type AwayDecision, type AwayReply, type OwnVerdict, type PlannedCall} from './region-plan.js';
+import {
+	StayReason,
+	type AwayDecision,
+	type AwayReply,
+	type OwnVerdict,
+	type PlannedCall,
+	type RegionView,
+} from './region-plan.js';
 import {createRouteKnowledge, type RouteKnowledge} from './route-knowledge.js';
 import {createSpillTracker} from './spill-tracker.js';
 import type {ZoneOptions} from './zone-options.js';
@@ -20,6 +27,8 @@
 	decideAway(call: PlannedCall, region: string, own: OwnVerdict | undefined): AwayDecision;
 	/** How long the call may wait in its own region after no other region has granted a target, in ms. */
 	planLastWaitMs(call: PlannedCall): number;
+	/** What this node knows of a group in another region. */
+	viewRegion(call: PlannedCall, region: string): RegionView;
 	/** Time until a region that has refused may serve a call, in ms; undefined if it is lost. */
 	predictAwayWaitMs(service: string, region: string): number | undefined;
 	recordRequest(service: string, region: string): void;
@@ -233,6 +242,11 @@
 			const wantedMs = isNeeded ? Math.max(shortWaitMs, planLastWaitMs(call) - outlook.crossingMs()) : shortWaitMs;
 			return {isAsked: true, waitLimitMs: Math.max(0, Math.min(wantedMs, latestMs))};
 		},
+		viewRegion(call, region) {
+			const outlook = outlookOf(call.service, region);
+			const hold = outlook.readHold(call.attemptIndex, false);
+			return {crossingMs: Math.round(outlook.crossingMs()), waitMs: Math.round(outlook.waitMs()), hold};
+		},
 		predictAwayWaitMs(service, region) {
 			const outlook = outlookOf(service, region);
 			return outlook.isLost() ? undefined : computeStartMs(outlook);
--- a/packages/daemon/src/fleet/fleet-listeners.ts
+++ b/packages/daemon/src/fleet/fleet-listeners.ts
@@ -48,6 +48,9 @@
 
 const METRICS_PATH = '/metrics';
 
+/** Path at the metrics listener that explains where a request would go. */
+const EXPLAIN_CALL_PATH = '/explain-call';
+
 /** Applies the catalogue's time limits to the callers' connections whenever the registry changes. */
 export const watchCallerTimeouts = async (
 	front: adapters.HttpListener,
@@ -87,6 +90,11 @@
 		path: platform.READINESS_PATH,
 		isReady: () => !shutdownState.isLeaving && node.isReady(),
 	});
+	const metricsApp = adapters.addCallExplanation(
+		adapters.createMetricsApp(METRICS_PATH, fleetPorts.metricsRegistry),
+		EXPLAIN_CALL_PATH,
+		node.explainCall,
+	);
 	return {
 		peer: await adapters.startHttpListener(peerApp, {
 			...adapters.splitAddress(settings.peerAddress),
@@ -102,9 +110,6 @@
 		metrics:
 			options.metricsPort === undefined
 				? undefined
-				: await adapters.startHttpListener(adapters.createMetricsApp(METRICS_PATH, fleetPorts.metricsRegistry), {
-						host: settings.ip,
-						port: options.metricsPort,
-					}),
+				: await adapters.startHttpListener(metricsApp, {host: settings.ip, port: options.metricsPort}),
 	};
 };
--- a/packages/fakes/src/build-grants.ts
+++ b/packages/fakes/src/build-grants.ts
@@ -60,5 +60,5 @@
 		random,
 		zoneOptions,
 	});
-	return {clock, logger, metrics, random, registry, dispatchers, notices, grants};
+	return {self, clock, logger, metrics, random, registry, dispatchers, notices, grants};
 };
