--- a/packages/core/src/grants/__tests__/target-index.test.ts
+++ b/packages/core/src/grants/__tests__/target-index.test.ts
@@ -34,6 +34,7 @@
 		durations: createUsualDurations(),
 		phases: createGrayPhaseEstimator(DEFAULT_DISPATCHER_OPTIONS),
 		notices,
+		zones: {savingFor: () => 0},
 		readTrialRepeatability: () => domain.Repeatability.Repeatable,
 	};
 	const ledgers = Array.from({length: targetCount}, (_, index) =>
--- a/packages/core/src/grants/dispatcher-table.ts
+++ b/packages/core/src/grants/dispatcher-table.ts
@@ -1,5 +1,6 @@
 import type * as ports from '../ports/index.js';
 import {buildGroupId, type Registry} from '../registry/registry.js';
+import type {ZoneOptions} from '../zones/zone-options.js';
 import {DEFAULT_DISPATCHER_OPTIONS, type DispatcherOptions} from './dispatcher-options.js';
 import {createGroupDispatcher, type GroupDispatcher} from './group-dispatcher.js';
 import type {TargetNotices} from './target-notices.js';
@@ -7,6 +8,8 @@
 export type DispatcherTableParts = {
 	readonly registry: Registry;
 	readonly options?: Partial<DispatcherOptions>;
+	/** Decisions between zones; the defaults if absent. */
+	readonly zoneOptions?: ZoneOptions;
 	readonly clock: ports.Clock;
 	readonly random: ports.Random;
 	readonly logger: ports.Logger;
@@ -18,6 +21,8 @@
 export type DispatcherTable = {
 	/** The dispatcher of a group; created at the first call. */
 	get(service: string, region: string): GroupDispatcher;
+	/** The dispatcher of a group; undefined if it has had no call on this node. */
+	find(service: string, region: string): GroupDispatcher | undefined;
 	/** Changes options of all dispatchers, including those that are already running. */
 	configure(changes: Partial<DispatcherOptions>): void;
 };
@@ -26,6 +31,7 @@
 	const options: DispatcherOptions = {...DEFAULT_DISPATCHER_OPTIONS, ...parts.options};
 	const dispatchers = new Map<string, GroupDispatcher>();
 	return {
+		find: (service, region) => dispatchers.get(buildGroupId(service, region)),
 		get(service, region) {
 			const groupId = buildGroupId(service, region);
 			const existing = dispatchers.get(groupId);
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -1,9 +1,12 @@
 import * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
+import {createGroupZones} from '../zones/group-zones.js';
+import {DEFAULT_ZONE_OPTIONS, type ZoneOptions} from '../zones/zone-options.js';
 import {createDecisionClock} from './decision-clock.js';
 import {deny} from './deny.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {createDispatcherRecords} from './dispatcher-records.js';
+import {explainTargets, type GroupExplanation} from './explain-targets.js';
 import {createFleetRetryBudget} from './fleet-retry-budget.js';
 import {createGrayPhaseEstimator} from './gray-phase-estimator.js';
 import {createLedgerTable} from './ledger-table.js';
@@ -33,11 +36,15 @@
 	report(request: ports.ReportResultRequest): void;
 	/** Targets by standing, for metrics. */
 	countStandings(): ReadonlyMap<GrantStanding, number>;
+	/** What a request would meet now. */
+	explain(request: ports.AcquireGrantRequest): GroupExplanation;
 };
 
 export type GroupDispatcherParts = {
 	readonly groupId: string;
 	readonly options: DispatcherOptions;
+	/** Decisions between zones; the defaults if absent. */
+	readonly zoneOptions?: ZoneOptions;
 	readonly clock: ports.Clock;
 	readonly random: ports.Random;
 	readonly logger: ports.Logger;
@@ -63,6 +70,7 @@
 	const unservedRatio = createUnservedRatio(clock);
 	const toldNotices = createToldNotices(notices, TOLD_NODE_LIMIT_COUNT);
 	const records = createDispatcherRecords(parts);
+	const zones = createGroupZones({...parts, options: parts.zoneOptions ?? DEFAULT_ZONE_OPTIONS});
 	/** Makes grant ids unique. */
 	let sequenceNumber = 0;
 	let lastRepeatableAtMs = -REPEATABLE_WORK_WINDOW_MS;
@@ -83,6 +91,7 @@
 				durations,
 				phases,
 				notices,
+				zones,
 				readTrialRepeatability,
 			}),
 	});
@@ -97,6 +106,7 @@
 				random,
 				isFloorEnforced: unservedRatio.read() >= options.floorUnservedRatio,
 				hasRetry: budget.hasRetry,
+				listPermitted: zones.listPermitted,
 			}),
 		);
 		if (!pick) {
@@ -112,7 +122,7 @@
 
 		ledger.open(grantId, request, {ttlMs: request.remainingMs + options.grantSlackMs, isForFloor});
 		index.update(ledger);
-		return {
+		const grant: ports.Grant = {
 			isGranted: true,
 			grantId,
 			target: ledger.target(),
@@ -120,6 +130,8 @@
 			standing,
 			usualDurationMs: durations.ofRoute(request.routeId),
 		};
+		zones.recordGrant(request, grant, ledger.openCount() / ledger.slotCount());
+		return grant;
 	};
 
 	const overallDurationMs = (): number => durations.overall() ?? DEFAULT_DURATION_MS;
@@ -182,6 +194,7 @@
 
 	const acquire = async (request: ports.AcquireGrantRequest, signal: AbortSignal): Promise<ports.AcquireGrantReply> => {
 		recordNotices(request);
+		zones.recordDemand(request);
 		if (request.repeatability === domain.Repeatability.Repeatable) {
 			lastRepeatableAtMs = clock.monotonicMs();
 		}
@@ -240,6 +253,7 @@
 		},
 		report(request) {
 			recordNotices(request);
+			zones.recordResult(request);
 			const ledger = ledgers.get(request.targetId);
 			const graySinceMs = ledger?.graySinceMs();
 			const closed = ledger?.close(request);
@@ -268,5 +282,13 @@
 			room.serve();
 		},
 		countStandings: index.countStandings,
+		explain: request => ({
+			predictedWaitMs: Math.round(predictWaitMs(request)),
+			waitingCount: room.count(),
+			targets: explainTargets(request, ledgers.listReady(), {
+				listPermitted: zones.listPermitted,
+				usableSlots: index.usableSlots,
+			}),
+		}),
 	};
 };
--- a/packages/core/src/grants/pick-target.ts
+++ b/packages/core/src/grants/pick-target.ts
@@ -1,5 +1,6 @@
 import * as domain from '@bilberrydoor/domain';
 import type * as ports from '../ports/index.js';
+import type {GroupZones} from '../zones/group-zones.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {pickUnusedTarget} from './pick-unused-target.js';
 import {TargetPool} from './target-entry.js';
@@ -16,6 +17,8 @@
 	readonly random: ports.Random;
 	/** Whether the floor is enforced, because too many calls of the group fail or are refused. */
 	readonly isFloorEnforced: boolean;
+	/** The free targets that the request may get, since others are kept for callers of their own zone or region. */
+	readonly listPermitted: GroupZones['listPermitted'];
 	/** Whether the retry budget allows repeating a call that fails on a trial. */
 	readonly hasRetry: () => boolean;
 };
@@ -64,9 +67,12 @@
 	}
 
 	// When all targets of a service shed load, single refusals are random, so a resting target may still accept a call.
-	const best =
-		pickCheapest(sound, request, random) ??
-		pickCheapest(index.listCandidates(TargetPool.FreeResting, request), request, random);
+	const pickPermitted = (pool: TargetPool): TargetLedger | undefined => {
+		const free = pool === TargetPool.FreeSound ? sound : index.listCandidates(pool, request);
+		return pickCheapest(input.listPermitted(request, free, index.usableSlots), request, random);
+	};
+
+	const best = pickPermitted(TargetPool.FreeSound) ?? pickPermitted(TargetPool.FreeResting);
 	return best === undefined && request.isLastResort ? index.findLastResort(request) : best;
 };
 
--- a/packages/core/src/grants/target-entry.ts
+++ b/packages/core/src/grants/target-entry.ts
@@ -44,6 +44,9 @@
 	GrantStanding.SetAside,
 ]);
 
+/** Standings of the targets that get calls, save trials and last resorts. */
+export const USABLE_STANDINGS: ReadonlySet<GrantStanding> = new Set([GrantStanding.Sound, GrantStanding.Resting]);
+
 /** Evaluates a target; the sequence orders it among others. */
 export const evaluateTarget = (ledger: TargetLedger, sequence: number): TargetEntry => {
 	const standing = ledger.standingFor(NO_NODE_ID);
--- a/packages/core/src/grants/target-index.ts
+++ b/packages/core/src/grants/target-index.ts
@@ -1,10 +1,13 @@
 import type * as ports from '../ports/index.js';
+import type {SlotCounts} from '../zones/slot-reserve.js';
 import {createOrderedTree} from '../waiting/ordered-tree.js';
+import {createSlotCounter} from './slot-counter.js';
 import {createSampledSet, type SampledSet} from './sampled-set.js';
 import {
 	evaluateTarget,
 	hasFreeSlot,
 	LAST_RESORT_STANDINGS,
+	USABLE_STANDINGS,
 	POOLS,
 	TargetPool,
 	type TargetEntry,
@@ -32,6 +35,8 @@
  * evaluated again after a grant or a report, and when its standing changes with time.
  */
 export type TargetIndex = {
+	/** Slots of the targets that are sound or resting. */
+	readonly usableSlots: SlotCounts;
 	/** Evaluates a target again after a grant or a report. */
 	update(ledger: TargetLedger): void;
 	/** Whether a target that is neither set aside nor paused can take a call. */
@@ -66,6 +71,7 @@
 	let zones = new Map<string, SampledSet<TargetLedger>>();
 	let unused = createSampledSet<TargetLedger>();
 	let standingCounts = new Map<GrantStanding, number>();
+	const slotCounter = createSlotCounter();
 	let soundOpenCount = 0;
 	let soundSlotCount = 0;
 	let sequence = 0;
@@ -91,10 +97,13 @@
 	};
 
 	/** Adds or removes what an entry contributes to the sums. */
-	const count = ({standing, openCount, slotCount}: TargetEntry, sign: 1 | -1): void => {
+	const count = ({standing, openCount, slotCount, zone}: TargetEntry, sign: 1 | -1): void => {
 		standingCounts.set(standing, (standingCounts.get(standing) ?? 0) + sign);
 		soundOpenCount += standing === GrantStanding.Sound ? sign * openCount : 0;
 		soundSlotCount += standing === GrantStanding.Sound ? sign * slotCount : 0;
+		if (USABLE_STANDINGS.has(standing)) {
+			slotCounter.add(zone, sign * Math.max(0, slotCount - openCount), sign * slotCount);
+		}
 	};
 
 	const setPool = (ledger: TargetLedger, zone: string, from?: TargetPool, to?: TargetPool): void => {
@@ -173,6 +182,7 @@
 		zones = new Map();
 		unused = createSampledSet();
 		standingCounts = new Map();
+		slotCounter.clear();
 		soundOpenCount = 0;
 		soundSlotCount = 0;
 		lastResorts = createLastResorts();
@@ -245,6 +255,7 @@
 				slotCount: excluded.reduce((left, entry) => left - entry!.slotCount, soundSlotCount),
 			};
 		},
+		usableSlots: slotCounter.counts,
 		unused() {
 			refresh();
 			return {
