feat(registry): positions are ordered by the store's era first

The platform's store may come back from an older copy, in a new era. Nodes then read every topic anew, keep for a limited time what the copy lacks, and withhold what it restored of targets and nodes that had left.

--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -98,6 +98,11 @@
 		help: 'Age of a registry topic immediately before its latest confirmation',
 		labelNames: ['topic'],
 	},
+	[core.GaugeName.StoreEra]: {
+		name: 'store_era',
+		help: 'Newest era of the store that this node knows of',
+		labelNames: [],
+	},
 };
 
 const HISTOGRAMS: Record<core.HistogramName, MetricDefinition> = {
--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -125,10 +125,15 @@
 		return {...record, value: parsed.data, ...(!parsed.success && {isUnreadable: true})};
 	});
 
+/** Era of the store. Nodes of earlier versions omit all fields of this kind. */
+const eraSchema = zod.int().nonnegative();
+
 const buildTopicChangesSchema = <RecordSchema extends zod.ZodType>(record: RecordSchema) =>
 	zod.object({
 		records: zod.array(record),
 		nextOffset: zod.int(),
+		era: eraSchema.optional(),
+		restoredBeforeOffset: zod.int().nonnegative().optional(),
 		isWhole: zod.boolean(),
 	});
 
@@ -170,6 +175,7 @@
 		grantId: zod.string(),
 		target: targetSchema,
 		targetOffset: zod.int().optional(),
+		targetEra: eraSchema.optional(),
 		standing: zod.string(),
 		usualDurationMs: zod.number().optional(),
 		targetNotices: zod.array(targetNoticeSchema).optional(),
@@ -210,6 +216,8 @@
 	[core.FleetMessageKind.PullRegistry]: {
 		request: zod.object({
 			fromOffsets: zod.record(zod.enum(core.RegistryTopic), zod.int()),
+			fromEras: zod.record(zod.enum(core.RegistryTopic), eraSchema).optional(),
+			storeEra: eraSchema.optional(),
 			waitMs: zod.number().nonnegative().max(30_000),
 		}),
 		reply: zod.object({
@@ -223,6 +231,7 @@
 			role: zod.enum(core.RegistryRole).default(core.RegistryRole.Reader),
 			topicAgesMs: zod.record(zod.enum(core.RegistryTopic), zod.number()),
 			storeAnswers: zod.object({ageMs: zod.number(), runMs: zod.number().nonnegative()}).optional(),
+			storeEra: zod.object({era: eraSchema, ageMs: zod.number().nonnegative()}).optional(),
 		}) as zod.ZodType<core.PullRegistryReply>,
 	},
 };
--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -10,8 +10,8 @@
 import {createRegistry, type Registry} from '../registry/registry.js';
 import {runRegistrySync} from '../registry/registry-sync.js';
 import {createStoreReader} from '../registry/store-reader.js';
-import {createBackOff} from '../shared/back-off.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
+import {keepRegistered} from './keep-registered.js';
 
 export type FleetNodePorts = {
 	readonly clock: ports.Clock;
@@ -53,12 +53,6 @@
 	leave(endsAtMs: number): Promise<void>;
 };
 
-/** Back-off between attempts to register, since other nodes may be registering at the same time. */
-const REGISTRATION_BACK_OFF = {firstMs: 300, limitMs: 3000};
-
-/** Interval of the registration check: longer than the 6 s within which a write without an answer may still take effect. */
-const REGISTRATION_CHECK_MS = 7000;
-
 /** Time limit for withdrawing the registration; peers detect a stopped node even without it. */
 const LEAVE_TIMEOUT_MS = 1000;
 
@@ -115,31 +109,6 @@
 		},
 	};
 
-	const isRegistered = (): boolean =>
-		registry.replicas.nodes.values().get(self.nodeId)?.incarnationId === self.incarnationId;
-
-	/** Registers the node, and again whenever its record is lost: a delayed write of its former run may overwrite it. */
-	const registerNode = async (signal: AbortSignal): Promise<void> => {
-		const backOff = createBackOff({random, ...REGISTRATION_BACK_OFF});
-		while (!signal.aborted) {
-			const published = await store.publishNode(self, signal);
-			if (published.isErr()) {
-				logger.warn('node not registered', {event: ports.LogEvent.NodeNotRegistered, detail: published.error.detail});
-				await clock.sleep(backOff.nextMs(), signal);
-				continue;
-			}
-
-			logger.info('node registered', {event: ports.LogEvent.NodeRegistered, nodeId: self.nodeId});
-			do {
-				await clock.sleep(REGISTRATION_CHECK_MS, signal);
-			} while (!signal.aborted && !stopping.signal.aborted && isRegistered());
-
-			if (stopping.signal.aborted) {
-				return;
-			}
-		}
-	};
-
 	return {
 		self,
 		proxy,
@@ -170,7 +139,8 @@
 				logger,
 				metrics,
 			};
-			await Promise.all([runRegistrySync(sync, signal), registerNode(signal)]);
+			const registration = {self, registry, store, clock, random, logger, stopSignal: stopping.signal};
+			await Promise.all([runRegistrySync(sync, signal), keepRegistered(registration, signal)]);
 		},
 		async leave(endsAtMs) {
 			stopPlan = planStop(clock.monotonicMs(), endsAtMs);
--- a/packages/core/src/grants/dispatcher-table.ts
+++ b/packages/core/src/grants/dispatcher-table.ts
@@ -1,5 +1,6 @@
 import type * as ports from '../ports/index.js';
-import {buildGroupId, type Registry} from '../registry/registry.js';
+import type {Registry} from '../registry/registry.js';
+import {buildGroupId} from '../registry/target-index.js';
 import {DEFAULT_DISPATCHER_OPTIONS, type DispatcherOptions} from './dispatcher-options.js';
 import {createGroupDispatcher, type GroupDispatcher} from './group-dispatcher.js';
 import type {TargetNotices} from './target-notices.js';
@@ -35,8 +36,10 @@
 
 			const {registry, options: _options, ...shared} = parts;
 			const listTargets = () => registry.targetsOf(service, region);
-			const readTargetOffset = registry.replicas.targets.valueOffset;
-			const dispatcher = createGroupDispatcher({...shared, groupId, options, listTargets, readTargetOffset});
+			const {valueOffset: readTargetOffset, valuePosition} = registry.replicas.targets;
+			const readTargetEra = (targetId: string) => valuePosition(targetId)?.era;
+			const positions = {readTargetOffset, readTargetEra};
+			const dispatcher = createGroupDispatcher({...shared, groupId, options, listTargets, ...positions});
 			dispatchers.set(groupId, dispatcher);
 			return dispatcher;
 		},
--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -2,8 +2,9 @@
 import * as ports from '../ports/index.js';
 import {readPeerReply} from '../registry/peer-reply.js';
 import type {PeerReachability} from '../registry/peer-reachability.js';
-import {buildGroupId, type Registry} from '../registry/registry.js';
-import {KeyState} from '../registry/replica.js';
+import {KeyState} from '../registry/key-state.js';
+import type {Registry} from '../registry/registry.js';
+import {buildGroupId} from '../registry/target-index.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import type {DispatcherTable} from './dispatcher-table.js';
 import {createNoticeExchange} from './notice-exchange.js';
@@ -264,7 +265,7 @@
 	 * lost the store or was suspended. A dispatcher of an earlier version does not say how old they are, so then this node's own
 	 * records must be up to date.
 	 */
-	const isWithdrawn = ({target, targetOffset}: HeldGrant): boolean => {
+	const isWithdrawn = ({target, targetOffset, targetEra}: HeldGrant): boolean => {
 		const {targetId, startedAtMs} = target;
 		const known = registry.target(targetId);
 		const {targets} = registry.replicas;
@@ -278,7 +279,7 @@
 
 		return targetOffset === undefined
 			? targets.stateOf(targetId) === KeyState.Removed
-			: targets.isRemovedAfter(targetId, targetOffset);
+			: targets.isRemovedAfter(targetId, {era: registry.eras.resolve(targetEra), offset: targetOffset}, target);
 	};
 
 	const report: GrantClient['report'] = (grant, result, durationMs, announcement) => {
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -50,6 +50,8 @@
 	readonly listTargets: () => readonly domain.RegisteredTarget[];
 	/** Offset of the record that registered a target, if this node has it. */
 	readonly readTargetOffset: (targetId: string) => number | undefined;
+	/** Era of the store to which that offset belongs. */
+	readonly readTargetEra?: (targetId: string) => number | undefined;
 };
 
 /** Requesting nodes for which it is kept which notices they have. */
@@ -136,6 +138,7 @@
 			grantId,
 			target: ledger.target(),
 			targetOffset: parts.readTargetOffset(ledger.target().targetId),
+			targetEra: parts.readTargetEra?.(ledger.target().targetId),
 			standing,
 			usualDurationMs: durations.ofRoute(request.routeId),
 		};
--- a/packages/core/src/grants/notice-exchange.ts
+++ b/packages/core/src/grants/notice-exchange.ts
@@ -1,6 +1,7 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
-import {buildGroupId, type Registry} from '../registry/registry.js';
+import type {Registry} from '../registry/registry.js';
+import {buildGroupId} from '../registry/target-index.js';
 import {boundPause} from './bound-pause.js';
 import type {TargetNotices} from './target-notices.js';
 import {createToldNotices, type UntoldNotices} from './told-notices.js';
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -97,6 +97,8 @@
 	 * not use the grant. Absent if the dispatcher is of an earlier version.
 	 */
 	readonly targetOffset?: number;
+	/** Era of the store in which `targetOffset` was assigned. Absent if the dispatcher is of an earlier version. */
+	readonly targetEra?: number;
 	/** Why the target was chosen, for the log. */
 	readonly standing: string;
 	/** Mean duration of the route's calls, in ms; absent when no call has ended yet. */
@@ -132,6 +134,10 @@
 export type PullRegistryRequest = {
 	/** Offset to continue from in each topic; -1 to get all records. */
 	readonly fromOffsets: Readonly<Record<RegistryTopic, number>>;
+	/** Era of each of the offsets. Absent if the requesting node is of an earlier version or needs no records. */
+	readonly fromEras?: Readonly<Record<RegistryTopic, number>>;
+	/** Newest era of the store that the requesting node knows of. It does not use records of an older one. */
+	readonly storeEra?: number;
 	/** How long the peer may wait for a change, in ms. */
 	readonly waitMs: number;
 };
@@ -139,6 +145,10 @@
 export type TopicChanges<Topic extends RegistryTopic> = {
 	readonly records: ReadonlyArray<RegistryRecord<Topic>>;
 	readonly nextOffset: number;
+	/** Era of the store in which the offsets were assigned. Absent if the peer is of an earlier version. */
+	readonly era?: number;
+	/** Records before this offset may have been restored by the store; later ones were written in its present era. */
+	readonly restoredBeforeOffset?: number;
 	/** True when `records` is the whole topic, so that keys missing from it have been removed. */
 	readonly isWhole: boolean;
 };
@@ -164,6 +174,15 @@
 	readonly topicAgesMs: TopicAgesMs;
 	/** When the store answered, as far as the peer knows; absent if it never did, or if the peer is of an earlier version. */
 	readonly storeAnswers?: StoreAnswers;
+	/** What the peer knows of the store's era; absent if it knows nothing, or if it is of an earlier version. */
+	readonly storeEra?: StoreEra;
+};
+
+/** Newest era of the store that a node knows of. */
+export type StoreEra = {
+	readonly era: number;
+	/** Time since a node first learned of the era, in ms. */
+	readonly ageMs: number;
 };
 
 /** A time over which the store answered reads of the targets, of any node, without an outage. */
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -54,6 +54,8 @@
 	SettingsUnreadable = 'settings-unreadable',
 	/** The process received a signal. */
 	SignalReceived = 'signal-received',
+	/** The store answers from an older copy, in a new era: records were lost, and their offsets are assigned again. */
+	StoreEraChanged = 'store-era-changed',
 	/** A pause in the store's answers was taken for an outage, in which registrations of targets may have expired. */
 	StoreOutageAssumed = 'store-outage-assumed',
 	/** Peers have shown that the store answered them during an assumed outage. */
@@ -72,4 +74,6 @@
 	TargetReturned = 'target-returned',
 	/** A target was set aside because of a gray failure: it fails part of its calls. */
 	TargetSetAside = 'target-set-aside',
+	/** A topic of the registry was read anew, since the store is in a new era. */
+	TopicReread = 'topic-reread',
 }
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -26,6 +26,7 @@
 	CatalogueAtRisk = 'catalogueAtRisk',
 	CatalogueVersion = 'catalogueVersion',
 	RegistryAgeSeconds = 'registryAgeSeconds',
+	StoreEra = 'storeEra',
 }
 
 export enum HistogramName {
--- a/packages/core/src/ports/registry-store.ts
+++ b/packages/core/src/ports/registry-store.ts
@@ -44,7 +44,7 @@
 /** The newest record of a key. */
 export type RegistryRecord<Topic extends RegistryTopic> = {
 	readonly key: string;
-	/** Position in the topic; a newer record of a key has a higher one. */
+	/** Offset in the topic. Within an era of the store, a newer record of a key has a higher one. */
 	readonly offset: number;
 	/** Absent when the record was removed or cannot be used. */
 	readonly value: RegistryValues[Topic] | undefined;
@@ -56,16 +56,23 @@
 	readonly records: ReadonlyArray<RegistryRecord<Topic>>;
 	/** Offset to continue from. */
 	readonly nextOffset: number;
+	/** Era of the store in which the offsets were assigned. It rises each time the store continues from an older copy. */
+	readonly era: number;
 };
 
 export enum RegistryErrorKind {
 	/** The store cannot be reached, is too slow or refuses this node. */
 	Unavailable = 'unavailable',
-	/** The requested records are no longer kept, so the whole topic must be read. */
+	/** The store does not have the requested offset, so the whole topic must be read. */
 	Expired = 'expired',
 }
 
-export type RegistryError = {readonly kind: RegistryErrorKind; readonly detail: string};
+export type RegistryError = {
+	readonly kind: RegistryErrorKind;
+	readonly detail: string;
+	/** Era of the store, if it answered. */
+	readonly era?: number;
+};
 
 /** The platform's store of keyed records. Each call may fail at any moment. */
 export type RegistryStore = {
--- a/packages/core/src/registry/lapse-window.ts
+++ b/packages/core/src/registry/lapse-window.ts
@@ -1,3 +1,5 @@
+import type * as ports from '../ports/index.js';
+
 /** Default time between two heartbeats of a target, in ms. */
 export const DEFAULT_TARGET_HEARTBEAT_MS = 1500;
 
@@ -88,3 +90,7 @@
 		endsAtMs: () => (latest && isAfterOutage ? latest.startedAtMs + LAPSE_WINDOW_MS : Number.NEGATIVE_INFINITY),
 	};
 };
+
+/** What peers are told of the latest run. */
+export const describeStoreAnswers = (run: AnswerRun | undefined, nowMs: number): ports.StoreAnswers | undefined =>
+	run && {ageMs: Math.round(nowMs - run.endedAtMs), runMs: Math.round(run.endedAtMs - run.startedAtMs)};
--- a/packages/core/src/registry/registry-puller.ts
+++ b/packages/core/src/registry/registry-puller.ts
@@ -1,7 +1,7 @@
 import * as ports from '../ports/index.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import type {PeerReachability} from './peer-reachability.js';
-import {readPeerReply} from './peer-reply.js';
+import {isOfOlderEra, readPeerReply} from './peer-reply.js';
 import type {RegistrySources} from './registry-sources.js';
 import type {Registry} from './registry.js';
 
@@ -59,20 +59,28 @@
 
 	return {
 		async pull(address, {waitMs, staleExclusionMs, noAnswerExclusionMs}, signal) {
-			const fromOffsets = {
-				[ports.RegistryTopic.Catalogue]: registry.replicas.catalogue.nextOffset(),
-				[ports.RegistryTopic.Targets]: registry.replicas.targets.nextOffset(),
-				[ports.RegistryTopic.Nodes]: registry.replicas.nodes.nextOffset(),
+			const {catalogue, targets, nodes} = registry.replicas;
+			const request: ports.PullRegistryRequest = {
+				fromOffsets: {
+					[ports.RegistryTopic.Catalogue]: catalogue.nextOffset(),
+					[ports.RegistryTopic.Targets]: targets.nextOffset(),
+					[ports.RegistryTopic.Nodes]: nodes.nextOffset(),
+				},
+				fromEras: {
+					[ports.RegistryTopic.Catalogue]: catalogue.era(),
+					[ports.RegistryTopic.Targets]: targets.era(),
+					[ports.RegistryTopic.Nodes]: nodes.era(),
+				},
+				storeEra: registry.eras.newest(),
+				waitMs,
 			};
 			const timed = await runWithTimeout(
 				{clock, timeoutMs: waitMs + PULL_TIMEOUT_MARGIN_MS, progressTimeoutMs: PULL_TIMEOUT_MARGIN_MS, signal},
 				async (pullSignal, noteProgress) =>
-					options.peerClient.request(
-						address,
-						ports.FleetMessageKind.PullRegistry,
-						{fromOffsets, waitMs},
-						{signal: pullSignal, noteProgress},
-					),
+					options.peerClient.request(address, ports.FleetMessageKind.PullRegistry, request, {
+						signal: pullSignal,
+						noteProgress,
+					}),
 			);
 			if (signal.aborted) {
 				return false;
@@ -92,10 +100,11 @@
 			}
 
 			peerReachability.recordSuccess(address);
-			const {topics, isStale, role, topicAgesMs, storeAnswers} = reply.value;
+			const {topics, role, topicAgesMs, storeAnswers, storeEra} = reply.value;
 			sources.recordAnswer(role);
 			reportUnreadable(address, topics);
-			registry.apply(topics, {topicAgesMs, storeAnswers});
+			registry.apply(topics, {topicAgesMs, storeAnswers, storeEra});
+			const isStale = reply.value.isStale || isOfOlderEra(topics, registry);
 			registry.setSourceLost(isStale);
 			if (isStale) {
 				sources.excludeStale(address, staleExclusionMs);
--- a/packages/core/src/registry/registry.ts
+++ b/packages/core/src/registry/registry.ts
@@ -1,20 +1,21 @@
 import type * as domain from '@bilberrydoor/domain';
+import {createEraTracker, createRereadLog, type EraTracker} from '../eras/era-tracker.js';
+import {createKnownEras} from '../eras/known-eras.js';
+import {selectUsableTopics} from '../eras/select-usable-topics.js';
 import * as ports from '../ports/index.js';
 import {createChangeNotifier} from '../shared/change-notifier.js';
-import {groupBy} from '../shared/group-by.js';
 import {carryOverRoutes} from './carry-over-routes.js';
-import {createLapseWindow, DEFAULT_TARGET_HEARTBEAT_MS, type EndedOutage} from './lapse-window.js';
+import {createLapseWindow, DEFAULT_TARGET_HEARTBEAT_MS, describeStoreAnswers} from './lapse-window.js';
 import {createNodeRanking} from './node-ranking.js';
 import type {PeerReachability} from './peer-reachability.js';
 import {createReplica, type Replica} from './replica.js';
+import {buildGroupId, createTargetIndex} from './target-index.js';
 import {createTopicAges, NEVER_READ_AGE_MS} from './topic-ages.js';
 
-/** Id of the group that holds the targets of a service in a region. */
-export const buildGroupId = (service: string, region: string): string => `${service}@${region}`;
-
 /** This node's replicas of the catalogue, the targets and the nodes of the fleet. */
 export type Registry = {
 	readonly replicas: {readonly [Topic in ports.RegistryTopic]: Replica<Topic>};
+	readonly eras: EraTracker;
 	catalogue(): domain.FleetCatalogue | undefined;
 	/** Targets of the group of a service in a region. */
 	targetsOf(service: string, region: string): readonly domain.RegisteredTarget[];
@@ -35,11 +36,11 @@
 	rankReaders(limitCount: number): readonly domain.RegisteredNode[];
 	/**
 	 * Applies records from a peer, or from the store if the peer's knowledge of the store is absent. Topics without an age count
-	 * as just read.
+	 * as just read. Topics of an older era than the newest known one are ignored.
 	 */
 	apply(
 		topics: Partial<ports.PullRegistryReply['topics']>,
-		peerKnowledge?: Partial<Pick<ports.PullRegistryReply, 'topicAgesMs' | 'storeAnswers'>>,
+		peerKnowledge?: Partial<Pick<ports.PullRegistryReply, 'topicAgesMs' | 'storeAnswers' | 'storeEra'>>,
 	): void;
 	/** Records what a peer knows of the store's answers, which may show that an assumed outage was none. */
 	recordStoreAnswers(answers: ports.StoreAnswers): void;
@@ -96,50 +97,15 @@
 /** Longest wait for an outage, in ms. Timers of several weeks would overflow. */
 const OUTAGE_WAIT_MS = 60_000;
 
-/** Age at which the target index is rebuilt, since after a store outage targets expire without a new record. */
-const INDEX_AGE_LIMIT_MS = 250;
-
-type TargetIndex = {
-	readonly builtAtMs: number;
-	readonly revision: number;
-	readonly byId: ReadonlyMap<string, domain.RegisteredTarget>;
-	readonly byGroup: ReadonlyMap<string, readonly domain.RegisteredTarget[]>;
-	readonly slotCountByGroup: ReadonlyMap<string, number>;
-	readonly regionsByService: ReadonlyMap<string, readonly string[]>;
-};
-
-const createTargetIndex = (replica: Replica<ports.RegistryTopic.Targets>, clock: ports.Clock): (() => TargetIndex) => {
-	let index: TargetIndex | undefined;
-	return () => {
-		const nowMs = clock.monotonicMs();
-		if (index?.revision === replica.revision() && nowMs - index.builtAtMs < INDEX_AGE_LIMIT_MS) {
-			return index;
-		}
-
-		const byId = replica.values();
-		const byGroup = groupBy(byId.values(), ({service, region}) => buildGroupId(service, region));
-		const slotCountByGroup = new Map(
-			[...byGroup].map(([groupId, targets]) => [groupId, targets.reduce((sum, {slotCount}) => sum + slotCount, 0)]),
-		);
-		const oneTargetPerGroup = [...byGroup.values()].map(([target]) => target!);
-		const regionsByService = new Map(
-			[...groupBy(oneTargetPerGroup, ({service}) => service)].map(([service, targets]) => [
-				service,
-				targets.map(({region}) => region),
-			]),
-		);
-		index = {builtAtMs: nowMs, revision: replica.revision(), byId, byGroup, slotCountByGroup, regionsByService};
-		return index;
-	};
-};
-
 export const createRegistry = (options: RegistryOptions): Registry => {
 	const {self, clock, logger, metrics} = options;
+	const logReread = createRereadLog(logger);
 	const replicas = {
-		[ports.RegistryTopic.Catalogue]: createReplica(ports.RegistryTopic.Catalogue, clock),
-		[ports.RegistryTopic.Targets]: createReplica(ports.RegistryTopic.Targets, clock),
-		[ports.RegistryTopic.Nodes]: createReplica(ports.RegistryTopic.Nodes, clock),
+		[ports.RegistryTopic.Catalogue]: createReplica(ports.RegistryTopic.Catalogue, clock, logReread),
+		[ports.RegistryTopic.Targets]: createReplica(ports.RegistryTopic.Targets, clock, logReread),
+		[ports.RegistryTopic.Nodes]: createReplica(ports.RegistryTopic.Nodes, clock, logReread),
 	};
+	const knownEras = createKnownEras(clock);
 	const notifier = createChangeNotifier(clock);
 	const outageNotifier = createChangeNotifier(clock);
 	const readTargetIndex = createTargetIndex(replicas.targets, clock);
@@ -211,7 +177,8 @@
 		topic: Topic,
 		changes: ports.TopicChanges<Topic> | undefined,
 	): boolean =>
-		changes !== undefined && (replicas[topic] as unknown as Replica<Topic>).apply(changes, readLapseEndMs[topic]());
+		changes !== undefined &&
+		(replicas[topic] as unknown as Replica<Topic>).apply(changes, readLapseEndMs[topic](), knownEras.renewalEndsAtMs());
 
 	/** Completes new catalogues before they are stored, so that followers get the rules that are in force here. */
 	const completeCatalogues = (
@@ -230,16 +197,6 @@
 		topicAges.confirm(topic, confirmedAgeMs);
 	};
 
-	const logOutage = ({pauseMs}: EndedOutage): void => {
-		logger.info('outage of the store assumed', {
-			event: ports.LogEvent.StoreOutageAssumed,
-			pauseMs: Math.round(pauseMs),
-			removalsKeptMs: Math.round(lapseWindow.endsAtMs() - clock.monotonicMs()),
-			role: currentRole,
-			topicAgesMs: topicAges.list(),
-		});
-	};
-
 	const isAfterOutage = (): boolean => lapseWindow.endsAtMs() > clock.monotonicMs();
 
 	const recordStoreAnswers = ({ageMs, runMs}: ports.StoreAnswers): void => {
@@ -247,31 +204,45 @@
 		const endedAtMs = clock.monotonicMs() - ageMs;
 		const outage = lapseWindow.recordRun({startedAtMs: endedAtMs - runMs, endedAtMs});
 		if (outage && isAfterOutage()) {
-			logOutage(outage);
+			logger.info('outage of the store assumed', {
+				event: ports.LogEvent.StoreOutageAssumed,
+				pauseMs: Math.round(outage.pauseMs),
+				removalsKeptMs: Math.round(lapseWindow.endsAtMs() - clock.monotonicMs()),
+				role: currentRole,
+				topicAgesMs: topicAges.list(),
+			});
 			outageNotifier.notifyAll();
 		}
 
-		const hasRemoved = wasAfterOutage && replicas.targets.limitLapses(lapseWindow.endsAtMs());
+		const hasRemoved = wasAfterOutage && limitLapses();
 		if (wasAfterOutage && !isAfterOutage()) {
 			logger.info('outage of the store ruled out', {event: ports.LogEvent.StoreOutageRuledOut, hasRemoved, runMs});
 		}
 	};
 
-	const listStoreAnswers = (): ports.StoreAnswers | undefined => {
-		const run = lapseWindow.latestRun();
-		return (
-			run && {
-				ageMs: Math.round(clock.monotonicMs() - run.endedAtMs),
-				runMs: Math.round(run.endedAtMs - run.startedAtMs),
-			}
-		);
-	};
+	const limitLapses = (): boolean =>
+		replicas.targets.limitLapses(Math.max(lapseWindow.endsAtMs(), knownEras.renewalEndsAtMs()));
 
-	const hasChanges = ({fromOffsets}: ports.PullRegistryRequest): boolean =>
-		TOPICS.some(topic => replicas[topic].changesSince(fromOffsets[topic]).records.length > 0);
+	const eras = createEraTracker({
+		clock,
+		logger,
+		metrics,
+		knownEras,
+		replicas,
+		readRole: () => currentRole,
+		onRenewalShortened: limitLapses,
+	});
+
+	/** Whether the requesting node lacks changes that it would use. */
+	const hasChanges = ({fromOffsets, fromEras, storeEra = 0}: ports.PullRegistryRequest): boolean =>
+		TOPICS.some(
+			topic =>
+				replicas[topic].era() >= storeEra && replicas[topic].hasChangesSince(fromOffsets[topic], fromEras?.[topic]),
+		);
 
 	return {
 		replicas,
+		eras,
 		catalogue: () => catalogue,
 		targetsOf: (service, region) => readTargetIndex().byGroup.get(buildGroupId(service, region)) ?? [],
 		regionsOf: service => readTargetIndex().regionsByService.get(service) ?? [],
@@ -279,7 +250,9 @@
 		nodesOf,
 		rankNodes: ranking.rank,
 		rankReaders: limitCount => readerRanking.rank(READER_KEY, self.region, limitCount),
-		apply(given, {topicAgesMs, storeAnswers} = {}) {
+		apply(received, {topicAgesMs, storeAnswers, storeEra} = {}) {
+			eras.recordPeer(storeEra);
+			const given = selectUsableTopics(received, knownEras);
 			const targetsAgeMs = topicAgesMs?.targets ?? 0;
 			if (given.targets && targetsAgeMs < NEVER_READ_AGE_MS) {
 				recordStoreAnswers(storeAnswers ?? {ageMs: targetsAgeMs, runMs: 0});
@@ -310,20 +283,29 @@
 		isStale,
 		topicAgesMs: topicAges.list,
 		async pull(request, signal) {
-			if (!hasChanges(request) && !isSourceLost()) {
-				await notifier.wait(request.waitMs, signal);
+			const {fromOffsets, fromEras, storeEra = 0, waitMs} = request;
+			eras.recordPeer(storeEra > 0 ? {era: storeEra, ageMs: 0} : undefined);
+			const waitEndsAtMs = clock.monotonicMs() + waitMs;
+			if (!eras.isRereading() && !hasChanges(request) && !isSourceLost()) {
+				await notifier.wait(waitMs, signal);
+			}
+
+			// A reply with topics of different eras would be taken for one of a peer that is behind.
+			while (eras.isRereading() && clock.monotonicMs() < waitEndsAtMs && !signal.aborted) {
+				await notifier.wait(waitEndsAtMs - clock.monotonicMs(), signal);
 			}
 
 			return {
 				topics: {
-					[ports.RegistryTopic.Catalogue]: replicas.catalogue.changesSince(request.fromOffsets.catalogue),
-					[ports.RegistryTopic.Targets]: replicas.targets.changesSince(request.fromOffsets.targets),
-					[ports.RegistryTopic.Nodes]: replicas.nodes.changesSince(request.fromOffsets.nodes),
+					[ports.RegistryTopic.Catalogue]: replicas.catalogue.changesSince(fromOffsets.catalogue, fromEras?.catalogue),
+					[ports.RegistryTopic.Targets]: replicas.targets.changesSince(fromOffsets.targets, fromEras?.targets),
+					[ports.RegistryTopic.Nodes]: replicas.nodes.changesSince(fromOffsets.nodes, fromEras?.nodes),
 				},
 				isStale: isStale(),
 				role: currentRole,
 				topicAgesMs: topicAges.list(),
-				storeAnswers: listStoreAnswers(),
+				storeAnswers: describeStoreAnswers(lapseWindow.latestRun(), clock.monotonicMs()),
+				storeEra: knownEras.describe(),
 			};
 		},
 		recordStoreAnswers,
--- a/packages/core/src/registry/replica.ts
+++ b/packages/core/src/registry/replica.ts
@@ -1,87 +1,84 @@
-import * as ports from '../ports/index.js';
+import {adoptCopy} from '../eras/adopt-copy.js';
+import {comparePositions, type Position} from '../eras/position.js';
+import type * as ports from '../ports/index.js';
+import {KeyState} from './key-state.js';
+import {readEntryState, toFormerValue, type ReplicaEntry} from './replica-entry.js';
+import {
+	HAS_HEARTBEATS,
+	INCARNATION_COMPARATORS,
+	KEEPS_REMOVED_VALUE,
+	keepsUnreadableValue,
+	VALUE_COMPARATORS,
+} from './topic-rules.js';
 
-type ReplicaEntry<Topic extends ports.RegistryTopic> = {
-	readonly record: ports.RegistryRecord<Topic>;
-	/** Value before a removal that may be a lapse, which stays in use until `untilMs`, and the offset of its record. */
-	readonly lapsing?: {readonly value: ports.RegistryValues[Topic]; readonly offset: number; readonly untilMs: number};
+/** What became of a topic when it was read anew in a new era of the store. */
+export type TopicReread = {
+	readonly topic: ports.RegistryTopic;
+	readonly previousEra: number;
+	readonly era: number;
+	readonly previousNextOffset: number;
+	readonly nextOffset: number;
+	readonly recordCount: number;
+	/** Values that the store's copy lacks and that stay in use for a while. */
+	readonly lostCount: number;
+	/** Records that are not used before they are written anew. */
+	readonly withheldCount: number;
 };
 
-/** What a replica knows of a key. */
-export enum KeyState {
-	/** The key has a value. */
-	InUse = 'in-use',
-	/** The key was removed after an outage of the store, and its last value stays in use for a while. */
-	Lapsing = 'lapsing',
-	/** The key was removed. */
-	Removed = 'removed',
-	/** The replica has no record of the key. */
-	Unknown = 'unknown',
-}
-
 /** This node's copy of one topic: the newest record of each key. */
 export type Replica<Topic extends ports.RegistryTopic> = {
 	/** Offset to read from next; -1 before the first records. */
 	nextOffset(): number;
+	/** Era of the store to which all offsets of the replica belong. */
+	era(): number;
 	/** Increases whenever a value changes. */
 	revision(): number;
 	/**
-	 * Applies records; true if a value changed.
+	 * Applies records; true if a value or the era changed. Records of an older era are ignored, and so are changes of a newer one
+	 * that are not the whole topic.
 	 *
 	 * @param lapsesUntilMs monotonic time until which removed values stay in use, in ms, since they may be registered again
+	 * @param renewalEndsAtMs the same for values whose records a rollback of the store lost or restored
 	 */
-	apply(changes: ports.TopicChanges<Topic>, lapsesUntilMs?: number): boolean;
+	apply(changes: ports.TopicChanges<Topic>, lapsesUntilMs?: number, renewalEndsAtMs?: number): boolean;
 	/** Ends lapses at the given monotonic time, in ms, if they would end later. True if a value that was in use is not any more. */
 	limitLapses(untilMs: number): boolean;
-	/** Changes for a peer whose replica continues from `fromOffset`. */
-	changesSince(fromOffset: number): ports.TopicChanges<Topic>;
+	/** Changes for a peer whose replica continues from `fromOffset`, which belongs to this replica's era unless one is given. */
+	changesSince(fromOffset: number, fromEra?: number): ports.TopicChanges<Topic>;
+	/** Whether there are changes for such a peer. */
+	hasChangesSince(fromOffset: number, fromEra?: number): boolean;
 	stateOf(key: string): KeyState;
 	/** Offset of the newest record that gave the key a value, also after the value's removal; undefined if it is not known. */
 	valueOffset(key: string): number | undefined;
+	/** Position of the same record. */
+	valuePosition(key: string): Position | undefined;
 	/**
-	 * Whether the key was removed after the record at `offset`. A key without a record was, if this replica's records reach beyond
-	 * `offset`: whole copies omit removed keys.
+	 * Whether the key was removed after the record at the position. A key without a record was, if this replica's records reach
+	 * beyond the position: whole copies omit removed keys. A removed value does not return with a record of a newer era that this
+	 * replica does not know yet.
 	 */
-	isRemovedAfter(key: string, offset: number): boolean;
+	isRemovedAfter(key: string, position: Position, value: ports.RegistryValues[Topic]): boolean;
 	/** Values in force, by key. */
 	values(): ReadonlyMap<string, ports.RegistryValues[Topic]>;
 };
 
-type ValueComparator<Topic extends ports.RegistryTopic> = (
-	left: ports.RegistryValues[Topic],
-	right: ports.RegistryValues[Topic],
-) => boolean;
-
-/** Whether a new value (right) brings no change to the existing one (left) that must be sent to peers. */
-const VALUE_COMPARATORS: {readonly [Topic in ports.RegistryTopic]: ValueComparator<Topic>} = {
-	[ports.RegistryTopic.Catalogue]: (left, right) => left.version >= right.version,
-	// `warmUpLeftMs` is not compared: it changes with each heartbeat and can be computed from the first value.
-	[ports.RegistryTopic.Targets]: (left, right) =>
-		left.startedAtMs === right.startedAtMs &&
-		left.readiness === right.readiness &&
-		left.address === right.address &&
-		left.service === right.service &&
-		left.slotCount === right.slotCount &&
-		left.availabilityZone === right.availabilityZone,
-	[ports.RegistryTopic.Nodes]: (left, right) =>
-		left.incarnationId === right.incarnationId && left.address === right.address,
-};
-
-/** Whether the last readable value of a key stays in use when its record is removed. */
-const KEEPS_REMOVED_VALUE: Record<ports.RegistryTopic, boolean> = {
-	[ports.RegistryTopic.Catalogue]: true,
-	[ports.RegistryTopic.Targets]: false,
-	[ports.RegistryTopic.Nodes]: false,
-};
-
-const keepsUnreadableValue = (topic: ports.RegistryTopic): boolean =>
-	ports.UNREADABLE_RECORD_EFFECTS[topic] === ports.UnreadableEffect.LastRecordKept;
-
-export const createReplica = <Topic extends ports.RegistryTopic>(topic: Topic, clock: ports.Clock): Replica<Topic> => {
-	const entries = new Map<string, ReplicaEntry<Topic>>();
+export const createReplica = <Topic extends ports.RegistryTopic>(
+	topic: Topic,
+	clock: ports.Clock,
+	onReread: (reread: TopicReread) => void = () => undefined,
+): Replica<Topic> => {
+	let entries = new Map<string, ReplicaEntry<Topic>>();
 	let nextOffset = -1;
+	let era = 0;
 	let revision = 0;
 	/** Removals before this offset may be missing here, so a peer with a lower offset gets all records. */
 	let removalsKnownFromOffset = 0;
+	/** Records before this offset may have been restored by a rollback of the store. */
+	let restoredBeforeOffset = 0;
+
+	/** Whether a record that changes no value is the first one of its key which the store cannot have restored. */
+	const isConfirmation = (existing: ports.RegistryRecord<Topic>, record: ports.RegistryRecord<Topic>): boolean =>
+		HAS_HEARTBEATS[topic] && existing.offset < restoredBeforeOffset && record.offset >= restoredBeforeOffset;
 
 	const isUnchanged = (existing: ReplicaEntry<Topic> | undefined, record: ports.RegistryRecord<Topic>): boolean => {
 		const value = existing?.record.value;
@@ -90,7 +87,9 @@
 			return value === undefined || isKept;
 		}
 
-		return value !== undefined && VALUE_COMPARATORS[topic](value, record.value);
+		return (
+			value !== undefined && VALUE_COMPARATORS[topic](value, record.value) && !isConfirmation(existing!.record, record)
+		);
 	};
 
 	/** Whether the replica has a newer record of the key, or a newer whole copy in which the key is missing. */
@@ -99,16 +98,23 @@
 			? existing.record.offset >= record.offset
 			: record.offset < removalsKnownFromOffset && !KEEPS_REMOVED_VALUE[topic];
 
-	const applyRecord = (record: ports.RegistryRecord<Topic>, lapsesUntilMs: number): boolean => {
+	const applyRecord = (
+		record: ports.RegistryRecord<Topic>,
+		lapsesUntilMs: number,
+		renewalEndsAtMs: number,
+	): boolean => {
 		const existing = entries.get(record.key);
 		if (isOutdated(existing, record) || isUnchanged(existing, record)) {
 			return false;
 		}
 
-		const last = existing?.record;
-		const isLapsing = record.value === undefined && last?.value !== undefined && lapsesUntilMs > clock.monotonicMs();
-		const lapsing = isLapsing ? {value: last.value, offset: last.offset, untilMs: lapsesUntilMs} : undefined;
-		entries.set(record.key, {record, lapsing});
+		// A restored registration may expire before its target renews it; one that was renewed since is removed for good.
+		const mayExpire = HAS_HEARTBEATS[topic] && (existing?.record.offset ?? 0) < restoredBeforeOffset;
+		const untilMs = Math.max(lapsesUntilMs, mayExpire ? renewalEndsAtMs : 0);
+		entries.set(record.key, {
+			record,
+			...(record.value === undefined && {former: toFormerValue(existing, era, untilMs)}),
+		});
 		return true;
 	};
 
@@ -122,68 +128,127 @@
 			.map(({key}) => ({key, offset: changes.nextOffset - 1, value: undefined}));
 	};
 
-	const stateOf = (key: string): KeyState => {
-		const entry = entries.get(key);
-		if (entry === undefined) {
-			return KeyState.Unknown;
+	const stateOf = (key: string): KeyState => readEntryState(entries.get(key), clock.monotonicMs());
+
+	/** Replaces the replica by the whole topic of a new era. */
+	const applyNewEra = (copy: ports.TopicChanges<Topic>, copyEra: number, renewalEndsAtMs: number): void => {
+		const nowMs = clock.monotonicMs();
+		const previous = {previousEra: era, previousNextOffset: nextOffset};
+		entries = new Map(adoptCopy({topic, entries, ...previous, copy, restoredBeforeOffset, renewalEndsAtMs, nowMs}));
+		era = copyEra;
+		nextOffset = copy.nextOffset;
+		removalsKnownFromOffset = copy.nextOffset;
+		revision++;
+		onReread({
+			topic,
+			...previous,
+			era,
+			nextOffset,
+			recordCount: copy.records.length,
+			lostCount: [...entries.values()].filter(entry => readEntryState(entry, nowMs) === KeyState.Lapsing).length,
+			withheldCount: [...entries.values()].filter(({isWithheld}) => isWithheld).length,
+		});
+	};
+
+	const applyInEra = (changes: ports.TopicChanges<Topic>, lapsesUntilMs: number, renewalEndsAtMs: number): boolean => {
+		const removals = changes.isWhole ? listRemovals(changes) : [];
+		const changed = [...changes.records, ...removals].filter(record =>
+			applyRecord(record, lapsesUntilMs, renewalEndsAtMs),
+		);
+		if (changes.isWhole) {
+			removalsKnownFromOffset = Math.max(removalsKnownFromOffset, changes.nextOffset);
 		}
 
-		if (entry.record.value !== undefined) {
-			return KeyState.InUse;
+		nextOffset = Math.max(nextOffset, changes.nextOffset);
+		revision += changed.length > 0 ? 1 : 0;
+		return changed.length > 0;
+	};
+
+	const hasReachedBeyond = (position: Position): boolean => comparePositions({era, offset: nextOffset}, position) > 0;
+
+	const isRemovalAfter = (key: string, position: Position, value: ports.RegistryValues[Topic]): boolean => {
+		const {record, former, isWithheld = false} = entries.get(key)!;
+		if (position.era > era) {
+			return former !== undefined && INCARNATION_COMPARATORS[topic](former.value, value);
 		}
 
-		return entry.lapsing && entry.lapsing.untilMs > clock.monotonicMs() ? KeyState.Lapsing : KeyState.Removed;
+		const order = comparePositions({era, offset: record.offset}, position);
+		return order > 0 || (isWithheld && order === 0);
 	};
 
-	const removalChecks: Record<KeyState, (key: string, offset: number) => boolean> = {
+	const removalChecks: Record<KeyState, typeof isRemovalAfter> = {
 		[KeyState.InUse]: () => false,
 		[KeyState.Lapsing]: () => false,
-		[KeyState.Removed]: (key, offset) => entries.get(key)!.record.offset > offset,
-		[KeyState.Unknown]: (_key, offset) => nextOffset > offset,
+		[KeyState.Removed]: isRemovalAfter,
+		[KeyState.Unknown]: (_key, position) => hasReachedBeyond(position),
+	};
+
+	const isOfOtherEra = (fromEra: number | undefined): boolean => fromEra !== undefined && fromEra !== era;
+
+	const changesSince = (fromOffset: number, fromEra?: number): ports.TopicChanges<Topic> => {
+		const position = {nextOffset, era, restoredBeforeOffset};
+		if (fromEra !== undefined && fromEra > era) {
+			return {records: [], ...position, isWhole: false};
+		}
+
+		const isWhole = fromOffset < removalsKnownFromOffset || isOfOtherEra(fromEra);
+		const records = [...entries.values()]
+			.map(({record}) => record)
+			.filter(({offset, value}) => (isWhole ? value !== undefined : offset >= fromOffset));
+		return {records, ...position, isWhole};
+	};
+
+	const valuePosition = (key: string): Position | undefined => {
+		const entry = entries.get(key);
+		return entry?.record.value === undefined ? entry?.former?.position : {era, offset: entry.record.offset};
 	};
 
 	return {
 		nextOffset: () => nextOffset,
+		era: () => era,
 		revision: () => revision,
-		apply(changes, lapsesUntilMs = 0) {
-			const removals = changes.isWhole ? listRemovals(changes) : [];
-			const changed = [...changes.records, ...removals].filter(record => applyRecord(record, lapsesUntilMs));
-			if (changes.isWhole) {
-				removalsKnownFromOffset = Math.max(removalsKnownFromOffset, changes.nextOffset);
+		apply(changes, lapsesUntilMs = 0, renewalEndsAtMs = 0) {
+			const changesEra = changes.era ?? era;
+			const isFirst = nextOffset < 0;
+			if (changesEra < era || (changesEra > era && !isFirst && !changes.isWhole)) {
+				return false;
+			}
+
+			if (changesEra > era) {
+				const copyEndOffset = changes.isWhole ? changes.nextOffset : 0;
+				restoredBeforeOffset = changes.restoredBeforeOffset ?? copyEndOffset;
 			}
 
-			nextOffset = Math.max(nextOffset, changes.nextOffset);
-			revision += changed.length > 0 ? 1 : 0;
-			return changed.length > 0;
+			if (changesEra > era && !isFirst) {
+				applyNewEra(changes, changesEra, renewalEndsAtMs);
+				return true;
+			}
+
+			era = changesEra;
+			return applyInEra(changes, lapsesUntilMs, renewalEndsAtMs);
 		},
 		limitLapses(untilMs) {
 			const nowMs = clock.monotonicMs();
-			const limited = [...entries].filter(([, {lapsing}]) => lapsing && lapsing.untilMs > Math.max(nowMs, untilMs));
-			limited.forEach(([key, {record, lapsing}]) => {
-				entries.set(key, {record, lapsing: {...lapsing!, untilMs}});
+			const limited = [...entries].filter(([, {former}]) => former && former.untilMs > Math.max(nowMs, untilMs));
+			limited.forEach(([key, entry]) => {
+				entries.set(key, {...entry, former: {...entry.former!, untilMs}});
 			});
 			const isAnyEnded = limited.length > 0 && untilMs <= nowMs;
 			revision += isAnyEnded ? 1 : 0;
 			return isAnyEnded;
 		},
-		changesSince(fromOffset) {
-			const isWhole = fromOffset < removalsKnownFromOffset;
-			const records = [...entries.values()]
-				.map(({record}) => record)
-				.filter(({offset, value}) => (isWhole ? value !== undefined : offset >= fromOffset));
-			return {records, nextOffset, isWhole};
-		},
+		changesSince,
+		hasChangesSince: (fromOffset, fromEra) =>
+			(fromEra !== undefined && fromEra < era) || changesSince(fromOffset, fromEra).records.length > 0,
 		stateOf,
-		valueOffset(key) {
-			const entry = entries.get(key);
-			return entry?.record.value === undefined ? entry?.lapsing?.offset : entry.record.offset;
-		},
-		isRemovedAfter: (key, offset) => removalChecks[stateOf(key)](key, offset),
+		valuePosition,
+		valueOffset: key => valuePosition(key)?.offset,
+		isRemovedAfter: (key, position, value) => removalChecks[stateOf(key)](key, position, value),
 		values() {
 			const nowMs = clock.monotonicMs();
 			return new Map(
-				[...entries].flatMap(([key, {record, lapsing}]) => {
-					const value = record.value ?? (lapsing && lapsing.untilMs > nowMs ? lapsing.value : undefined);
+				[...entries].flatMap(([key, {record, former}]) => {
+					const value = record.value ?? (former && former.untilMs > nowMs ? former.value : undefined);
 					return value === undefined ? [] : [[key, value] as const];
 				}),
 			);
--- a/packages/core/src/registry/source-search.ts
+++ b/packages/core/src/registry/source-search.ts
@@ -1,13 +1,13 @@
 import type * as domain from '@bilberrydoor/domain';
 import * as ports from '../ports/index.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
-import {readPeerReply} from './peer-reply.js';
+import {isOfOlderEra, readPeerReply} from './peer-reply.js';
 import type {RegistrySources} from './registry-sources.js';
 import type {Registry} from './registry.js';
 
 export type SourceSearchOptions = {
 	readonly sources: RegistrySources;
-	readonly registry: Pick<Registry, 'recordStoreAnswers'>;
+	readonly registry: Pick<Registry, 'recordStoreAnswers' | 'eras'>;
 	readonly peerClient: ports.FleetPeerClient;
 	readonly clock: ports.Clock;
 };
@@ -16,7 +16,7 @@
 enum SourceState {
 	/** It did not answer in time. */
 	Silent = 'silent',
-	/** It has lost its own source, and may become the reader. */
+	/** It has lost its own source, and may become the reader, or has not read the store's newest era yet. */
 	Searching = 'searching',
 	/** It is the reader and has lost the store. */
 	LostStore = 'lost-store',
@@ -113,12 +113,17 @@
 			peerClient.request(address, ports.FleetMessageKind.PullRegistry, CHECK_REQUEST, {signal: checkSignal}),
 		);
 		const state = readPeerReply(timed).match(
-			({isStale, role, storeAnswers}) => {
+			({topics, isStale, role, storeAnswers, storeEra}) => {
 				sources.recordAnswer(role);
 				if (storeAnswers) {
 					registry.recordStoreAnswers(storeAnswers);
 				}
 
+				registry.eras.recordPeer(storeEra);
+				if (isOfOlderEra(topics, registry)) {
+					return SourceState.Searching;
+				}
+
 				return (isStale ? STALE_STATES : FRESH_STATES)[role];
 			},
 			() => SourceState.Silent,
--- a/packages/core/src/registry/store-reader.ts
+++ b/packages/core/src/registry/store-reader.ts
@@ -1,5 +1,7 @@
+import type * as neverthrow from 'neverthrow';
 import * as ports from '../ports/index.js';
 import {createBackOff} from '../shared/back-off.js';
+import {STOP_REASON} from '../shared/stop-reason.js';
 import type {Registry} from './registry.js';
 import {CALL_CRITICAL_TOPICS} from './topic-ages.js';
 
@@ -30,9 +32,17 @@
 	[ports.RegistryTopic.Nodes]: {waitMs: 10_000, pauseMs: 100},
 };
 
+/** Longest pause while records that a rollback lost are written again, so that they arrive before they go out of use. */
+const RENEWAL_PAUSE_MS = 250;
+
 /** Pauses after failed reads: short enough for a change to be in force within 2.5 s of the end of a store outage. */
 const BACK_OFF = {firstMs: 200, limitMs: 1000};
 
+type TopicRead<Topic extends ports.RegistryTopic> = neverthrow.Result<
+	ports.RegistryChanges<Topic>,
+	ports.RegistryError
+>;
+
 /** Reads records from the store and applies them to the registry. */
 export type StoreReader = {
 	/** Reads all topics until the signal is aborted. */
@@ -80,31 +90,86 @@
 		registry.setSourceLost(CALL_CRITICAL_TOPICS.some(criticalTopic => lostTopics.has(criticalTopic)));
 	};
 
+	/** Whether the whole topic must be read, since the store has no records that continue the replica. */
+	const needsWholeTopic = (topic: ports.RegistryTopic, read: TopicRead<ports.RegistryTopic>): boolean =>
+		read.match(
+			({era}) => era > registry.replicas[topic].era(),
+			({kind, era = 0}) => kind === ports.RegistryErrorKind.Expired || era > registry.replicas[topic].era(),
+		);
+
+	/** Reads the changes of a topic. An open read is given up when the store goes back to an older copy. */
+	const readChanges = async <Topic extends ports.RegistryTopic>(
+		topic: Topic,
+		waitMs: number,
+		signal: AbortSignal,
+	): Promise<TopicRead<Topic>> => {
+		const controller = new AbortController();
+		const stop = (): void => {
+			controller.abort(STOP_REASON);
+		};
+
+		signal.addEventListener('abort', stop, {once: true});
+		const stopAtRollback = async (): Promise<void> => {
+			const count = registry.eras.rollbackCount();
+			while (!controller.signal.aborted && registry.eras.rollbackCount() === count) {
+				await registry.eras.waitForRollback(controller.signal);
+			}
+
+			stop();
+		};
+
+		void stopAtRollback();
+		const fromOffset = registry.replicas[topic].nextOffset();
+		const read = await store.readChanges(topic, {fromOffset, waitMs}, controller.signal);
+		signal.removeEventListener('abort', stop);
+		stop();
+		return read;
+	};
+
+	/** Reads what the replica of a topic lacks: its changes, or the whole topic. */
+	const readMissing = async <Topic extends ports.RegistryTopic>(
+		topic: Topic,
+		waitMs: number,
+		signal: AbortSignal,
+	): Promise<{readonly read: TopicRead<Topic>; readonly isWhole: boolean}> => {
+		const replica = registry.replicas[topic];
+		const isContinued = replica.nextOffset() >= 0 && replica.era() >= registry.eras.newest();
+		const read = isContinued ? await readChanges(topic, waitMs, signal) : undefined;
+		if (read && !signal.aborted && replica.era() >= registry.eras.newest() && !needsWholeTopic(topic, read)) {
+			return {read, isWhole: false};
+		}
+
+		return {read: await store.readAll(topic, signal), isWhole: true};
+	};
+
 	const readTopic = async <Topic extends ports.RegistryTopic>(
 		topic: Topic,
 		waitMs: number,
 		signal: AbortSignal,
 	): Promise<boolean> => {
-		const fromOffset = registry.replicas[topic].nextOffset();
 		const requestedAtMs = clock.monotonicMs();
-		const changed =
-			fromOffset < 0
-				? await store.readAll(topic, signal)
-				: await store.readChanges(topic, {fromOffset, waitMs}, signal);
-		const isExpired = changed.isErr() && changed.error.kind === ports.RegistryErrorKind.Expired;
-		const result = isExpired ? await store.readAll(topic, signal) : changed;
+		const {read, isWhole} = await readMissing(topic, waitMs, signal);
 		if (signal.aborted) {
 			return false;
 		}
 
-		logResult(topic, result.isErr() ? result.error : undefined, requestedAtMs);
-		recordResult(topic, result.isErr());
-		if (result.isErr()) {
+		const {era} = read.isOk() ? read.value : read.error;
+		if (era !== undefined && era < registry.eras.newest()) {
+			// The answer is late: the store has gone back to an older copy since.
+			return false;
+		}
+
+		logResult(topic, read.isErr() ? read.error : undefined, requestedAtMs);
+		recordResult(topic, read.isErr());
+		if (era !== undefined) {
+			registry.eras.record(era);
+		}
+
+		if (read.isErr()) {
 			return false;
 		}
 
-		const isWhole = isExpired || fromOffset < 0;
-		registry.apply({[topic]: {...result.value, isWhole}});
+		registry.apply({[topic]: {...read.value, isWhole}});
 		return true;
 	};
 
@@ -124,7 +189,8 @@
 				backOff.reset();
 			}
 
-			await clock.sleep(isRead ? pauseMs : backOff.nextMs(), signal);
+			const readPauseMs = registry.eras.isRenewing() ? Math.min(pauseMs, RENEWAL_PAUSE_MS) : pauseMs;
+			await clock.sleep(isRead ? readPauseMs : backOff.nextMs(), signal);
 		}
 	};
 
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -15,5 +15,6 @@
 export * from './seeded-random.js';
 export * from './simulate-losses.js';
 export * from './simulate-operations.js';
+export * from './simulate-rollbacks.js';
 export * from './virtual-clock.js';
 export * from './registry-fleet.js';
