--- a/packages/core/src/grants/grant-client.ts
+++ b/packages/core/src/grants/grant-client.ts
@@ -2,8 +2,8 @@
 import * as ports from '../ports/index.js';
 import {readPeerReply} from '../registry/peer-reply.js';
 import type {PeerReachability} from '../registry/peer-reachability.js';
+import {KeyState} from '../registry/key-state.js';
 import type {Registry} from '../registry/registry.js';
-import {KeyState} from '../registry/replica.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {PlaceRelation, relatePlaces} from '../zones/place-relation.js';
 import {createRegionPlanner, MESSAGE_BYTES, type RegionPlanner} from '../zones/region-planner.js';
@@ -98,7 +98,7 @@
 	 * lost the store or was suspended. A dispatcher of an earlier version does not say how old they are, so then this node's own
 	 * records must be up to date.
 	 */
-	const isWithdrawn = ({target, targetOffset}: HeldGrant): boolean => {
+	const isWithdrawn = ({target, targetOffset, targetEra}: HeldGrant): boolean => {
 		const {targetId, startedAtMs} = target;
 		const known = registry.target(targetId);
 		const {targets} = registry.replicas;
@@ -112,7 +112,7 @@
 
 		return targetOffset === undefined
 			? targets.stateOf(targetId) === KeyState.Removed
-			: targets.isRemovedAfter(targetId, targetOffset);
+			: targets.isRemovedAfter(targetId, {era: registry.eras.resolve(targetEra), offset: targetOffset}, target);
 	};
 
 	/** Learns from a result how far its target is, and counts the attempt by that. */
