--- a/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
+++ b/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
@@ -77,6 +77,40 @@
 	t.deepEqual(schema.parse(JSON.parse(text)), grant as core.AcquireGrantReply);
 });
 
+// Guards against a time to come back, or a kind of attempt, that is lost between two nodes or required of an earlier version.
+test('a denial is received with the time after which there is room, and without it from an earlier version', t => {
+	const schema = FLEET_MESSAGE_SCHEMAS[core.FleetMessageKind.AcquireGrant].reply;
+	const earlier: core.GrantDenial = {isGranted: false, refusal: core.GrantRefusal.Busy, predictedWaitMs: 300};
+	const denial: core.GrantDenial = {...earlier, roomAfterMs: 450};
+	t.deepEqual(schema.parse(structuredClone(denial)), denial);
+	t.deepEqual(schema.parse(structuredClone(earlier)), earlier);
+});
+
+test('a request is received with its workspace and the kind of its attempt, and without them from an earlier version', t => {
+	const schema = FLEET_MESSAGE_SCHEMAS[core.FleetMessageKind.AcquireGrant].request;
+	const earlier: core.AcquireGrantRequest = {
+		requestId: 'request',
+		nodeId: 'entry-1',
+		availabilityZone: 'temeke',
+		routeId: 'route',
+		service: 'malipo',
+		region: 'pwani',
+		priority: 1,
+		repeatability: domain.Repeatability.Repeatable,
+		attemptIndex: 1,
+		isNewCall: false,
+		remainingMs: 2000,
+		objectiveLeftMs: 1200,
+		waitLimitMs: 240,
+		isLastResort: false,
+		excludedTargetIds: [],
+		targetNotices: [],
+	};
+	const request = {...earlier, workspace: 'workspace-1', isReplacement: true};
+	t.deepEqual(schema.parse(structuredClone(request)), request);
+	t.deepEqual(schema.parse(structuredClone(earlier)), earlier);
+});
+
 test('the removal of a catalogue has no value', t => {
 	t.is(
 		transfer(FLEET_REPLY_ENCODERS[PullRegistry](buildReply(undefined))).data?.topics.catalogue.records[0]?.value,
