--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -21,6 +21,9 @@
 /** A call is refused when less than this fraction of its route's mean duration remains before its deadline. */
 const MIN_REMAINING_TIME_RATIO = 0.5;
 
+/** Part of the slots that a prediction counts on although calls that go before have used more lately. */
+const MIN_SLOT_RATIO = 0.05;
+
 /** Trials are expected to get repeatable calls when the group received one within this time. */
 const REPEATABLE_WORK_WINDOW_MS = 1000;
 
@@ -142,7 +145,8 @@
 	/** Expected wait of a call, from the work of the calls that get slots before it and of one that has to end, in ms. */
 	const predictWaitMs = (request: ports.AcquireGrantRequest): number => {
 		const {slotCount} = index.soundLoad({excludedTargetIds: []});
-		return shortestPauseMs() + (overallDurationMs() + room.workBeforeMs(request)) / Math.max(1, slotCount);
+		const leftCount = Math.max(slotCount * MIN_SLOT_RATIO, slotCount - room.slotsBefore(request));
+		return shortestPauseMs() + (overallDurationMs() + room.workBeforeMs(request)) / Math.max(1, leftCount);
 	};
 
 	/** Time until the first pause ends if all targets pause; calls wait for that only then. */
@@ -199,6 +203,7 @@
 		room.serve();
 		const grant = tryGrant(request);
 		if (grant) {
+			room.recordGrant(request);
 			return grant;
 		}
 
--- a/packages/core/src/grants/waiting-room.ts
+++ b/packages/core/src/grants/waiting-room.ts
@@ -1,6 +1,7 @@
 import * as ports from '../ports/index.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
-import {AttemptKind, type WaitingCall} from '../waiting/waiting-call.js';
+import {createGrantedWork, type WaitingRank} from '../waiting/granted-work.js';
+import {AttemptKind, classify, type WaitingCall} from '../waiting/waiting-call.js';
 import {createWaitingQueue} from '../waiting/waiting-queue.js';
 import type {FleetRetryBudget} from './fleet-retry-budget.js';
 import {deny} from './deny.js';
@@ -46,6 +47,10 @@
 	count(): number;
 	/** Work of the waiting calls that would get slots before a call of this request, in ms. */
 	workBeforeMs(request: ports.AcquireGrantRequest): number;
+	/** Slots that calls that go before those of this request's priority and class have used lately, on average. */
+	slotsBefore(request: ports.AcquireGrantRequest): number;
+	/** Accounts for a grant to a call that has not waited. */
+	recordGrant(request: ports.AcquireGrantRequest): void;
 	/** Usual duration of the request's route, in ms. */
 	workMs(request: ports.AcquireGrantRequest): number;
 };
@@ -58,9 +63,15 @@
 	return attemptIndex === 0 ? AttemptKind.First : AttemptKind.Retry;
 };
 
+const rankOf = (call: WaitingCall, nowMs: number): WaitingRank => ({
+	priority: call.priority,
+	waitingClass: classify(call, nowMs),
+});
+
 export const createWaitingRoom = (parts: WaitingRoomParts): WaitingRoom => {
 	const {clock, budget} = parts;
 	const queue = createWaitingQueue<RoomCall>();
+	const grantedWork = createGrantedWork();
 	let arrivalCount = 0;
 	let lastResortCount = 0;
 	let isChecking = false;
@@ -79,6 +90,11 @@
 		};
 	};
 
+	const recordWork = (call: WaitingCall): void => {
+		const nowMs = clock.monotonicMs();
+		grantedWork.record(rankOf(call, nowMs), call.workMs, nowMs);
+	};
+
 	const isWithinReserve = ({request}: RoomCall): boolean => request.attemptIndex === 0 || budget.hasReservedRetry();
 
 	/** The reply to the call that is next; undefined if no target that it may use is available. */
@@ -104,6 +120,7 @@
 			const reply = answer(call);
 			if (reply?.isGranted) {
 				queue.take(call);
+				recordWork(call);
 			} else {
 				queue.remove(call);
 			}
@@ -192,6 +209,13 @@
 		},
 		count: queue.count,
 		workBeforeMs: request => queue.workBeforeMs(describe(request), clock.monotonicMs()),
+		slotsBefore(request) {
+			const nowMs = clock.monotonicMs();
+			return grantedWork.slotsBefore(rankOf(describe(request), nowMs), nowMs);
+		},
+		recordGrant(request) {
+			recordWork(describe(request));
+		},
 		workMs: request => describe(request).workMs,
 	};
 };
--- a/packages/fakes/src/__tests__/waiting-order.test.ts
+++ b/packages/fakes/src/__tests__/waiting-order.test.ts
@@ -109,7 +109,13 @@
 		const result = results.get('exports')!;
 		t.log(JSON.stringify([...results]));
 		t.true(result.inTimeCount >= 0.99 * result.callCount, `${result.inTimeCount} of ${result.callCount} in time`);
-		t.true(results.get('late')!.servedCount > 0);
+		const lateResult = results.get('late')!;
+		const refusedCount = lateResult.callCount - lateResult.servedCount;
+		t.true(lateResult.servedCount >= 0.5 * lateResult.callCount, 'late calls get the slots that are left');
+		t.true(
+			lateResult.heldMs <= 250 * refusedCount,
+			`refused late calls were held for ${lateResult.heldMs / refusedCount} ms`,
+		);
 	});
 });
 
