--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -244,7 +244,10 @@
 
 /** Converts each reply to the form that its schema decodes. */
 export const FLEET_REPLY_ENCODERS: ReplyEncoders = {
-	[core.FleetMessageKind.AcquireGrant]: reply => reply,
+	[core.FleetMessageKind.AcquireGrant]: reply =>
+		reply.isGranted && reply.usualDurationMs !== undefined
+			? {...reply, usualDurationMs: Math.round(reply.usualDurationMs)}
+			: reply,
 	[core.FleetMessageKind.ReportResult]: reply => reply,
 	[core.FleetMessageKind.PullRegistry]: encodePullRegistryReply,
 };
--- a/packages/adapters/src/peer/fleet-peer-app.ts
+++ b/packages/adapters/src/peer/fleet-peer-app.ts
@@ -34,8 +34,10 @@
 	);
 	const app = new hono.Hono<NodeBindings>();
 	app.use(`${FLEET_PATH}/*`, honoBodyLimit.bodyLimit({maxSize: MESSAGE_LIMIT_BYTES}));
-	app.all(`${FLEET_PATH}/*`, async context =>
-		trpcFetch.fetchRequestHandler({
+	app.all(`${FLEET_PATH}/*`, async context => {
+		// Bytes between zones and regions are paid for, and no node reads the date or caches a reply.
+		context.env.outgoing.sendDate = false;
+		const response = await trpcFetch.fetchRequestHandler({
 			endpoint: FLEET_PATH,
 			req: context.req.raw,
 			router,
@@ -48,7 +50,9 @@
 					detail: error.message,
 				});
 			},
-		}),
-	);
+		});
+		response.headers.delete('vary');
+		return response;
+	});
 	return app;
 };
