feat(quotas): all nodes together limit the calls of each workspace

Until now a workspace's rate_per_s and burst were read and not applied.

Each share is held by the registered node that ranks first for it, after the node that ranks second has confirmed that it does not hold it. A holder counts leased tokens as unused until they are reported or expire, so that the calls of any window stay within the tokens at its start plus those of the window. New peer messages: leaseQuota, claimQuotaShares.

--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -62,6 +62,16 @@
 		help: 'Records of the store, or parts of them, that cannot be read, by what follows',
 		labelNames: ['topic', 'effect'],
 	},
+	[core.CounterName.QuotaLeases]: {
+		name: 'quota_leases_total',
+		help: "Requests to peers for tokens of workspaces' quotas, by result",
+		labelNames: ['result'],
+	},
+	[core.CounterName.QuotaDecisions]: {
+		name: 'quota_decisions_total',
+		help: 'Calls of workspaces with a quota by result, for the workspaces with the most calls; the others are summed',
+		labelNames: ['workspace', 'result'],
+	},
 };
 
 const GAUGES: Record<core.GaugeName, MetricDefinition> = {
@@ -98,6 +108,16 @@
 		help: 'Age of a registry topic immediately before its latest confirmation',
 		labelNames: ['topic'],
 	},
+	[core.GaugeName.QuotaAccounts]: {
+		name: 'quota_accounts',
+		help: 'Workspaces of whose quotas this node leases tokens to others',
+		labelNames: [],
+	},
+	[core.GaugeName.QuotaSharesHeld]: {
+		name: 'quota_shares_held',
+		help: 'Shares of quotas that this node holds',
+		labelNames: [],
+	},
 };
 
 const HISTOGRAMS: Record<core.HistogramName, MetricDefinition> = {
--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -182,6 +182,8 @@
 	}),
 ]);
 
+const quotaSharesSchema = zod.object({partition: zod.int().nonnegative(), share: zod.int().nonnegative()});
+
 type MessageSchemas = {
 	readonly [Kind in core.FleetMessageKind]: {
 		readonly request: zod.ZodType<core.FleetMessages[Kind]['request']>;
@@ -225,6 +227,28 @@
 			storeAnswers: zod.object({ageMs: zod.number(), runMs: zod.number().nonnegative()}).optional(),
 		}) as zod.ZodType<core.PullRegistryReply>,
 	},
+	[core.FleetMessageKind.LeaseQuota]: {
+		request: zod.object({
+			workspace: zod.string(),
+			nodeId: zod.string(),
+			incarnationId: zod.string(),
+			sequence: zod.int().nonnegative(),
+			wantedCount: zod.int().nonnegative(),
+			isImmediate: zod.boolean(),
+			unusedCount: zod.int().nonnegative(),
+			returnedCount: zod.int().nonnegative(),
+		}),
+		reply: zod.object({
+			grantedCount: zod.int().nonnegative(),
+			isRenewed: zod.boolean(),
+			leaseMs: zod.number().nonnegative(),
+			nextTokenMs: zod.number().nonnegative(),
+		}),
+	},
+	[core.FleetMessageKind.ClaimQuotaShares]: {
+		request: zod.object({nodeId: zod.string(), shares: zod.array(quotaSharesSchema)}),
+		reply: zod.object({released: zod.array(quotaSharesSchema.extend({idleMs: zod.number().nonnegative()}))}),
+	},
 };
 
 const encodePullRegistryReply = (reply: core.PullRegistryReply): unknown => {
@@ -245,4 +269,6 @@
 	[core.FleetMessageKind.AcquireGrant]: reply => reply,
 	[core.FleetMessageKind.ReportResult]: reply => reply,
 	[core.FleetMessageKind.PullRegistry]: encodePullRegistryReply,
+	[core.FleetMessageKind.LeaseQuota]: reply => reply,
+	[core.FleetMessageKind.ClaimQuotaShares]: reply => reply,
 };
--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -5,7 +5,10 @@
 import {createTargetNotices} from '../grants/target-notices.js';
 import * as ports from '../ports/index.js';
 import {createCallProxy, type CallProxy} from '../proxy/call-proxy.js';
+import {createCatalogueIndex} from '../proxy/catalogue-index.js';
 import {planStop, type StopPlan} from '../proxy/stop-plan.js';
+import {createFleetQuotas, type FleetQuotas} from '../quotas/fleet-quotas.js';
+import type {QuotaOptions} from '../quotas/quota-options.js';
 import {createPeerReachability} from '../registry/peer-reachability.js';
 import {createRegistry, type Registry} from '../registry/registry.js';
 import {runRegistrySync} from '../registry/registry-sync.js';
@@ -28,6 +31,8 @@
 	/** Addresses of nodes to pull the registry from at startup when the store does not answer; they may be out of date. */
 	readonly seedAddresses: readonly string[];
 	readonly dispatcher?: Partial<DispatcherOptions>;
+	/** Bound on the calls of workspaces with a quota. */
+	readonly quotas?: Partial<QuotaOptions>;
 	/** Returns the time between two heartbeats of a target, in ms, or undefined for the default. May change at any time. */
 	readonly readTargetHeartbeatMs?: () => number | undefined;
 };
@@ -38,6 +43,7 @@
 	readonly proxy: CallProxy;
 	readonly registry: Registry;
 	readonly dispatchers: DispatcherTable;
+	readonly quotas: FleetQuotas;
 	readonly messageHandlers: ports.FleetMessageHandlers;
 	/** Whether the node can serve callers: it is not stopping and has read the catalogue and the targets. */
 	isReady(): boolean;
@@ -90,6 +96,20 @@
 		metrics,
 		notices,
 	});
+	const readIndex = createCatalogueIndex(registry);
+	const quotas = createFleetQuotas({
+		self,
+		nodes: registry.replicas.nodes,
+		hasLimits: () => readIndex()?.workspaces?.hasLimits ?? false,
+		findWorkspace: name => readIndex()?.workspaces?.find(name),
+		peerClient,
+		peerReachability,
+		clock,
+		random,
+		logger,
+		metrics,
+		options: options.settings.quotas,
+	});
 	let callCount = 0;
 	let stopPlan: StopPlan | undefined;
 	const callProxy = createCallProxy({
@@ -100,6 +120,8 @@
 		random,
 		logger,
 		metrics,
+		quotas,
+		readIndex,
 		readStopPlan: () => stopPlan,
 	});
 
@@ -145,6 +167,7 @@
 		proxy,
 		registry,
 		dispatchers,
+		quotas,
 		messageHandlers: {
 			[ports.FleetMessageKind.AcquireGrant]: async (request, signal) =>
 				dispatchers.get(request.service, request.region).acquire(request, signal),
@@ -153,6 +176,8 @@
 				return {};
 			},
 			[ports.FleetMessageKind.PullRegistry]: async (request, signal) => registry.pull(request, signal),
+			[ports.FleetMessageKind.LeaseQuota]: async request => quotas.handleLease(request),
+			[ports.FleetMessageKind.ClaimQuotaShares]: async request => quotas.handleClaim(request),
 		},
 		countCalls: () => callCount,
 		isReady: () =>
@@ -170,11 +195,12 @@
 				logger,
 				metrics,
 			};
-			await Promise.all([runRegistrySync(sync, signal), registerNode(signal)]);
+			await Promise.all([runRegistrySync(sync, signal), registerNode(signal), quotas.run(signal)]);
 		},
 		async leave(endsAtMs) {
 			stopPlan = planStop(clock.monotonicMs(), endsAtMs);
 			stopping.abort();
+			quotas.stop();
 			const {signal} = new AbortController();
 			await runWithTimeout({clock, timeoutMs: LEAVE_TIMEOUT_MS, signal}, async leaveSignal =>
 				store.withdrawNode(self.nodeId, leaveSignal),
--- a/packages/core/src/ports/fleet-peer.ts
+++ b/packages/core/src/ports/fleet-peer.ts
@@ -8,6 +8,10 @@
 	AcquireGrant = 'acquireGrant',
 	ReportResult = 'reportResult',
 	PullRegistry = 'pullRegistry',
+	/** An entry node asks for tokens of a workspace's quota. */
+	LeaseQuota = 'leaseQuota',
+	/** A node that ranks first for shares of quotas asks its predecessor to confirm that it does not hold them. */
+	ClaimQuotaShares = 'claimQuotaShares',
 }
 
 /** Result of one attempt at a target, as evidence about its health. */
@@ -177,11 +181,57 @@
 /** Time since the store last answered a read of each topic, in ms. */
 export type TopicAgesMs = Readonly<Record<RegistryTopic, number>>;
 
+export type LeaseQuotaRequest = {
+	readonly workspace: string;
+	readonly nodeId: string;
+	readonly incarnationId: string;
+	/** Rises with each request of a run of the entry node. A request that arrives after a later one has no effect. */
+	readonly sequence: number;
+	readonly wantedCount: number;
+	/** Whether calls wait for the tokens, which are then used at once or not at all. Such a request reports no unused tokens. */
+	readonly isImmediate: boolean;
+	/** Tokens of the receiver that the entry node holds unused. */
+	readonly unusedCount: number;
+	/** Tokens of the receiver that the entry node gives up unused. */
+	readonly returnedCount: number;
+};
+
+export type LeaseQuotaReply = {
+	readonly grantedCount: number;
+	/** Whether the unused tokens are valid as long as the granted ones. */
+	readonly isRenewed: boolean;
+	/** Lifetime of the tokens from when the request was sent, in ms. */
+	readonly leaseMs: number;
+	/** Time until the receiver expects to have a token, in ms. */
+	readonly nextTokenMs: number;
+};
+
+/** Shares of the quotas of a partition's workspaces. */
+export type QuotaShares = {readonly partition: number; readonly share: number};
+
+export type ClaimQuotaSharesRequest = {
+	/** The node that will hold the shares. */
+	readonly nodeId: string;
+	readonly shares: readonly QuotaShares[];
+};
+
+export type ClaimQuotaSharesReply = {
+	/** The shares that the receiver does not hold. */
+	readonly released: ReadonlyArray<
+		QuotaShares & {
+			/** Time for which the receiver is known not to have held them, in ms. */
+			readonly idleMs: number;
+		}
+	>;
+};
+
 /** Request and reply types of each kind of message. */
 export type FleetMessages = {
 	[FleetMessageKind.AcquireGrant]: {request: AcquireGrantRequest; reply: AcquireGrantReply};
 	[FleetMessageKind.ReportResult]: {request: ReportResultRequest; reply: Record<string, never>};
 	[FleetMessageKind.PullRegistry]: {request: PullRegistryRequest; reply: PullRegistryReply};
+	[FleetMessageKind.LeaseQuota]: {request: LeaseQuotaRequest; reply: LeaseQuotaReply};
+	[FleetMessageKind.ClaimQuotaShares]: {request: ClaimQuotaSharesRequest; reply: ClaimQuotaSharesReply};
 };
 
 /** Handlers for each kind of message. */
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -36,6 +36,14 @@
 	PeerMessageRefused = 'peer-message-refused',
 	/** A peer that was skipped has answered again. */
 	PeerRegained = 'peer-regained',
+	/** Calls of a workspace were refused because its quota is used up. */
+	QuotaExceeded = 'quota-exceeded',
+	/** The node now holds a share of the quotas of a partition's workspaces. */
+	QuotaShareHeld = 'quota-share-held',
+	/** The node no longer holds a share of quotas. */
+	QuotaShareReleased = 'quota-share-released',
+	/** The node has the shares that it holds confirmed again, since its process was paused. */
+	QuotaSharesUnconfirmed = 'quota-shares-unconfirmed',
 	/** The node has become a reader of the store for its region. */
 	ReaderStarted = 'reader-started',
 	/** A record of the store cannot be used. */
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -14,6 +14,8 @@
 	StoreCalls = 'storeCalls',
 	Grants = 'grants',
 	UnreadableRecords = 'unreadableRecords',
+	QuotaLeases = 'quotaLeases',
+	QuotaDecisions = 'quotaDecisions',
 }
 
 export enum GaugeName {
@@ -26,6 +28,8 @@
 	CatalogueAtRisk = 'catalogueAtRisk',
 	CatalogueVersion = 'catalogueVersion',
 	RegistryAgeSeconds = 'registryAgeSeconds',
+	QuotaAccounts = 'quotaAccounts',
+	QuotaSharesHeld = 'quotaSharesHeld',
 }
 
 export enum HistogramName {
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -11,7 +11,7 @@
 import {canSendBody, isBodyBroken} from './call-body.js';
 import type {CallState} from './call-state.js';
 import {createCallAdmissions, refuse, type CallAdmission} from './call-admission.js';
-import {createCatalogueIndex} from './catalogue-index.js';
+import {createCatalogueIndex, type CatalogueIndex} from './catalogue-index.js';
 import {pickService} from './pick-service.js';
 import {DEFAULT_PROXY_OPTIONS, type ProxyOptions} from './proxy-options.js';
 import {createEndingRecorder} from './record-ending.js';
@@ -30,6 +30,8 @@
 	readonly options?: Partial<ProxyOptions>;
 	/** Limits of the workspaces' calls; by default there are none. */
 	readonly quotas?: WorkspaceQuotas;
+	/** Reads the indexed catalogue in force; by default the proxy indexes the registry's catalogue itself. */
+	readonly readIndex?: () => CatalogueIndex | undefined;
 	/** The plan of the node's shutdown; undefined while it is not stopping. */
 	readonly readStopPlan?: () => StopPlan | undefined;
 };
@@ -54,7 +56,7 @@
 	const {registry, grants, clock, logger, metrics} = parts;
 	const options = {...DEFAULT_PROXY_OPTIONS, ...parts.options};
 	const {readStopPlan = () => undefined} = parts;
-	const readIndex = createCatalogueIndex(registry);
+	const {readIndex = createCatalogueIndex(registry)} = parts;
 	const admissions = createCallAdmissions({readIndex, random: parts.random, options, quotas: parts.quotas});
 
 	const remainingMs = (state: CallState): number => state.deadlineAtMs - clock.monotonicMs();
--- /dev/null
+++ b/packages/core/src/quotas/use-estimate.ts
@@ -0,0 +1,31 @@
+/** Estimates how many calls a second arrive. */
+export type UseEstimate = {
+	record(nowMs: number): void;
+	ratePerSecond(nowMs: number): number;
+};
+
+/** Time constant of the mean: twice as long as tokens are leased ahead, so that single calls change little. */
+const MEAN_TIME_MS = 1000;
+
+const MS_PER_SECOND = 1000;
+
+export const createUseEstimate = (): UseEstimate => {
+	let weight = 0;
+	let updatedAtMs = 0;
+
+	const decay = (nowMs: number): void => {
+		weight *= Math.exp(-(nowMs - updatedAtMs) / MEAN_TIME_MS);
+		updatedAtMs = nowMs;
+	};
+
+	return {
+		record(nowMs) {
+			decay(nowMs);
+			weight += 1;
+		},
+		ratePerSecond(nowMs) {
+			decay(nowMs);
+			return (weight * MS_PER_SECOND) / MEAN_TIME_MS;
+		},
+	};
+};
--- a/packages/core/src/workspaces/workspace-directory.ts
+++ b/packages/core/src/workspaces/workspace-directory.ts
@@ -13,6 +13,8 @@
 
 /** Workspaces of one catalogue, by key and by name. */
 export type WorkspaceDirectory = {
+	/** Whether any workspace has a limited rate. */
+	readonly hasLimits: boolean;
 	/** Finds the workspace of a credential. On public routes, calls without a known key are accepted too. */
 	authenticate(credential: domain.CallerCredential, isPublic: boolean): Authentication;
 	find(name: string): domain.FleetWorkspace | undefined;
@@ -57,5 +59,6 @@
 				: {isAccepted: false, credential: credential.kind};
 		},
 		find: name => byName.get(name),
+		hasLimits: workspaces.some(({ratePerSecond}) => ratePerSecond > 0),
 	};
 };
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -15,5 +15,7 @@
 export * from './seeded-random.js';
 export * from './simulate-losses.js';
 export * from './simulate-operations.js';
+export * from './quota-fleet.js';
+export * from './simulate-quotas.js';
 export * from './virtual-clock.js';
 export * from './registry-fleet.js';
