feat(quotas): few wrong refusals, settings, listing and the reason of a refusal

- A share that was lost and is held again, also after a pause of the process, starts empty: it filled at once before.
- bilberryctl workspaces; call-ended of a refused call names the workspace and its use.

--- a/packages/cli/src/command-table.ts
+++ b/packages/cli/src/command-table.ts
@@ -12,6 +12,7 @@
 import {services} from './commands/services.js';
 import {targets} from './commands/targets.js';
 import {trace} from './commands/trace.js';
+import {workspaces} from './commands/workspaces.js';
 
 /** Names of the commands, as typed on the command line. */
 export enum CommandName {
@@ -28,6 +29,7 @@
 	OperationsShow = 'operations show',
 	Explain = 'explain',
 	Trace = 'trace',
+	Workspaces = 'workspaces',
 }
 
 export const COMMANDS: Record<CommandName, Command> = {
@@ -44,6 +46,7 @@
 	[CommandName.OperationsShow]: operationsShow,
 	[CommandName.Explain]: explain,
 	[CommandName.Trace]: trace,
+	[CommandName.Workspaces]: workspaces,
 };
 
 /** Help texts of the command groups, which are no commands themselves. */
--- a/packages/cli/src/trace-request.ts
+++ b/packages/cli/src/trace-request.ts
@@ -17,11 +17,15 @@
 	core.LogEvent.StoreRegained,
 ]);
 
+/** Events that show why calls of a workspace were refused. */
+const WORKSPACE_EVENTS = new Set<string>([core.LogEvent.QuotaExceeded]);
+
 /** Criteria for the other lines that are shown, taken from the request's own lines. */
 type RequestScope = {
 	readonly requestId: string;
 	readonly nodes: ReadonlySet<unknown>;
 	readonly targetIds: ReadonlySet<unknown>;
+	readonly workspaces: ReadonlySet<unknown>;
 	readonly fromMs: number;
 	readonly untilMs: number;
 };
@@ -39,6 +43,7 @@
 		requestId,
 		nodes: new Set(ownLines.flatMap(({node, fields}) => [node, fields.dispatcher])),
 		targetIds: new Set(ownLines.map(({fields}) => fields.targetId).filter(Boolean)),
+		workspaces: new Set(ownLines.map(({fields}) => fields.workspace).filter(Boolean)),
 		fromMs: Math.min(...timesMs) - Math.max(...durationsMs) - CONTEXT_PERIOD_MS,
 		untilMs: Math.max(...timesMs),
 	};
@@ -55,7 +60,11 @@
 		return false;
 	}
 
-	return scope.targetIds.has(fields.targetId) || (NODE_STATE_EVENTS.has(event) && scope.nodes.has(node));
+	return (
+		scope.targetIds.has(fields.targetId) ||
+		(WORKSPACE_EVENTS.has(event) && scope.workspaces.has(fields.workspace)) ||
+		(NODE_STATE_EVENTS.has(event) && scope.nodes.has(node))
+	);
 };
 
 const formatField = ([name, value]: readonly [string, unknown]): string =>
--- a/packages/core/src/proxy/call-admission.ts
+++ b/packages/core/src/proxy/call-admission.ts
@@ -15,7 +15,14 @@
 			/** Whether the catalogue asks for keys, so that the caller's key and workspace headers must not reach a target. */
 			readonly isKeyed: boolean;
 	  }
-	| {readonly isAdmitted: false; readonly ending: domain.RefusedEnding};
+	| {
+			readonly isAdmitted: false;
+			readonly ending: domain.RefusedEnding;
+			/** Workspace of the caller's key, if its quota is the reason. */
+			readonly workspace?: string;
+			/** Use of the quota, for the log. */
+			readonly quotaUsage?: Readonly<Record<string, number>>;
+	  };
 
 export type CallAdmissionParts = {
 	readonly readIndex: () => CatalogueIndex | undefined;
@@ -82,7 +89,12 @@
 		const decision = workspace ? await quotas.admit(workspace, signal) : {isAdmitted: true as const};
 		return decision.isAdmitted
 			? {isAdmitted: true, workspace: workspace?.name, isKeyed: true}
-			: {isAdmitted: false, ending: refuse(domain.RefusalReason.QuotaExceeded, decision.retryAfterMs)};
+			: {
+					isAdmitted: false,
+					ending: refuse(domain.RefusalReason.QuotaExceeded, decision.retryAfterMs),
+					workspace: workspace?.name,
+					quotaUsage: decision.usage,
+				};
 	};
 
 	return {
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -342,7 +342,7 @@
 		async admit(head, signal) {
 			const admission = await admissions.admit(head, signal);
 			if (!admission.isAdmitted) {
-				recordEnding(head, admission.ending);
+				recordEnding({...head, workspace: admission.workspace, quotaUsage: admission.quotaUsage}, admission.ending);
 			}
 
 			return admission;
--- a/packages/core/src/proxy/record-ending.ts
+++ b/packages/core/src/proxy/record-ending.ts
@@ -12,7 +12,9 @@
 
 /** Counts and logs how a call ended; `state` is absent when the call had no route. */
 export type EndingRecorder = (
-	call: Pick<domain.ProxiedCall, 'requestId' | 'host' | 'pathAndQuery' | 'receivedAtMs' | 'workspace'>,
+	call: Pick<domain.ProxiedCall, 'requestId' | 'host' | 'pathAndQuery' | 'receivedAtMs' | 'workspace'> & {
+		readonly quotaUsage?: Readonly<Record<string, number>>;
+	},
 	ending: domain.ProxyEnding,
 	state?: CallState,
 ) => void;
@@ -49,6 +51,7 @@
 			routeId: state?.route.routeId,
 			service: state?.service,
 			workspace: call.workspace,
+			quota: call.quotaUsage,
 			catalogueVersion: state?.catalogueVersion ?? registry.catalogue()?.version,
 			...(state === undefined && {host: call.host, path: call.pathAndQuery.split('?', 1)[0]}),
 			registryAgeMs: Math.round(registry.ageMs()),
--- a/packages/core/src/quotas/fleet-quotas.ts
+++ b/packages/core/src/quotas/fleet-quotas.ts
@@ -32,6 +32,12 @@
 	readonly account?: {readonly availableCount: number; readonly leasedCount: number; readonly shareCount: number};
 };
 
+/** Path at which nodes serve the report of their workspaces. */
+export const WORKSPACES_PATH = '/workspaces';
+
+/** The workspaces that are used at a node, those with the most calls first. */
+export type WorkspacesReport = {readonly nodeId: string; readonly workspaces: readonly WorkspaceReport[]};
+
 /** Limits the calls of each workspace across all nodes of the fleet. */
 export type FleetQuotas = WorkspaceQuotas & {
 	readonly handleLease: (request: ports.LeaseQuotaRequest) => ports.LeaseQuotaReply;
@@ -128,7 +134,8 @@
 				logRefusal(workspace, entry, decision.retryAfterMs);
 			}
 
-			return decision;
+			const {ratePerSecond, burstCount} = workspace;
+			return decision.isAdmitted ? decision : {...decision, usage: {ratePerSecond, burstCount, ...entry.describe()}};
 		},
 		handleLease: holder.lease,
 		handleClaim: holder.releaseShares,
--- a/packages/core/src/quotas/quota-entry.ts
+++ b/packages/core/src/quotas/quota-entry.ts
@@ -64,9 +64,15 @@
 const SILENT_PAUSE_MS = 2000;
 
 /** Shortest and longest time for which no holder is asked after none had a token, in ms. It doubles each time. */
-const SHORTEST_PAUSE_MS = 100;
+const SHORTEST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 1000;
 
+/**
+ * Holders of other regions that are asked first for the token of a single call. All others are asked after them. Tokens beyond
+ * the first one lapse.
+ */
+const REMOTE_HOLDER_COUNT = 2;
+
 const MS_PER_SECOND = 1000;
 
 type ExchangeOptions = {readonly wantedCount: number; readonly isReturn?: boolean; readonly isImmediate?: boolean};
@@ -100,7 +106,7 @@
 
 	const missingCount = (): number => Math.max(0, waitingCount - purse.balance(clock.monotonicMs()));
 
-	/** Holders of the workspace's shares that may be asked now, from an offset that differs between nodes. */
+	/** Holders of the workspace's shares that may have tokens, in an order that differs between calls and nodes. */
 	const listUsable = (workspace: domain.FleetWorkspace): readonly domain.RegisteredNode[] => {
 		const partition = partitionOf(workspace.name);
 		const {shareCount} = planShares(workspace, readOptions());
@@ -110,13 +116,10 @@
 			(_, index) => ranking.rank({partition, share: (index + offset) % shareCount}).first,
 		).filter(node => node !== undefined);
 		const nowMs = clock.monotonicMs();
-		const usable = [...new Map(nodes.map(node => [node.nodeId, node])).values()].filter(({nodeId, address}) => {
-			const {isAsked, pausedUntilMs: holderPausedUntilMs} = readHolder(nodeId);
-			return !isAsked && holderPausedUntilMs <= nowMs && (nodeId === self.nodeId || peerReachability.isUsable(address));
-		});
-		// Until a holder knows that its tokens are used, it replaces only part of them.
-		const spent = usable.filter(({nodeId}) => spentHolderIds.has(nodeId));
-		return [...spent, ...usable.filter(({nodeId}) => !spentHolderIds.has(nodeId))];
+		return [...new Map(nodes.map(node => [node.nodeId, node])).values()].filter(
+			({nodeId, address}) =>
+				readHolder(nodeId).pausedUntilMs <= nowMs && (nodeId === self.nodeId || peerReachability.isUsable(address)),
+		);
 	};
 
 	const request = async (
@@ -189,7 +192,9 @@
 		const nowMs = clock.monotonicMs();
 		const lowCount = (use.ratePerSecond(nowMs) * LOW_BALANCE_MS) / MS_PER_SECOND;
 		const wantedCount = purse.balance(nowMs) + pendingCount < lowCount && pausedUntilMs <= nowMs ? wantedCountNow() : 0;
-		const [holder] = wantedCount > 0 ? listUsable(workspace) : [];
+		const usable = wantedCount > 0 ? listUsable(workspace).filter(({nodeId}) => !readHolder(nodeId).isAsked) : [];
+		// Until a holder knows that its tokens are used, it replaces only part of them.
+		const holder = usable.find(({nodeId}) => spentHolderIds.has(nodeId)) ?? usable[0];
 		if (holder) {
 			void exchange(holder, {wantedCount});
 		}
@@ -204,33 +209,39 @@
 		return waitsMs.length > 0 ? Math.min(...waitsMs) : SHORTEST_PAUSE_MS;
 	};
 
-	/** Asks the holders of this region in turn, and then all others at once, until the waiting calls have tokens. */
+	/** Asks one holder of this region or, when none of them has tokens, several others at once. */
+	const askNext = async (usable: readonly domain.RegisteredNode[], remoteLimitCount: number): Promise<void> => {
+		const near = usable.find(({region}) => region === self.region);
+		const holders = near ? [near] : usable.slice(0, Math.max(missingCount(), remoteLimitCount));
+		const totalCount = missingCount();
+		const evenCount = Math.floor(totalCount / holders.length);
+		await Promise.all(
+			holders.map(async (holder, index) => {
+				const wantedCount = Math.max(1, evenCount + (index < totalCount % holders.length ? 1 : 0));
+				await exchange(holder, {wantedCount, isImmediate: true});
+			}),
+		);
+	};
+
+	/** Asks holders until the waiting calls have tokens, no holder has any, or the time is over. */
 	const searchTokens = async (workspace: domain.FleetWorkspace): Promise<void> => {
 		const endsAtMs = clock.monotonicMs() + readOptions().waitLimitMs;
-		const usable = listUsable(workspace);
-		for (const holder of usable.filter(({region}) => region === self.region)) {
-			if (missingCount() === 0 || clock.monotonicMs() >= endsAtMs) {
-				break;
-			}
-
-			await exchange(holder, {wantedCount: missingCount(), isImmediate: true});
-		}
-
-		const remoteHolders = usable.filter(({region}) => region !== self.region);
-		if (missingCount() > 0 && clock.monotonicMs() < endsAtMs) {
-			const wantedCount = Math.ceil(missingCount() / Math.max(1, remoteHolders.length));
-			await Promise.all(remoteHolders.map(async holder => exchange(holder, {wantedCount, isImmediate: true})));
+		let usable = listUsable(workspace);
+		let remoteLimitCount = REMOTE_HOLDER_COUNT;
+		while (missingCount() > 0 && usable.length > 0 && clock.monotonicMs() < endsAtMs) {
+			const isRemote = usable.every(({region}) => region !== self.region);
+			await askNext(usable, remoteLimitCount);
+			remoteLimitCount = isRemote ? Number.POSITIVE_INFINITY : remoteLimitCount;
+			usable = listUsable(workspace);
 		}
 
 		const nowMs = clock.monotonicMs();
 		if (purse.balance(nowMs) > 0) {
-			pauseMs = SHORTEST_PAUSE_MS;
-			return;
+			pauseMs = Math.max(SHORTEST_PAUSE_MS, pauseMs / 2);
+		} else if (usable.length === 0) {
+			pausedUntilMs = nowMs + Math.max(pauseMs, nextTokenMs()) * (0.5 + random.fraction() / 2);
+			pauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS);
 		}
-
-		pausedUntilMs =
-			nowMs + Math.max(pauseMs, Math.min(nextTokenMs(), LONGEST_PAUSE_MS)) * (0.5 + random.fraction() / 2);
-		pauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS);
 	};
 
 	const refuse = (workspace: domain.FleetWorkspace): QuotaDecision => {
--- a/packages/core/src/quotas/quota-holder.ts
+++ b/packages/core/src/quotas/quota-holder.ts
@@ -60,7 +60,7 @@
 		clock,
 		leaseMs: readOptions().leaseMs,
 		onChange({partition, share}, isHeld, otherNodeId) {
-			logger.info(isHeld ? 'quota share held' : 'quota share released', {
+			logger.debug(isHeld ? 'quota share held' : 'quota share released', {
 				event: isHeld ? ports.LogEvent.QuotaShareHeld : ports.LogEvent.QuotaShareReleased,
 				partition,
 				share,
--- a/packages/core/src/quotas/quota-options.ts
+++ b/packages/core/src/quotas/quota-options.ts
@@ -22,6 +22,6 @@
 	leaseMs: 1000,
 	// Longer than any reply is waited for. A longer lifetime would keep used tokens from being replaced until it ends.
 	immediateLeaseMs: 100,
-	// A round trip between regions takes 40 ms; the rest is for slow nodes.
-	waitLimitMs: 100,
+	// Two round trips between regions, of 40 ms each, and one to each holder of the region.
+	waitLimitMs: 120,
 };
--- a/packages/core/src/quotas/share-account.ts
+++ b/packages/core/src/quotas/share-account.ts
@@ -45,6 +45,9 @@
 
 const MS_PER_SECOND = 1000;
 
+/** Share of the available tokens that one request leases ahead; the rest is left for calls that wait. */
+const AHEAD_RATIO = 0.5;
+
 /**
  * The sum of available tokens and of leased tokens that may be unused never exceeds the limit of the held shares. In any time it
  * therefore allows at most that limit and the tokens that become available in it. Used tokens count as unused until the entry
@@ -54,6 +57,8 @@
 	const leases = new Map<string, Lease>();
 	let immediateLeases: ReadonlyArray<Pick<Lease, 'count' | 'expiresAtMs'>> = [];
 	let shares: ReadonlySet<number> = new Set();
+	/** When shares were lost that may be held again before they would be full. */
+	const lostAtMs = new Map<number, number>();
 	let plan: SharePlan = {shareCount: 1, ratePerSecond: 0, limitCount: 0};
 	let availableCount = 0;
 	let updatedAtMs = 0;
@@ -79,14 +84,14 @@
 		return ratePerSecond > 0 ? (Math.max(0, 1 - availableCount) / ratePerSecond) * MS_PER_SECOND : leaseMs;
 	};
 
-	const withdraw = (wantedCount: number): number => {
-		const grantedCount = Math.min(Math.floor(availableCount), wantedCount);
+	const withdraw = (wantedCount: number, withdrawableCount: number): number => {
+		const grantedCount = Math.min(Math.floor(withdrawableCount), wantedCount);
 		availableCount -= grantedCount;
 		return grantedCount;
 	};
 
 	const leaseNow = ({wantedCount}: LeaseDemand, nowMs: number): Omit<LeaseGrant, 'nextTokenMs'> => {
-		const grantedCount = withdraw(wantedCount);
+		const grantedCount = withdraw(wantedCount, availableCount);
 		immediateLeases = [...immediateLeases, {count: grantedCount, expiresAtMs: nowMs + immediateLeaseMs}];
 		return {grantedCount, isRenewed: true};
 	};
@@ -105,7 +110,7 @@
 		const heldCount = isRenewed ? unusedCount : Math.max(unusedCount, previous?.count ?? 0);
 		leases.set(entryId, {sequence, count: heldCount, expiresAtMs: nowMs + leaseMs});
 		add(Math.min(returnedCount, Math.max(0, (previous?.count ?? 0) - unusedCount)));
-		const grantedCount = isRenewed ? withdraw(wantedCount) : 0;
+		const grantedCount = isRenewed ? withdraw(wantedCount, availableCount * AHEAD_RATIO) : 0;
 		leases.set(entryId, {sequence, count: heldCount + grantedCount, expiresAtMs: nowMs + leaseMs});
 		return {grantedCount, isRenewed};
 	};
@@ -116,9 +121,20 @@
 				(nextPlan.ratePerSecond * Math.max(0, nowMs - sinceMs)) / MS_PER_SECOND;
 			const active = new Map([...heldSinceMs].filter(([, sinceMs]) => sinceMs <= nowMs));
 			const keptCount = [...shares].filter(share => active.has(share)).length;
+			[...shares]
+				.filter(share => !active.has(share))
+				.forEach(share => {
+					lostAtMs.set(share, nowMs);
+				});
 			const addedCount = [...active]
 				.filter(([share]) => !shares.has(share))
-				.reduce((sum, [, sinceMs]) => sum + Math.min(nextPlan.limitCount, earnedPerShare(sinceMs)), 0);
+				.map(([share, sinceMs]) => earnedPerShare(Math.max(sinceMs, lostAtMs.get(share) ?? sinceMs)))
+				.reduce((sum, earnedCount) => sum + Math.min(nextPlan.limitCount, earnedCount), 0);
+			[...lostAtMs]
+				.filter(([share, atMs]) => active.has(share) || earnedPerShare(atMs) >= nextPlan.limitCount)
+				.forEach(([share]) => {
+					lostAtMs.delete(share);
+				});
 			availableCount *= shares.size === 0 ? 0 : keptCount / shares.size;
 			removeExpired(nowMs);
 			shares = new Set(active.keys());
@@ -135,6 +151,7 @@
 			return {...grant, nextTokenMs: nextTokenMs()};
 		},
 		describe: () => ({availableCount, leasedCount: leasedCount(), shareCount: shares.size}),
-		isDisposable: () => leases.size === 0 && immediateLeases.length === 0 && availableCount >= limitCount(),
+		isDisposable: () =>
+			leases.size === 0 && immediateLeases.length === 0 && lostAtMs.size === 0 && availableCount >= limitCount(),
 	};
 };
--- a/packages/core/src/quotas/slot-holder.ts
+++ b/packages/core/src/quotas/slot-holder.ts
@@ -37,22 +37,24 @@
 	const {selfId, ranking, clock, leaseMs, onChange} = options;
 	const startedAtMs = clock.monotonicMs();
 	const held = new Map<number, Held>();
-	/** When slots were given up, and to whom. */
-	const released = new Map<number, {readonly claimantId: string; readonly atMs: number}>();
+	/** When this node last held slots that it has given up. */
+	const heldUntilMs = new Map<number, number>();
+	/** Who claimed slots from this node, and when. */
+	const claims = new Map<number, {readonly claimantId: string; readonly atMs: number}>();
 
 	const isLeftToClaimant = (slotId: number): boolean => {
-		const release = released.get(slotId);
+		const claim = claims.get(slotId);
 		return (
-			release !== undefined &&
-			ranking.seenSinceMs(release.claimantId) === undefined &&
-			clock.monotonicMs() - release.atMs < CLAIM_LIMIT_MS
+			claim !== undefined &&
+			ranking.seenSinceMs(claim.claimantId) === undefined &&
+			clock.monotonicMs() - claim.atMs < CLAIM_LIMIT_MS
 		);
 	};
 
 	const stopHolding = (slot: Slot, claimantId: string): void => {
 		const slotId = slotIdOf(slot);
 		if (held.delete(slotId)) {
-			released.set(slotId, {claimantId, atMs: clock.monotonicMs()});
+			heldUntilMs.set(slotId, clock.monotonicMs());
 			onChange(slot, false, claimantId);
 		}
 	};
@@ -76,10 +78,11 @@
 		const removalWaitMs =
 			firstSinceMs > startedAtMs && firstSinceMs !== ranking.seenSinceMs(selfId) ? REMOVAL_SPREAD_MS : 0;
 		const sinceMs = Math.max(firstSinceMs + removalWaitMs, nowMs - idleMs) + leaseMs;
-		// A slot that is confirmed again was held all the time, since its confirmer would have claimed it otherwise.
-		const keptSinceMs = previous && nowMs - idleMs <= previous.sinceMs ? previous.sinceMs : sinceMs;
-		held.set(slotId, {confirmerId, sinceMs: keptSinceMs, isConfirmed: true});
-		released.delete(slotId);
+		// Another node may have held the slot while this process was paused, or after this node released it.
+		const isResumed = previous !== undefined || heldUntilMs.has(slotId);
+		held.set(slotId, {confirmerId, sinceMs: isResumed ? nowMs + leaseMs : sinceMs, isConfirmed: true});
+		heldUntilMs.delete(slotId);
+		claims.delete(slotId);
 		if (!previous) {
 			onChange(slot, true, confirmerId);
 		}
@@ -91,8 +94,7 @@
 				return undefined;
 			}
 
-			const current = held.get(slotIdOf(slot));
-			if (!current && ranking.rank(slot).second === undefined) {
+			if (!held.get(slotIdOf(slot))?.isConfirmed && ranking.rank(slot).second === undefined) {
 				hold(slot, undefined, Number.POSITIVE_INFINITY);
 			}
 
@@ -117,7 +119,9 @@
 			}
 
 			stopHolding(slot, claimantId);
-			const releasedAtMs = released.get(slotIdOf(slot))?.atMs ?? Number.NEGATIVE_INFINITY;
+			// Recorded even if the slot is not held: this node's own claim may be on its way to being confirmed.
+			claims.set(slotIdOf(slot), {claimantId, atMs: clock.monotonicMs()});
+			const releasedAtMs = heldUntilMs.get(slotIdOf(slot)) ?? Number.NEGATIVE_INFINITY;
 			const idleSinceMs = Math.max(startedAtMs, releasedAtMs, ranking.seenSinceMs(claimantId) ?? clock.monotonicMs());
 			return clock.monotonicMs() - idleSinceMs;
 		},
--- a/packages/core/src/quotas/use-estimate.ts
+++ b/packages/core/src/quotas/use-estimate.ts
@@ -4,8 +4,8 @@
 	ratePerSecond(nowMs: number): number;
 };
 
-/** Time constant of the mean: twice as long as tokens are leased ahead, so that single calls change little. */
-const MEAN_TIME_MS = 1000;
+/** Time constant of the mean. After a burst, a shorter one would lease many tokens ahead that other nodes need. */
+const MEAN_TIME_MS = 2000;
 
 const MS_PER_SECOND = 1000;
 
--- a/packages/core/src/quotas/workspace-quotas.ts
+++ b/packages/core/src/quotas/workspace-quotas.ts
@@ -7,6 +7,8 @@
 			readonly isAdmitted: false;
 			/** Time until the workspace may make this call, in ms. */
 			readonly retryAfterMs: number;
+			/** The workspace's limits and its use at this node, for the log. */
+			readonly usage?: Readonly<Record<string, number>>;
 	  };
 
 /** Limits the calls of each workspace across all nodes. */
--- a/packages/daemon/src/fleet/fleet-listeners.ts
+++ b/packages/daemon/src/fleet/fleet-listeners.ts
@@ -1,5 +1,5 @@
 import * as adapters from '@bilberrydoor/adapters';
-import type * as core from '@bilberrydoor/core';
+import * as core from '@bilberrydoor/core';
 import * as platform from '@bilberrydoor/platform';
 import type {FleetPorts} from './build-fleet-ports.js';
 
@@ -87,6 +87,9 @@
 		path: platform.READINESS_PATH,
 		isReady: () => !shutdownState.isLeaving && node.isReady(),
 	});
+	const metricsApp = adapters.createMetricsApp(METRICS_PATH, fleetPorts.metricsRegistry, {
+		[core.WORKSPACES_PATH]: () => ({nodeId: node.self.nodeId, workspaces: node.quotas.list()}),
+	});
 	return {
 		peer: await adapters.startHttpListener(peerApp, {
 			...adapters.splitAddress(settings.peerAddress),
@@ -102,9 +105,6 @@
 		metrics:
 			options.metricsPort === undefined
 				? undefined
-				: await adapters.startHttpListener(adapters.createMetricsApp(METRICS_PATH, fleetPorts.metricsRegistry), {
-						host: settings.ip,
-						port: options.metricsPort,
-					}),
+				: await adapters.startHttpListener(metricsApp, {host: settings.ip, port: options.metricsPort}),
 	};
 };
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -62,6 +62,7 @@
 			self: describeSelf(settings, random.token()),
 			seedAddresses: settings.seedAddresses,
 			dispatcher: settings.dispatcher,
+			quotas: settings.quotas,
 			readTargetHeartbeatMs: () => bounds.targetHeartbeatMs,
 		},
 	});
@@ -86,6 +87,9 @@
 			dispatcher(dispatcher) {
 				node.dispatchers.configure({...core.DEFAULT_DISPATCHER_OPTIONS, ...dispatcher});
 			},
+			quotas(quotas) {
+				node.quotas.configure(quotas);
+			},
 		},
 	});
 	const watchController = new AbortController();
--- a/packages/fakes/src/quota-fleet.ts
+++ b/packages/fakes/src/quota-fleet.ts
@@ -36,6 +36,8 @@
 	readonly latencyMs?: {readonly near: number; readonly far: number};
 	readonly quotas?: Partial<core.QuotaOptions>;
 	readonly variant?: QuotaVariant;
+	/** Whether the catalogue has workspaces with a limit; true by default. */
+	readonly hasLimits?: boolean;
 	/** Longest time until a node learns of a change of the registry, in ms. */
 	readonly spreadMs?: number;
 };
@@ -166,7 +168,7 @@
 			quotas: core.createFleetQuotas({
 				self,
 				nodes: {revision: () => view.revision, values: () => view.nodes},
-				hasLimits: () => true,
+				hasLimits: () => options.hasLimits ?? true,
 				findWorkspace: name => node.workspaces.get(name),
 				peerClient: createPeerClient(self, host),
 				peerReachability: {isUsable: () => true},
--- a/packages/measures/src/run-measure.ts
+++ b/packages/measures/src/run-measure.ts
@@ -15,6 +15,7 @@
 	membership: async () => (await import('./membership.js')).measureMembership,
 	operations: async () => (await import('./operations/measure-operations.js')).measureOperations,
 	overhead: async () => (await import('./overhead/measure-overhead.js')).measureOverhead,
+	quota: async () => (await import('./quota/measure-quota.js')).measureQuota,
 	retries: async () => (await import('./retries.js')).measureRetries,
 	system: async () => (await import('./system/measure-system.js')).measureSystem,
 };
