--- a/packages/cli/src/command-table.ts
+++ b/packages/cli/src/command-table.ts
@@ -13,6 +13,7 @@
 import {services} from './commands/services.js';
 import {targets} from './commands/targets.js';
 import {trace} from './commands/trace.js';
+import {workspaces} from './commands/workspaces.js';
 
 /** Names of the commands, as typed on the command line. */
 export enum CommandName {
@@ -30,6 +31,7 @@
 	Explain = 'explain',
 	ExplainCall = 'explain-call',
 	Trace = 'trace',
+	Workspaces = 'workspaces',
 }
 
 export const COMMANDS: Record<CommandName, Command> = {
@@ -47,6 +49,7 @@
 	[CommandName.Explain]: explain,
 	[CommandName.ExplainCall]: explainCall,
 	[CommandName.Trace]: trace,
+	[CommandName.Workspaces]: workspaces,
 };
 
 /** Help texts of the command groups, which are no commands themselves. */
--- a/packages/core/src/fleet/create-fleet-node.ts
+++ b/packages/core/src/fleet/create-fleet-node.ts
@@ -6,7 +6,10 @@
 import {completeZoneOptions, type ZoneOptions} from '../zones/zone-options.js';
 import * as ports from '../ports/index.js';
 import {createCallProxy, type CallProxy} from '../proxy/call-proxy.js';
+import {createCatalogueIndex} from '../proxy/catalogue-index.js';
 import {planStop, type StopPlan} from '../proxy/stop-plan.js';
+import {createFleetQuotas, type FleetQuotas} from '../quotas/fleet-quotas.js';
+import type {QuotaOptions} from '../quotas/quota-options.js';
 import {createPeerReachability} from '../registry/peer-reachability.js';
 import {createRegistry, type Registry} from '../registry/registry.js';
 import {runRegistrySync} from '../registry/registry-sync.js';
@@ -32,6 +35,8 @@
 	readonly dispatcher?: Partial<DispatcherOptions>;
 	/** Decisions between zones and regions. */
 	readonly zones?: Partial<ZoneOptions>;
+	/** Bound on the calls of workspaces with a quota. */
+	readonly quotas?: Partial<QuotaOptions>;
 	/** Returns the time between two heartbeats of a target, in ms, or undefined for the default. May change at any time. */
 	readonly readTargetHeartbeatMs?: () => number | undefined;
 };
@@ -42,6 +47,7 @@
 	readonly proxy: CallProxy;
 	readonly registry: Registry;
 	readonly dispatchers: DispatcherTable;
+	readonly quotas: FleetQuotas;
 	readonly messageHandlers: ports.FleetMessageHandlers;
 	/** Explains where a request would go now, without sending it. */
 	readonly explainCall: CallExplainer;
@@ -97,6 +103,20 @@
 		random,
 		zoneOptions,
 	});
+	const readIndex = createCatalogueIndex(registry);
+	const quotas = createFleetQuotas({
+		self,
+		nodes: registry.replicas.nodes,
+		hasLimits: () => readIndex()?.workspaces?.hasLimits ?? false,
+		findWorkspace: name => readIndex()?.workspaces?.find(name),
+		peerClient,
+		peerReachability,
+		clock,
+		random,
+		logger,
+		metrics,
+		options: options.settings.quotas,
+	});
 	let callCount = 0;
 	let stopPlan: StopPlan | undefined;
 	const callProxy = createCallProxy({
@@ -108,6 +128,8 @@
 		logger,
 		metrics,
 		recordBytes: grants.recordBytes,
+		quotas,
+		readIndex,
 		readStopPlan: () => stopPlan,
 	});
 
@@ -128,6 +150,7 @@
 		proxy,
 		registry,
 		dispatchers,
+		quotas,
 		messageHandlers: {
 			[ports.FleetMessageKind.AcquireGrant]: async (request, signal) =>
 				dispatchers.get(request.service, request.region).acquire(request, signal),
@@ -136,6 +159,8 @@
 				return {};
 			},
 			[ports.FleetMessageKind.PullRegistry]: async (request, signal) => registry.pull(request, signal),
+			[ports.FleetMessageKind.LeaseQuota]: async request => quotas.handleLease(request),
+			[ports.FleetMessageKind.ClaimQuotaShares]: async request => quotas.handleClaim(request),
 		},
 		configureZones(given) {
 			Object.assign(zoneOptions, completeZoneOptions(given));
@@ -158,11 +183,12 @@
 				metrics,
 			};
 			const registration = {self, registry, store, clock, random, logger, stopSignal: stopping.signal};
-			await Promise.all([runRegistrySync(sync, signal), keepRegistered(registration, signal)]);
+			await Promise.all([runRegistrySync(sync, signal), keepRegistered(registration, signal), quotas.run(signal)]);
 		},
 		async leave(endsAtMs) {
 			stopPlan = planStop(clock.monotonicMs(), endsAtMs);
 			stopping.abort();
+			quotas.stop();
 			const {signal} = new AbortController();
 			await runWithTimeout({clock, timeoutMs: LEAVE_TIMEOUT_MS, signal}, async leaveSignal =>
 				store.withdrawNode(self.nodeId, leaveSignal),
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -17,6 +17,8 @@
 	PlacedCalls = 'placedCalls',
 	PlacedBytes = 'placedBytes',
 	RegionStays = 'regionStays',
+	QuotaLeases = 'quotaLeases',
+	QuotaDecisions = 'quotaDecisions',
 }
 
 export enum GaugeName {
@@ -31,6 +33,8 @@
 	CatalogueVersion = 'catalogueVersion',
 	RegistryAgeSeconds = 'registryAgeSeconds',
 	StoreEra = 'storeEra',
+	QuotaAccounts = 'quotaAccounts',
+	QuotaSharesHeld = 'quotaSharesHeld',
 }
 
 export enum HistogramName {
--- a/packages/daemon/src/fleet/fleet-listeners.ts
+++ b/packages/daemon/src/fleet/fleet-listeners.ts
@@ -1,5 +1,5 @@
 import * as adapters from '@bilberrydoor/adapters';
-import type * as core from '@bilberrydoor/core';
+import * as core from '@bilberrydoor/core';
 import * as platform from '@bilberrydoor/platform';
 import type {FleetPorts} from './build-fleet-ports.js';
 
@@ -91,7 +91,9 @@
 		isReady: () => !shutdownState.isLeaving && node.isReady(),
 	});
 	const metricsApp = adapters.addCallExplanation(
-		adapters.createMetricsApp(METRICS_PATH, fleetPorts.metricsRegistry),
+		adapters.createMetricsApp(METRICS_PATH, fleetPorts.metricsRegistry, {
+			[core.WORKSPACES_PATH]: () => ({nodeId: node.self.nodeId, workspaces: node.quotas.list()}),
+		}),
 		EXPLAIN_CALL_PATH,
 		node.explainCall,
 	);
--- a/packages/daemon/src/fleet/run-fleet-daemon.ts
+++ b/packages/daemon/src/fleet/run-fleet-daemon.ts
@@ -63,6 +63,7 @@
 			seedAddresses: settings.seedAddresses,
 			dispatcher: settings.dispatcher,
 			zones: settings.zones,
+			quotas: settings.quotas,
 			readTargetHeartbeatMs: () => bounds.targetHeartbeatMs,
 		},
 	});
@@ -90,6 +91,9 @@
 			zones(zones) {
 				node.configureZones(zones);
 			},
+			quotas(quotas) {
+				node.quotas.configure(quotas);
+			},
 		},
 	});
 	const watchController = new AbortController();
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -16,5 +16,7 @@
 export * from './simulate-losses.js';
 export * from './simulate-operations.js';
 export * from './simulate-rollbacks.js';
+export * from './quota-fleet.js';
+export * from './simulate-quotas.js';
 export * from './virtual-clock.js';
 export * from './registry-fleet.js';
