feat(clients): what clients can make a node hold is bounded

Requests read ahead, header lines, connections, waiting bodies and unread answers have limits that follow from the memory and the descriptors in the settings. Calls behind an unanswered one are abandoned when their connection closes. The table of settings-reload.test.ts has a row for each new setting, as its type requires.

--- a/packages/adapters/src/front/proxy-app.ts
+++ b/packages/adapters/src/front/proxy-app.ts
@@ -4,6 +4,7 @@
 import * as nodeServerResponse from '@hono/node-server/utils/response';
 import * as hono from 'hono';
 import * as headers from '../http/headers.js';
+import type {ClientGuard} from '../http/client-guard.js';
 import type {NodeBindings} from '../http/http-listener.js';
 import type {WireDialect} from '../http/wire-dialect.js';
 import {writeBody} from '../http/write-body.js';
@@ -27,11 +28,16 @@
 	 * one attempt at most that sends more than this.
 	 */
 	readonly heldBodyLimitBytes?: number;
+	/** Bounds the bodies and the answers that the process holds. */
+	readonly guard?: ClientGuard;
 };
 
 /** Larger than the users' largest photos, so that a slow upload does not occupy a slot of a target. */
 const DEFAULT_HELD_BODY_LIMIT_BYTES = 524_288;
 
+/** Bytes that streams and connections hold of an answer that is not buffered whole. */
+const STREAMED_BYTES = 131_072;
+
 const MS_PER_SECOND = 1000;
 const BODYLESS_STATUSES = new Set([204, 304]);
 
@@ -82,6 +88,7 @@
 			...(isBuffered && !isBodyless && {'content-length': String(answer.body.byteLength)}),
 			...buildConnectionHeader(),
 		});
+		options.guard?.holdAnswer(outgoing, answer.body instanceof Uint8Array ? answer.body.byteLength : STREAMED_BYTES);
 		if (answer.body instanceof Uint8Array) {
 			outgoing.end(answer.body);
 			return;
@@ -159,7 +166,14 @@
 			return;
 		}
 
+		const arriving = options.guard?.holdBody(incoming, outgoing, heldBytes);
+		if (options.guard && !arriving) {
+			options.guard.refuse(incoming, outgoing);
+			return;
+		}
+
 		const read = await readCallBody(incoming, {heldBytes, totalBytes: options.getBodyLimitBytes()});
+		arriving?.endArrival();
 		if (read.isErr()) {
 			options.logger.info('request body refused', {event: core.LogEvent.BodyRefused, requestId, problem: read.error});
 			if (read.error === BodyReadError.TooLarge) {
--- a/packages/adapters/src/http/connection-closer.ts
+++ b/packages/adapters/src/http/connection-closer.ts
@@ -39,6 +39,16 @@
 const listWholeAnswers = ({requests}: ConnectionState): http.ServerResponse[] =>
 	[...requests].filter(([, incoming]) => incoming.complete).map(([outgoing]) => outgoing);
 
+/** Node.js closes only the answer that is being sent. The calls of those behind it would be handled to their end. */
+const closeWaitingAnswers = ({requests}: ConnectionState): void => {
+	[...requests.keys()]
+		.filter(outgoing => outgoing.socket === null)
+		.forEach(outgoing => {
+			outgoing.destroy();
+			outgoing.emit('close');
+		});
+};
+
 const endAndLinger = (socket: net.Socket, lastBytes = ''): void => {
 	socket.end(lastBytes);
 	const timer = setTimeout(() => {
@@ -70,9 +80,11 @@
 
 	return {
 		track(socket) {
-			connections.set(socket, {requests: new Map(), acceptedCount: 0, handledBytes: 0, isEnding: false});
+			const state: ConnectionState = {requests: new Map(), acceptedCount: 0, handledBytes: 0, isEnding: false};
+			connections.set(socket, state);
 			socket.once('close', () => {
 				connections.delete(socket);
+				closeWaitingAnswers(state);
 			});
 		},
 		accept(incoming, outgoing) {
--- a/packages/adapters/src/http/http-listener.ts
+++ b/packages/adapters/src/http/http-listener.ts
@@ -4,6 +4,7 @@
 import * as nodeServer from '@hono/node-server';
 import type * as hono from 'hono';
 import {handleClientErrors} from './client-errors.js';
+import type {ClientGuard} from './client-guard.js';
 import {createConnectionCloser} from './connection-closer.js';
 
 /** Bindings that give handlers the Node.js request and response, so that bodies stream without copies. */
@@ -26,6 +27,8 @@
 	readonly keepAliveMs: number;
 	/** Logs what the server answers without the application. */
 	readonly logger?: core.Logger;
+	/** Limits what clients can make the process hold. Peers and operators need none. */
+	readonly guard?: ClientGuard;
 };
 
 export const DEFAULT_HTTP_LISTENER_OPTIONS: HttpListenerOptions = {
@@ -81,13 +84,25 @@
 			noDelay: true,
 		},
 		(incoming, outgoing) => {
-			if (connections.accept(incoming, outgoing)) {
+			if (!connections.accept(incoming, outgoing)) {
+				return;
+			}
+
+			const handle = (): void => {
 				void handleRequest(incoming, outgoing);
+			};
+
+			if (options.guard) {
+				options.guard.admit(incoming, outgoing, {connections, handle});
+				return;
 			}
+
+			handle();
 		},
 	);
 	server.maxConnections = options.connectionLimit;
 	server.on('connection', connections.track);
+	options.guard?.watch(server, connections);
 	handleClientErrors(server, {connections, logger: options.logger});
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -2,6 +2,8 @@
 export * from './front/read-call-request.js';
 export * from './front/refusal-statuses.js';
 export * from './front/write-call-ending.js';
+export * from './http/client-guard.js';
+export * from './http/client-limits.js';
 export * from './http/collect-body.js';
 export * from './http/connect-error.js';
 export * from './http/headers.js';
--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -62,6 +62,11 @@
 		help: 'Records of the store, or parts of them, that cannot be read, by what follows',
 		labelNames: ['topic', 'effect'],
 	},
+	[core.CounterName.ClientLimits]: {
+		name: 'client_limits_total',
+		help: 'Requests that were refused and connections that were closed because a client reached a limit, by limit',
+		labelNames: ['limit'],
+	},
 };
 
 const GAUGES: Record<core.GaugeName, MetricDefinition> = {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -49,6 +49,7 @@
 export * from './shared/buffer-body.js';
 export * from './shared/close-body.js';
 export * from './shared/held-body.js';
+export * from './shared/held-bytes.js';
 export * from './shared/limit-body.js';
 export * from './shared/observe-body.js';
 export * from './shared/read-ahead.js';
--- a/packages/core/src/ports/log-event.ts
+++ b/packages/core/src/ports/log-event.ts
@@ -8,6 +8,8 @@
 	CallEnded = 'call-ended',
 	/** Handling a call threw an unexpected exception. */
 	CallHandlingFailed = 'call-handling-failed',
+	/** A client reached a limit, so that a request was refused or a connection was closed. */
+	ClientLimited = 'client-limited',
 	/** The HTTP server ended a caller's connection because of what arrived on it. */
 	ClientError = 'client-error',
 	/** A new catalogue is in force on this node. */
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -14,6 +14,7 @@
 	StoreCalls = 'storeCalls',
 	Grants = 'grants',
 	UnreadableRecords = 'unreadableRecords',
+	ClientLimits = 'clientLimits',
 }
 
 export enum GaugeName {
--- a/packages/daemon/src/fleet/__tests__/settings-reload.test.ts
+++ b/packages/daemon/src/fleet/__tests__/settings-reload.test.ts
@@ -44,6 +44,11 @@
 	seedAddresses: {changes: {seeds: ['127.0.0.1:4']}, inFile: ['127.0.0.1:4']},
 	storeAddress: {changes: {platform: {address: '127.0.0.1:5'}}, inFile: '127.0.0.1:5'},
 	capacityCores: {changes: {limits: {cpu_share: 0.4, cores: 2}}, inFile: 0.8},
+	memoryBytes: {changes: {limits: {memory_mb: 300}}, inFile: 314_572_800},
+	descriptorLimitCount: {changes: {limits: {max_fds: 5000}}, inFile: 5000},
+	readAheadLimitCount: {changes: {limits: {read_ahead_requests: 8}}, inFile: 8},
+	headerLineLimitCount: {changes: {limits: {header_lines: 100}}, inFile: 100},
+	stalledLimitMs: {changes: {limits: {stalled_s: 20}}, inFile: 20_000},
 };
 
 // Guards against a changed setting that a running node neither uses nor mentions.
--- a/packages/daemon/src/fleet/fleet-listeners.ts
+++ b/packages/daemon/src/fleet/fleet-listeners.ts
@@ -1,7 +1,8 @@
 import * as adapters from '@bilberrydoor/adapters';
-import type * as core from '@bilberrydoor/core';
+import * as core from '@bilberrydoor/core';
 import * as platform from '@bilberrydoor/platform';
 import type {FleetPorts} from './build-fleet-ports.js';
+import {deriveClientLimits, deriveHeldBytesOptions} from './client-limits.js';
 
 export type FleetListeners = {
 	readonly front: adapters.HttpListener;
@@ -28,9 +29,6 @@
 /** Largest head that the HTTP parser reads, and the limit until the node has its first catalogue, in bytes. */
 const FRONT_HEADER_LIMIT_BYTES = 65_536;
 
-/** A node has 4,100 file descriptors; the remaining ones are for connections to targets, peers and the store. */
-const FRONT_CONNECTION_LIMIT = 3000;
-
 /** Body limit until the node has its first catalogue. */
 const INITIAL_BODY_LIMIT_BYTES = 1_048_576;
 
@@ -72,6 +70,13 @@
 export const startFleetListeners = async (options: FleetListenerOptions): Promise<FleetListeners> => {
 	const {settings, fleetPorts, node, shutdownState} = options;
 	const {clock, random, logger, metrics} = fleetPorts.ports;
+	const guard = adapters.createClientGuard({
+		limits: deriveClientLimits(settings),
+		held: core.createHeldBytes(deriveHeldBytesOptions(settings)),
+		random,
+		noteLimit: adapters.createClientLimitLog({logger, metrics}),
+		requestIdHeader: platform.PLATFORM_DIALECT.requestIdHeader,
+	});
 	const proxyApp = adapters.createProxyApp({
 		dialect: platform.PLATFORM_DIALECT,
 		proxy: node.proxy,
@@ -81,6 +86,7 @@
 		getHeaderLimitBytes: () => node.registry.catalogue()?.limits.headerLimitBytes ?? FRONT_HEADER_LIMIT_BYTES,
 		getBodyLimitBytes: () => node.registry.catalogue()?.limits.bodyLimitBytes ?? INITIAL_BODY_LIMIT_BYTES,
 		isClosing: () => shutdownState.isLeaving,
+		guard,
 	});
 	const peerApp = adapters.createFleetPeerApp({handlers: node.messageHandlers, logger, metrics});
 	const readinessApp = adapters.createReadinessApp({
@@ -95,8 +101,8 @@
 		front: await adapters.startHttpListener(proxyApp, {
 			...adapters.splitAddress(settings.frontAddress),
 			headerLimitBytes: FRONT_HEADER_LIMIT_BYTES,
-			connectionLimit: FRONT_CONNECTION_LIMIT,
 			logger,
+			guard,
 		}),
 		readiness: await adapters.startHttpListener(readinessApp, adapters.splitAddress(settings.readinessAddress)),
 		metrics:
