--- a/packages/adapters/src/observability/prometheus-metrics.ts
+++ b/packages/adapters/src/observability/prometheus-metrics.ts
@@ -87,6 +87,11 @@
 		help: 'Calls of workspaces with a quota by result, for the workspaces with the most calls; the others are summed',
 		labelNames: ['workspace', 'result'],
 	},
+	[core.CounterName.ClientLimits]: {
+		name: 'client_limits_total',
+		help: 'Requests that were refused and connections that were closed because a client reached a limit, by limit',
+		labelNames: ['limit'],
+	},
 };
 
 const GAUGES: Record<core.GaugeName, MetricDefinition> = {
--- a/packages/core/src/ports/metrics.ts
+++ b/packages/core/src/ports/metrics.ts
@@ -19,6 +19,7 @@
 	RegionStays = 'regionStays',
 	QuotaLeases = 'quotaLeases',
 	QuotaDecisions = 'quotaDecisions',
+	ClientLimits = 'clientLimits',
 }
 
 export enum GaugeName {
