test(registry): rollbacks of the store with late answers, older peers and paused nodes

Reads of an older era count as failed, an answer with an unreadable era is not used, and an aborted read is not followed by one of the whole topic, which had cost calls at the start of nodes.

--- a/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
+++ b/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
@@ -77,6 +77,26 @@
 	t.deepEqual(schema.parse(JSON.parse(text)), grant as core.AcquireGrantReply);
 });
 
+// Guards against positions of a former era of the store that a peer takes for newer ones, because the era was lost on its way.
+test('eras are received with the offsets that they belong to', t => {
+	const changes = {...NO_CHANGES, era: 3, restoredBeforeOffset: 5};
+	const {topics, ...others} = buildReply(CATALOGUE);
+	const reply = {...others, topics: {...topics, [core.RegistryTopic.Nodes]: changes}, storeEra: {era: 3, ageMs: 250}};
+	t.deepEqual(transfer(FLEET_REPLY_ENCODERS[PullRegistry](reply)).data, reply);
+	const numbers = {[core.RegistryTopic.Catalogue]: 1, [core.RegistryTopic.Targets]: 2, [core.RegistryTopic.Nodes]: 3};
+	const request = {fromOffsets: numbers, fromEras: numbers, storeEra: 3, waitMs: 0};
+	t.deepEqual(FLEET_MESSAGE_SCHEMAS[PullRegistry].request.parse(request), request);
+	t.false(FLEET_MESSAGE_SCHEMAS[PullRegistry].request.safeParse({...request, storeEra: -1}).success);
+});
+
+// Guards against nodes of an earlier version whose messages are refused during a rolling update.
+test('messages without eras are accepted', t => {
+	t.true(transfer(FLEET_REPLY_ENCODERS[PullRegistry](buildReply(undefined))).success);
+	const numbers = {[core.RegistryTopic.Catalogue]: 1, [core.RegistryTopic.Targets]: 2, [core.RegistryTopic.Nodes]: 3};
+	const request = {fromOffsets: numbers, waitMs: 0};
+	t.deepEqual(FLEET_MESSAGE_SCHEMAS[PullRegistry].request.parse(request), request);
+});
+
 test('the removal of a catalogue has no value', t => {
 	t.is(
 		transfer(FLEET_REPLY_ENCODERS[PullRegistry](buildReply(undefined))).data?.topics.catalogue.records[0]?.value,
--- a/packages/core/src/registry/replica.ts
+++ b/packages/core/src/registry/replica.ts
@@ -215,7 +215,7 @@
 			}
 
 			if (changesEra > era) {
-				const copyEndOffset = changes.isWhole ? changes.nextOffset : 0;
+				const copyEndOffset = changes.isWhole ? Math.max(0, changes.nextOffset) : 0;
 				restoredBeforeOffset = changes.restoredBeforeOffset ?? copyEndOffset;
 			}
 
--- a/packages/core/src/registry/store-reader.ts
+++ b/packages/core/src/registry/store-reader.ts
@@ -1,4 +1,4 @@
-import type * as neverthrow from 'neverthrow';
+import * as neverthrow from 'neverthrow';
 import * as ports from '../ports/index.js';
 import {createBackOff} from '../shared/back-off.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
@@ -90,6 +90,17 @@
 		registry.setSourceLost(CALL_CRITICAL_TOPICS.some(criticalTopic => lostTopics.has(criticalTopic)));
 	};
 
+	/** An answer of an older era is late, or comes from a part of the store that is behind. */
+	const refuseOlderEra = <Changes extends {readonly era: number}>(
+		changes: Changes,
+	): neverthrow.Result<Changes, ports.RegistryError> =>
+		changes.era < registry.eras.newest()
+			? neverthrow.err({
+					kind: ports.RegistryErrorKind.Unavailable,
+					detail: `the answer is of era ${changes.era}, and the store has been in era ${registry.eras.newest()}`,
+				})
+			: neverthrow.ok(changes);
+
 	/** Whether the whole topic must be read, since the store has no records that continue the replica. */
 	const needsWholeTopic = (topic: ports.RegistryTopic, read: TopicRead<ports.RegistryTopic>): boolean =>
 		read.match(
@@ -135,7 +146,8 @@
 		const replica = registry.replicas[topic];
 		const isContinued = replica.nextOffset() >= 0 && replica.era() >= registry.eras.newest();
 		const read = isContinued ? await readChanges(topic, waitMs, signal) : undefined;
-		if (read && !signal.aborted && replica.era() >= registry.eras.newest() && !needsWholeTopic(topic, read)) {
+		const isUsable = replica.era() >= registry.eras.newest();
+		if (read && (signal.aborted || (isUsable && !needsWholeTopic(topic, read)))) {
 			return {read, isWhole: false};
 		}
 
@@ -148,17 +160,13 @@
 		signal: AbortSignal,
 	): Promise<boolean> => {
 		const requestedAtMs = clock.monotonicMs();
-		const {read, isWhole} = await readMissing(topic, waitMs, signal);
+		const {read: answer, isWhole} = await readMissing(topic, waitMs, signal);
 		if (signal.aborted) {
 			return false;
 		}
 
+		const read = answer.andThen(refuseOlderEra);
 		const {era} = read.isOk() ? read.value : read.error;
-		if (era !== undefined && era < registry.eras.newest()) {
-			// The answer is late: the store has gone back to an older copy since.
-			return false;
-		}
-
 		logResult(topic, read.isErr() ? read.error : undefined, requestedAtMs);
 		recordResult(topic, read.isErr());
 		if (era !== undefined) {
--- a/packages/fakes/src/__tests__/store-rollback.test.ts
+++ b/packages/fakes/src/__tests__/store-rollback.test.ts
@@ -1,5 +1,8 @@
+import * as core from '@bilberrydoor/core';
 import test from 'ava';
+import {buildFleetCatalogue, buildHostRoute, buildTarget} from '../build-fleet.js';
 import {OpenReadEnding} from '../fake-registry-store.js';
+import {createRegistryFleet} from '../registry-fleet.js';
 import {NodesReading, RollbackMoment, simulateRollback} from '../simulate-rollbacks.js';
 
 const NODE_COUNTS = [5, 44];
@@ -11,6 +14,12 @@
 /** Reading and writing calls a second that the store answers on the smallest deployments. */
 const STORE_CALLS_PER_S_LIMIT = 400;
 
+const SETTLE_MS = 5000;
+const PAUSE_MS = 4500;
+
+/** Time after its pause within which a node has learned from its peers since when the store has been in its era, in ms. */
+const RESUMED_LIMIT_MS = 1000;
+
 // Guards against records of a former era of the store that are taken for newer ones, and against targets that are lost with
 // the records of the era. Load: lookups and approvals of deployment A on its small site, and the nodes of one of its regions.
 NODE_COUNTS.forEach(nodeCount => {
@@ -80,6 +89,63 @@
 	});
 });
 
+// Guards against answers that the store sent before it went back and that arrive afterwards.
+[200, 500].forEach(lateAnswersMs => {
+	test.serial(`12 nodes, answers are up to ${lateAnswersMs} ms late when the store goes back`, async t => {
+		for (const delayMs of [0, 170, 390, 630, 910]) {
+			const result = await simulateRollback({
+				nodeCount: 12,
+				moment: RollbackMoment.Twice,
+				ageMs: 5000,
+				reading: NodesReading.All,
+				lateAnswersMs,
+				delayMs,
+			});
+			t.deepEqual(result.faults, [], `${delayMs} ms`);
+		}
+	});
+});
+
+// Guards against a node that stood still, learns of the rollback by itself, and takes targets that have left for lost ones.
+test.serial('a reader that was paused when the store went back does not use targets that left meanwhile', async t => {
+	const fleet = createRegistryFleet({
+		nodeCount: 8,
+		fillStore(store) {
+			store.write(core.RegistryTopic.Catalogue, 'config', buildFleetCatalogue(1, [buildHostRoute()]));
+			store.write(core.RegistryTopic.Targets, 'staying', buildTarget({targetId: 'staying'}));
+		},
+	});
+	t.teardown(fleet.stop);
+	const {clock, store, nodes} = fleet;
+	await clock.advance(SETTLE_MS);
+	store.write(core.RegistryTopic.Targets, 'leaving', buildTarget({targetId: 'leaving'}));
+	await clock.advance(PAUSE_MS);
+	const [reader] = [...nodes.values()][0]!.registry.rankReaders(1);
+	const {registry} = nodes.get(reader!.nodeId)!;
+	t.not(registry.target('leaving'), undefined);
+	fleet.pauseNode(reader!.nodeId);
+	store.rollBack(2 * PAUSE_MS);
+	await clock.advance(PAUSE_MS);
+	fleet.resumeNode(reader!.nodeId);
+	await clock.advance(RESUMED_LIMIT_MS);
+	t.is(registry.replicas.targets.era(), 1);
+	t.deepEqual([...registry.replicas.targets.values().keys()], ['staying']);
+});
+
+// Guards against nodes that take records of peers of an earlier version, which tell no era, for those of the present one.
+test.serial('12 nodes, 4 of them of an earlier version when the store goes back', async t => {
+	for (const ageMs of COPY_AGES_MS) {
+		const result = await simulateRollback({
+			nodeCount: 12,
+			moment: RollbackMoment.TargetLeaves,
+			ageMs,
+			reading: NodesReading.All,
+			olderCount: 4,
+		});
+		t.deepEqual(result.faults, [], `${ageMs} ms`);
+	}
+});
+
 // Guards against a table that would not notice nodes that compare offsets alone.
 Object.values(RollbackMoment).forEach(moment => {
 	test.serial(`nodes that compare offsets alone are found out when the store goes back ${moment}`, async t => {
--- a/packages/fakes/src/simulate-rollbacks.ts
+++ b/packages/fakes/src/simulate-rollbacks.ts
@@ -1,4 +1,5 @@
 import type * as core from '@bilberrydoor/core';
+import {createOlderReplies, delayAnswers, hideEras} from './changed-answers.js';
 import type {OpenReadEnding} from './fake-registry-store.js';
 import {createRegistryFleet} from './registry-fleet.js';
 import {createRollbackWatch, describeDifference, STOPPED_INDEX} from './rollback-watch.js';
@@ -35,8 +36,14 @@
 	/** For how long the store answers no node before it goes back, in ms. */
 	readonly outageMs?: number;
 	readonly openReadEnding?: OpenReadEnding;
-	/** Cuts the given number of nodes off from the store and their peers until the registrations that the rollback restored have expired. */
+	/** Cuts the given number of nodes off from the store and their peers until 4 s after the rollback. */
 	readonly cutCount?: number;
+	/** Further time before the rollback, which decides the phase of the nodes' intervals, in ms. */
+	readonly delayMs?: number;
+	/** Longest time by which answers of the store are late, in ms. */
+	readonly lateAnswersMs?: number;
+	/** How many nodes omit eras in their replies, as those of earlier versions do. */
+	readonly olderCount?: number;
 	/** Makes the store's client hide eras, so that the nodes compare offsets alone. */
 	readonly hidesEras?: boolean;
 };
@@ -69,6 +76,9 @@
 
 const SECOND_ROLLBACK_DELAY_MS = 4000;
 
+/** How long some nodes are cut off. */
+const CUT_MS = 4000;
+
 /** When the operator writes the catalogue again after a rollback. */
 const OPERATOR_DELAY_MS = 1000;
 
@@ -145,23 +155,18 @@
 	[NodesReading.None]: nodeIds => nodeIds,
 };
 
-/** Replaces the era of every answer, so that nodes know offsets only. */
-const hideEras = (store: core.RegistryStore): core.RegistryStore => ({
-	...store,
-	readChanges: async (...parameters) => (await store.readChanges(...parameters)).map(read => ({...read, era: 0})),
-	readAll: async (...parameters) => (await store.readAll(...parameters)).map(read => ({...read, era: 0})),
-});
-
 /** Starts a fleet, lets its store go back to an older copy, and lists what then happens that must not. */
 export const simulateRollback = async (options: RollbackOptions): Promise<RollbackResult> => {
 	const {nodeCount, moment, ageMs, reading, outageMs = 0, openReadEnding, cutCount = 0, hidesEras = false} = options;
+	const {delayMs = 0, lateAnswersMs = 0, olderCount = 0} = options;
 	const clock = createVirtualClock();
 	let writers!: RollbackWriters;
 	const fleet = createRegistryFleet({
 		clock,
 		nodeCount,
 		seedIds: ['node-0', 'node-2'],
-		...(hidesEras && {wrapStore: hideEras}),
+		wrapStore: store => delayAnswers(hidesEras ? hideEras(store) : store, clock, lateAnswersMs),
+		deliverReply: createOlderReplies(olderCount),
 		fillStore(store) {
 			writers = createRollbackWriters(clock, store);
 			writers.writeCatalogue();
@@ -172,7 +177,7 @@
 		},
 	});
 	const {store, nodes} = fleet;
-	const settleMs = Math.max(SETTLE_MS, ageMs);
+	const settleMs = Math.max(SETTLE_MS, ageMs) + delayMs;
 	const watch = createRollbackWatch(fleet, writers, settleMs);
 	let peakCalls = 0;
 	const callCounts: number[] = [];
@@ -232,13 +237,14 @@
 		await rollBack();
 	}
 
-	await advance(EXPIRY_MS - BLOCK_MS);
-	writers.expire();
-	cutIds.forEach(nodeId => {
-		store.refusedNodeIds.delete(nodeId);
-		fleet.cutNodeIds.delete(nodeId);
-	});
-	const healedAtMs = clock.monotonicMs();
+	if (cutIds.length > 0) {
+		await advance(CUT_MS - BLOCK_MS);
+		cutIds.forEach(nodeId => {
+			store.refusedNodeIds.delete(nodeId);
+			fleet.cutNodeIds.delete(nodeId);
+		});
+	}
+
 	const listOldTopics = ({registry}: core.FleetNode): string[] =>
 		Object.entries(registry.replicas)
 			.filter(([, replica]) => !hidesEras && replica.era() !== store.era)
@@ -247,11 +253,18 @@
 		[...nodes.values()].every(
 			node => describeDifference(fleet, writers, node) === '' && listOldTopics(node).length === 0,
 		);
-	while (!isCaughtUp() && clock.monotonicMs() - healedAtMs < CATCH_UP_MS) {
+	const healedAtMs = clock.monotonicMs();
+	let caughtUpAfterMs = Number.POSITIVE_INFINITY;
+	while (clock.monotonicMs() - healedAtMs < CATCH_UP_MS) {
+		caughtUpAfterMs = isCaughtUp()
+			? Math.min(caughtUpAfterMs, clock.monotonicMs() - healedAtMs)
+			: Number.POSITIVE_INFINITY;
 		await advance(STEP_MS);
+		if (clock.monotonicMs() - healedAtMs >= EXPIRY_MS - BLOCK_MS) {
+			writers.expire();
+		}
 	}
 
-	const caughtUpAfterMs = isCaughtUp() ? clock.monotonicMs() - healedAtMs : Number.POSITIVE_INFINITY;
 	nodes.forEach((node, nodeId) => {
 		const difference = describeDifference(fleet, writers, node);
 		if (difference !== '') {
