--- a/packages/fakes/src/__tests__/grant-denials.test.ts
+++ b/packages/fakes/src/__tests__/grant-denials.test.ts
@@ -59,3 +59,16 @@
 	t.like(answer, {isGranted: false, refusal: core.GrantRefusal.Busy});
 	t.true(!answer.isGranted && answer.predictedWaitMs > 1);
 });
+
+// Guards against callers that are refused together and told to come back at the same time, or after a third of their time.
+test('calls that are refused by all regions get different times to come back, each within a third of their time', async t => {
+	const {acquire} = createHarness({isGranted: false, refusal: core.GrantRefusal.Busy, predictedWaitMs: 5000});
+	t.true((await acquire()).isGranted);
+	const answers = [await acquire({remainingMs: 9000}), await acquire({remainingMs: 9000})];
+	const roomAfterMs = answers.map(answer => (answer.isGranted ? undefined : answer.roomAfterMs));
+	t.true(
+		roomAfterMs.every(timeMs => timeMs !== undefined && timeMs <= 3000),
+		JSON.stringify(roomAfterMs),
+	);
+	t.not(roomAfterMs[0], roomAfterMs[1]);
+});
