test(zones): the reserve of a zone is checked over several seeds

A single run of some hundred calls a zone varies by more than the reserve changes. The new check also compares with the same load without a reserve.

--- a/packages/cli/src/commands/explain-call.ts
+++ b/packages/cli/src/commands/explain-call.ts
@@ -39,9 +39,11 @@
 ): Promise<core.RegionExplanation> =>
 	region.dispatcher.isThisNode ? region : {...region, group: await fetchGroup(context, region, request)};
 
-const describeOrder = ({waitLimitMs, whenOwnIsFull, view}: core.RegionExplanation): string => {
+const describeOrder = ({waitLimitMs, whenOwnIsFull, view}: core.RegionExplanation, regionCount: number): string => {
 	if (!whenOwnIsFull) {
-		return `own region, other regions are asked beyond a predicted wait of ${waitLimitMs} ms`;
+		return regionCount === 1
+			? `own region and the only one, refused beyond a predicted wait of ${waitLimitMs} ms`
+			: `own region, others are asked beyond a predicted wait of ${waitLimitMs} ms`;
 	}
 
 	const seen = `crossing ${view?.crossingMs} ms, wait ${view?.waitMs} ms`;
@@ -71,7 +73,7 @@
 const describeService = ({service, weight, regions}: core.ServiceExplanation): string[] => [
 	`service ${service}, weight ${weight}`,
 	...regions.flatMap(region => [
-		`  ${region.region}: ${describeOrder(region)}; dispatcher ${region.dispatcher.nodeId}`,
+		`  ${region.region}: ${describeOrder(region, regions.length)}; dispatcher ${region.dispatcher.nodeId}`,
 		...describeGroup(region.group),
 	]),
 ];
--- a/packages/core/src/zones/zone-options.ts
+++ b/packages/core/src/zones/zone-options.ts
@@ -49,7 +49,7 @@
 	// Two or three slots are enough to keep a group's own callers from being refused because of others.
 	regionReserveRatio: 0.06,
 	zoneReserveRatio: 0.05,
-	// One check of the waiting calls.
+	// With 400 ms, reserved slots stood free long enough to serve one call in 100 fewer.
 	zoneReserveHoldMs: 100,
 };
 
--- a/packages/fakes/src/__tests__/zones-in-a-region.test.ts
+++ b/packages/fakes/src/__tests__/zones-in-a-region.test.ts
@@ -27,12 +27,13 @@
 	/** Time that a call between zones takes longer, in ms. */
 	readonly crossingMs?: number;
 	readonly zones?: Partial<core.ZoneOptions>;
+	readonly seed?: number;
 };
 
 /** Plays calls of the zones of one region against the region's dispatcher, on a virtual clock. */
-const playZones = async ({loads, bodyBytes, crossingMs = 1, zones}: PlayOptions) => {
+const playZones = async ({loads, bodyBytes, crossingMs = 1, zones, seed = 3}: PlayOptions) => {
 	const clock = createVirtualClock();
-	const random = createSeededRandom(3);
+	const random = createSeededRandom(seed);
 	const events: unknown[] = [];
 	const logger: core.Logger = {
 		...createSilentLogger(),
@@ -110,6 +111,7 @@
 };
 
 const grantedShare = ({grantedCount, callCount}: ZoneTally): number => grantedCount / callCount;
+const meanWaitMs = ({waitMs, grantedCount}: ZoneTally): number => waitMs / grantedCount;
 const nearShare = ({nearCount, grantedCount}: ZoneTally): number => nearCount / grantedCount;
 
 // Guards against callers of a short zone that are refused beside free slots, or that wait for near ones.
@@ -145,19 +147,48 @@
 	});
 });
 
-// Guards against a zone whose overload takes the slots of its neighbours' own callers.
-test('one zone far beyond its slots: its neighbours serve at least as large a share of their own calls', async t => {
-	const {tallyOf} = await playZones({
-		loads: {
-			kinondoni: {targetCount: 5, readRate: () => 300},
-			temeke: {targetCount: 5, readRate: () => 40},
-			ilala: {targetCount: 5, readRate: () => 40},
-		},
-	});
-	const [short, ...neighbours] = ZONES.map(zone => tallyOf(zone));
-	neighbours.forEach(tally => {
-		t.true(grantedShare(tally) >= grantedShare(short!), `${grantedShare(tally)} and ${grantedShare(short!)}`);
-	});
+type OverloadSums = {readonly short: ZoneTally; readonly neighbours: ZoneTally};
+
+const addTallies = (tallies: readonly ZoneTally[]): ZoneTally =>
+	tallies.reduce((sum, tally) => ({
+		callCount: sum.callCount + tally.callCount,
+		grantedCount: sum.grantedCount + tally.grantedCount,
+		nearCount: sum.nearCount + tally.nearCount,
+		waitMs: sum.waitMs + tally.waitMs,
+	}));
+
+/** Plays one zone far beyond its slots next to two calm ones, with several seeds, since a run has only some hundred calls a zone. */
+const playOverload = async (zones?: Partial<core.ZoneOptions>): Promise<OverloadSums> => {
+	const plays = await Promise.all(
+		[3, 4, 5, 6].map(async seed =>
+			playZones({
+				loads: {
+					kinondoni: {targetCount: 5, readRate: () => 300},
+					temeke: {targetCount: 5, readRate: () => 40},
+					ilala: {targetCount: 5, readRate: () => 40},
+				},
+				zones,
+				seed,
+			}),
+		),
+	);
+	return {
+		short: addTallies(plays.map(({tallyOf}) => tallyOf('kinondoni'))),
+		neighbours: addTallies(plays.flatMap(({tallyOf}) => [tallyOf('temeke'), tallyOf('ilala')])),
+	};
+};
+
+// Guards against a zone whose overload takes the slots of its neighbours' own callers, and against a reserve that costs service.
+test('one zone far beyond its slots: its neighbours keep most of their slots, and the region serves as many calls', async t => {
+	const kept = await playOverload();
+	const shared = await playOverload({zoneReserveRatio: 0});
+	const describe = `${JSON.stringify(kept)} without reserve ${JSON.stringify(shared)}`;
+	t.true(grantedShare(kept.neighbours) >= grantedShare(kept.short), describe);
+	t.true(grantedShare(kept.neighbours) >= grantedShare(shared.neighbours), describe);
+	t.true(nearShare(kept.neighbours) >= 0.7, describe);
+	t.true(meanWaitMs(kept.neighbours) < meanWaitMs(kept.short), describe);
+	const countAll = ({short, neighbours}: OverloadSums): number => short.grantedCount + neighbours.grantedCount;
+	t.true(countAll(kept) >= countAll(shared) * 0.99, describe);
 });
 
 // Guards against reserved slots that stay free while calls are refused.
