--- a/packages/core/src/zones/region-planner.ts
+++ b/packages/core/src/zones/region-planner.ts
@@ -1,7 +1,6 @@
 import * as ports from '../ports/index.js';
 import {createRecentMap} from '../shared/recent-map.js';
 import {computeCallLossMs, computeLatestStartMs, findLongestStartMs, isInTime, type CallTimes} from './call-loss.js';
-import {createDecayedCount} from './decayed-count.js';
 import {createLinkBudget} from './link-budget.js';
 import {createRegionOutlook, HoldReason, type RegionOutlook} from './region-outlook.js';
 import {
@@ -13,6 +12,7 @@
 	type RegionView,
 } from './region-plan.js';
 import {createRouteKnowledge, type RouteKnowledge} from './route-knowledge.js';
+import {createShareBound} from './share-bound.js';
 import {createSpillTracker} from './spill-tracker.js';
 import type {ZoneOptions} from './zone-options.js';
 
@@ -56,7 +56,13 @@
 /** Minimum wait in a region: twice the round trip between regions. */
 const MIN_REGION_WAIT_MS = 80;
 
-/** Fraction of the time to the objective that a call waits in a region when nothing more is known, or there is no other one. */
+/**
+ * Longest wait of a call's first request. A dispatcher that has stopped is noticed only after the wait, and the call must still be in
+ * time at its successor. Later requests may ask for more, since the dispatcher has just answered.
+ */
+const FIRST_WAIT_LIMIT_MS = 500;
+
+/** Part of the time to the objective that a call waits when nothing more is known, or there is no other region. */
 const REGION_WAIT_RATIO = 0.2;
 
 /** Fraction of its remaining time that a bulk call waits for a slot in its own region; the rest is for the work. */
@@ -70,12 +76,6 @@
 /** Groups in other regions whose state is kept. */
 const OUTLOOK_LIMIT_COUNT = 2048;
 
-/** Time over which the share of calls that go to other regions although they could stay is measured, in ms. */
-const SHARE_WINDOW_MS = 10_000;
-
-/** Calls that may go before the share counts. */
-const SHARE_BURST_COUNT = 5;
-
 /** Share of the calls that leave from which the region counts as short of slots for long, and the part of the price that remains. */
 const SHORTAGE_SHARE = 0.25;
 const MIN_PRICE_FACTOR = 0.2;
@@ -96,8 +96,7 @@
 	const routes = createRouteKnowledge();
 	const linkBudget = createLinkBudget(parts);
 	const spill = createSpillTracker(SPILL_RANGE);
-	const allCalls = createDecayedCount(SHARE_WINDOW_MS);
-	const awayCalls = createDecayedCount(SHARE_WINDOW_MS);
+	const shareBound = createShareBound(parts);
 
 	const outlookOf = (service: string, region: string): RegionOutlook => {
 		const key = `${service}@${region}`;
@@ -136,12 +135,6 @@
 		computeCallLossMs(computeStartMs(outlook), readTimes(call), options) +
 		(expectBytes(call) / BYTES_PER_KB) * options.regionPriceMsPerKb * readPriceFactor(call.service);
 
-	/** Whether the part of the calls that may go although they could stay is not used up. */
-	const isShareLeft = (): boolean => {
-		const nowMs = clock.monotonicMs();
-		return awayCalls.read(nowMs) < allCalls.read(nowMs) * options.shareLimit + SHARE_BURST_COUNT;
-	};
-
 	const planShortWaitMs = ({objectiveLeftMs}: PlannedCall): number =>
 		Math.max(MIN_REGION_WAIT_MS, objectiveLeftMs * REGION_WAIT_RATIO);
 
@@ -193,8 +186,8 @@
 			const open = otherRegions
 				.map(region => outlookOf(call.service, region))
 				.filter(outlook => outlook.readHold(call.attemptIndex, false) === undefined);
-			if (open.length === 0 || !linkBudget.allows(false) || !isShareLeft()) {
-				return planLastWaitMs(call);
+			if (open.length === 0 || !linkBudget.allows(false) || !shareBound.isLeft()) {
+				return Math.max(shortWaitMs, Math.min(FIRST_WAIT_LIMIT_MS, planLastWaitMs(call)));
 			}
 
 			const times = readTimes(call);
@@ -202,7 +195,7 @@
 			const factor = spill.isSending(call.service) ? 1 : options.beginFactor;
 			// After a longer wait than this, the call would miss its objective in the other region too.
 			const latestLeaveMs = computeLatestStartMs(times) - Math.min(...open.map(outlook => outlook.crossingMs()));
-			const limitMs = Math.max(MIN_REGION_WAIT_MS, latestLeaveMs);
+			const limitMs = Math.max(MIN_REGION_WAIT_MS, Math.min(FIRST_WAIT_LIMIT_MS, latestLeaveMs));
 			return Math.max(MIN_REGION_WAIT_MS, findLongestStartMs(awayLossMs * factor, limitMs, times, options));
 		},
 		decideAway(call, region, own) {
@@ -229,7 +222,7 @@
 				return stay(StayReason.LinkFull);
 			}
 
-			if (!isNeeded && !isShareLeft()) {
+			if (!isNeeded && !shareBound.isLeft()) {
 				return stay(StayReason.ShareUsed);
 			}
 
@@ -278,10 +271,8 @@
 			outlook.recordDenial(reason, roundTripMs, reply.predictedWaitMs);
 		},
 		recordGrant(service, region) {
-			const nowMs = clock.monotonicMs();
 			const isAway = region !== parts.ownRegion;
-			allCalls.add(nowMs);
-			awayCalls.add(nowMs, isAway ? 1 : 0);
+			shareBound.record(isAway);
 			trackSpill(service, region, isAway);
 		},
 		recordAnswer(service, region, excessMs) {
