--- a/packages/core/src/quotas/quota-holder.ts
+++ b/packages/core/src/quotas/quota-holder.ts
@@ -44,12 +44,12 @@
 const CLAIM_RETRY_MS = 500;
 
 /**
- * Partitions whose shares are claimed at once. After nodes were added or removed, all partitions are checked within a second in
- * fleets of up to 125 nodes, and within 16 s in one of 4,100, where a step builds 256 rankings (10 ms).
+ * Partitions whose shares are claimed at once. After nodes were added or removed, all partitions are checked within 4 s in fleets
+ * of up to 125 nodes, and within 16 s in one of 4,100, where a step builds 256 rankings.
  */
 const SWEEP_COUNT = 16;
 const FAST_SWEEP_COUNT = 256;
-const FAST_SWEEP_WORK = 32_000;
+const FAST_SWEEP_WORK = 8000;
 
 export const createQuotaHolder = (parts: QuotaHolderParts): QuotaHolder => {
 	const {selfId, ranking, clock, logger, readOptions} = parts;
--- a/packages/core/src/quotas/share-ranking.ts
+++ b/packages/core/src/quotas/share-ranking.ts
@@ -46,11 +46,12 @@
 export const slotIdOf = ({partition, share}: Slot): number => partition * SHARE_LIMIT_COUNT + share;
 
 type KnownNode = {readonly node: domain.RegisteredNode; readonly hash: number; readonly sinceMs: number};
-/** Node ids of the first two nodes of a slot. */
-type CachedRanking = {readonly slotHash: number; readonly nodeIds: readonly string[]};
+type Scored = {readonly nodeId: string; readonly score: number};
+
+/** The first two nodes of a slot. */
+type CachedRanking = {readonly slotHash: number; readonly scored: readonly Scored[]};
 
 type Removal = {readonly nodeId: string; readonly hash: number; readonly atMs: number};
-type Scored = {readonly nodeId: string; readonly hash: number};
 
 export const createShareRanking = (options: {
 	readonly selfId: string;
@@ -65,10 +66,8 @@
 	let revision = -1;
 	let generation = 0;
 
-	const isBefore = (slotHash: number, left: Scored, right: Scored): boolean => {
-		const difference = mixHashes(left.hash, slotHash) - mixHashes(right.hash, slotHash);
-		return difference > 0 || (difference === 0 && left.nodeId < right.nodeId);
-	};
+	const isBefore = (left: Scored, right: Scored): boolean =>
+		left.score > right.score || (left.score === right.score && left.nodeId < right.nodeId);
 
 	const hashSlot = (slotId: number): number => hashString(`quota share ${slotId}`);
 
@@ -82,25 +81,25 @@
 
 	/** Inserts a known node into a ranking, if it is one of the first two. */
 	const insert = (ranking: CachedRanking, nodeId: string): CachedRanking => {
-		const {slotHash, nodeIds} = ranking;
-		const added = {nodeId, hash: known.get(nodeId)!.hash};
-		const place = nodeIds.findIndex(otherId =>
-			isBefore(slotHash, added, {nodeId: otherId, hash: known.get(otherId)!.hash}),
-		);
-		if (place === -1 && nodeIds.length >= RANKED_COUNT) {
+		const {slotHash, scored} = ranking;
+		const score = mixHashes(known.get(nodeId)!.hash, slotHash);
+		// Nearly all nodes end here; a large fleet has thousands of them for each slot.
+		if (scored.length === RANKED_COUNT && score < scored[RANKED_COUNT - 1]!.score) {
 			return ranking;
 		}
 
+		const added = {nodeId, score};
+		const place = scored.findIndex(other => isBefore(added, other));
 		return {
 			slotHash,
-			nodeIds: nodeIds.toSpliced(place === -1 ? nodeIds.length : place, 0, nodeId).slice(0, RANKED_COUNT),
+			scored: scored.toSpliced(place === -1 ? scored.length : place, 0, added).slice(0, RANKED_COUNT),
 		};
 	};
 
 	/** Changes the cached rankings in place: building them anew takes too long in large fleets, where nodes change every second. */
 	const updateRankings = (removedIds: ReadonlySet<string>, addedIds: readonly string[]): void => {
 		[...rankings].forEach(([slotId, ranking]) => {
-			if (ranking.nodeIds.some(nodeId => removedIds.has(nodeId))) {
+			if (ranking.scored.some(({nodeId}) => removedIds.has(nodeId))) {
 				rankings.delete(slotId);
 			} else {
 				rankings.set(slotId, addedIds.reduce(insert, ranking));
@@ -132,7 +131,7 @@
 	};
 
 	const buildRanking = (slotId: number): CachedRanking => {
-		const empty: CachedRanking = {slotHash: hashSlot(slotId), nodeIds: []};
+		const empty: CachedRanking = {slotHash: hashSlot(slotId), scored: []};
 		return [...known.keys()].reduce(insert, empty);
 	};
 
@@ -146,7 +145,7 @@
 
 	return {
 		rank(slot) {
-			const [firstId = '', secondId = ''] = readRanking(slot).nodeIds;
+			const [firstId = '', secondId = ''] = readRanking(slot).scored.map(({nodeId}) => nodeId);
 			return {first: known.get(firstId)?.node, second: known.get(secondId)?.node};
 		},
 		seenSinceMs(nodeId) {
@@ -158,14 +157,15 @@
 			return !known.has(nodeId) && removals.some(removal => removal.nodeId === nodeId);
 		},
 		firstSinceMs(slot) {
-			const {slotHash, nodeIds} = readRanking(slot);
+			const {slotHash, scored} = readRanking(slot);
+			const [first] = scored;
 			const self = known.get(selfId);
-			if (nodeIds[0] !== selfId || !self) {
+			if (first?.nodeId !== selfId || !self) {
 				return undefined;
 			}
 
 			const removedAtMs = removals
-				.filter(removal => isBefore(slotHash, removal, {nodeId: selfId, hash: self.hash}))
+				.filter(({nodeId, hash}) => isBefore({nodeId, score: mixHashes(hash, slotHash)}, first))
 				.map(({atMs}) => atMs);
 			return Math.max(self.sinceMs, forgottenRemovalAtMs, ...removedAtMs);
 		},
