test(quotas): holders of shares, claims and the messages

A step claims the shares of at most 128 partitions, so that a message of a fleet of two nodes stays below 64 KB.

--- a/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
+++ b/packages/adapters/src/__tests__/fleet-message-schemas.test.ts
@@ -155,3 +155,25 @@
 	const received = transfer(FLEET_REPLY_ENCODERS[PullRegistry](reply as core.PullRegistryReply));
 	t.is(received.data?.role, core.RegistryRole.Reader);
 });
+
+const LEASE_REQUEST: core.LeaseQuotaRequest = {
+	workspace: 'ward-office',
+	nodeId: 'node-1',
+	incarnationId: 'run-1',
+	sequence: 7,
+	wantedCount: 3,
+	isImmediate: false,
+	unusedCount: 2,
+	returnedCount: 0,
+};
+
+// Guards against requests of a faulty peer that would add tokens to an account.
+test('requests for tokens are received unchanged, and negative or broken counts are refused', t => {
+	const {request, reply} = FLEET_MESSAGE_SCHEMAS[core.FleetMessageKind.LeaseQuota];
+	t.deepEqual(request.parse(LEASE_REQUEST), LEASE_REQUEST);
+	(['sequence', 'wantedCount', 'unusedCount', 'returnedCount'] as const).forEach(field => {
+		t.false(request.safeParse({...LEASE_REQUEST, [field]: -1}).success);
+		t.false(request.safeParse({...LEASE_REQUEST, [field]: 0.5}).success);
+	});
+	t.false(reply.safeParse({grantedCount: -1, isRenewed: true, leaseMs: 1000, nextTokenMs: 0}).success);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -61,6 +61,7 @@
 export * from './quotas/share-account.js';
 export * from './quotas/share-plan.js';
 export * from './quotas/share-ranking.js';
+export * from './quotas/slot-holder.js';
 export * from './quotas/workspace-quotas.js';
 export * from './workspaces/combine-priorities.js';
 export * from './workspaces/workspace-directory.js';
--- a/packages/core/src/quotas/quota-holder.ts
+++ b/packages/core/src/quotas/quota-holder.ts
@@ -45,10 +45,11 @@
 
 /**
  * Partitions whose shares are claimed at once. After nodes were added or removed, all partitions are checked within 4 s in fleets
- * of up to 125 nodes, and within 16 s in one of 4,100, where a step builds 256 rankings.
+ * of up to 125 nodes, and within 16 s in one of 4,100, where a step builds 256 rankings. In a fleet of two nodes, one message then
+ * names about 1,024 shares (31 KB); peers accept 64 KB.
  */
 const SWEEP_COUNT = 16;
-const FAST_SWEEP_COUNT = 256;
+const FAST_SWEEP_COUNT = 128;
 const FAST_SWEEP_WORK = 8000;
 
 export const createQuotaHolder = (parts: QuotaHolderParts): QuotaHolder => {
