--- a/packages/core/src/quotas/fleet-quotas.ts
+++ b/packages/core/src/quotas/fleet-quotas.ts
@@ -54,7 +54,7 @@
 
 /** Interval of the checks for idle tokens and state, and of the choice of the workspaces that metrics show by name. */
 const CHECK_INTERVAL_MS = 250;
-const CHECKS_PER_CLEARING = 20;
+const CHECKS_PER_CLEARING = 8;
 
 /** A check that is later than this shows that the process was paused, and that its shares may have been claimed meanwhile. */
 const PAUSE_LIMIT_MS = 2000;
--- a/packages/core/src/quotas/quota-entry.ts
+++ b/packages/core/src/quotas/quota-entry.ts
@@ -61,8 +61,11 @@
 /** Time without calls after which unused tokens are returned, in ms. */
 const IDLE_MS = 400;
 
-/** Time without calls after which the state of a workspace is removed; longer than any pause of a holder. */
-const DISPOSAL_MS = 10_000;
+/**
+ * Time without calls after which the state of a workspace is removed, in ms. Sequence numbers then start anew, so it is longer than
+ * holders remember them, which is a lease time.
+ */
+const DISPOSAL_MS = 3000;
 
 /** Distinguishes the tokens that calls wait for from those of the same holder that are leased ahead. */
 const IMMEDIATE_MARK = '!';
