--- a/packages/core/src/quotas/fleet-quotas.ts
+++ b/packages/core/src/quotas/fleet-quotas.ts
@@ -78,7 +78,9 @@
 	const lastRefusalLogs = new Map<string, number>();
 
 	const entryOf = (name: string): QuotaEntry => {
-		const entry = entries.get(name) ?? createQuotaEntry({...parts, ranking, readOptions, leaseLocally: holder.lease});
+		const entry =
+			entries.get(name) ??
+			createQuotaEntry({...parts, workspace: name, ranking, readOptions, leaseLocally: holder.lease});
 		entries.set(name, entry);
 		return entry;
 	};
