--- a/packages/core/src/quotas/fleet-quotas.ts
+++ b/packages/core/src/quotas/fleet-quotas.ts
@@ -40,7 +40,7 @@
 
 /** Limits the calls of each workspace across all nodes of the fleet. */
 export type FleetQuotas = WorkspaceQuotas & {
-	readonly handleLease: (request: ports.LeaseQuotaRequest) => ports.LeaseQuotaReply;
+	readonly handleLease: (request: ports.LeaseQuotaRequest) => Promise<ports.LeaseQuotaReply>;
 	readonly handleClaim: (request: ports.ClaimQuotaSharesRequest) => ports.ClaimQuotaSharesReply;
 	/** Changes the bound. */
 	configure(options: Partial<QuotaOptions>): void;
@@ -54,7 +54,7 @@
 
 /** Interval of the checks for idle tokens and state, and of the choice of the workspaces that metrics show by name. */
 const CHECK_INTERVAL_MS = 250;
-const CHECKS_PER_CLEARING = 20;
+const CHECKS_PER_CLEARING = 8;
 
 /** A check that is later than this shows that the process was paused, and that its shares may have been claimed meanwhile. */
 const PAUSE_LIMIT_MS = 2000;
@@ -78,7 +78,9 @@
 	const lastRefusalLogs = new Map<string, number>();
 
 	const entryOf = (name: string): QuotaEntry => {
-		const entry = entries.get(name) ?? createQuotaEntry({...parts, ranking, readOptions, leaseLocally: holder.lease});
+		const entry =
+			entries.get(name) ??
+			createQuotaEntry({...parts, workspace: name, ranking, readOptions, leaseLocally: holder.lease});
 		entries.set(name, entry);
 		return entry;
 	};
@@ -155,6 +157,8 @@
 					holder.requireConfirmation();
 				}
 
+				// Notes since when each node is known, which is what a burst at the first limit is computed from.
+				ranking.generation();
 				if (parts.hasLimits()) {
 					void holder.claimNext();
 				}
--- a/packages/core/src/quotas/quota-holder.ts
+++ b/packages/core/src/quotas/quota-holder.ts
@@ -22,7 +22,7 @@
 
 /** Holds shares of quotas and leases their tokens to entry nodes. */
 export type QuotaHolder = {
-	lease(request: ports.LeaseQuotaRequest): ports.LeaseQuotaReply;
+	lease(request: ports.LeaseQuotaRequest): Promise<ports.LeaseQuotaReply>;
 	/** Claims shares ahead of need, in the next few partitions. */
 	claimNext(): Promise<void>;
 	releaseShares(request: ports.ClaimQuotaSharesRequest): ports.ClaimQuotaSharesReply;
@@ -40,11 +40,20 @@
 /** Time limit for a confirmation: a round trip between regions takes 40 ms; the rest is for slow nodes. */
 const CLAIM_TIMEOUT_MS = 250;
 
+/** Time for which a request for tokens waits for claims, in ms; shorter than the 90 ms that entry nodes wait for the reply. */
+const LEASE_CLAIM_WAIT_MS = 60;
+
 /** Time after a claim that was not confirmed until the next one, in ms. */
 const CLAIM_RETRY_MS = 500;
 
-/** Partitions whose shares are claimed at once. All are checked within 8 s; in a fleet of 4,100 nodes each step takes 30 ms at first. */
-const SWEEP_COUNT = 32;
+/**
+ * Partitions whose shares are claimed at once. After nodes were added or removed, all partitions are checked within 4 s in fleets
+ * of up to 125 nodes, and within 16 s in one of 4,100, where a step builds 256 rankings. In a fleet of two nodes, one message then
+ * names about 1,024 shares (31 KB); peers accept 64 KB.
+ */
+const SWEEP_COUNT = 16;
+const FAST_SWEEP_COUNT = 128;
+const FAST_SWEEP_WORK = 8000;
 
 export const createQuotaHolder = (parts: QuotaHolderParts): QuotaHolder => {
 	const {selfId, ranking, clock, logger, readOptions} = parts;
@@ -54,6 +63,8 @@
 	const nextClaimAtMs = new Map<number, number>();
 	let isStopped = false;
 	let sweepStart = 0;
+	let generation = -1;
+	let fastSweepLeftCount = 0;
 	const slotHolder = createSlotHolder({
 		selfId,
 		ranking,
@@ -112,6 +123,27 @@
 		);
 	};
 
+	/** Claims slots in the background; waits a little if none of them is held, as after the first limit of a catalogue. */
+	const claimForLease = async (slots: readonly Slot[]): Promise<void> => {
+		const claimed = claimSlots(slots);
+		if (slots.every(slot => slotHolder.heldSinceMs(slot) === undefined)) {
+			const {signal} = new AbortController();
+			await runWithTimeout({clock, timeoutMs: LEASE_CLAIM_WAIT_MS, signal}, async () => claimed);
+		}
+	};
+
+	const nextSweepCount = (): number => {
+		if (generation !== ranking.generation()) {
+			generation = ranking.generation();
+			fastSweepLeftCount = PARTITION_COUNT;
+		}
+
+		const fastCount = Math.floor(FAST_SWEEP_WORK / Math.max(1, ranking.countNodes()));
+		const count = fastSweepLeftCount > 0 ? Math.max(SWEEP_COUNT, Math.min(FAST_SWEEP_COUNT, fastCount)) : SWEEP_COUNT;
+		fastSweepLeftCount -= count;
+		return count;
+	};
+
 	const updateAccount = (workspace: domain.FleetWorkspace): ShareAccount => {
 		const {name} = workspace;
 		const options = readOptions();
@@ -130,11 +162,12 @@
 
 	return {
 		async claimNext() {
-			const partitions = Array.from({length: SWEEP_COUNT}, (_, index) => (sweepStart + index) % PARTITION_COUNT);
-			sweepStart = (sweepStart + SWEEP_COUNT) % PARTITION_COUNT;
+			const length = nextSweepCount();
+			const partitions = Array.from({length}, (_, index) => (sweepStart + index) % PARTITION_COUNT);
+			sweepStart = (sweepStart + length) % PARTITION_COUNT;
 			await claimSlots(partitions.flatMap(partition => listSlots(partition, SHARE_LIMIT_COUNT)));
 		},
-		lease(request) {
+		async lease(request) {
 			const options = readOptions();
 			const leaseMs = request.isImmediate ? options.immediateLeaseMs : options.leaseMs;
 			const workspace = parts.findWorkspace(request.workspace);
@@ -148,7 +181,7 @@
 			}
 
 			const {shareCount} = planShares(workspace, options);
-			void claimSlots(listSlots(partitionOf(workspace.name), shareCount));
+			await claimForLease(listSlots(partitionOf(workspace.name), shareCount));
 			const {nodeId, incarnationId} = request;
 			const grant = updateAccount(workspace).lease(
 				{...request, entryId: `${nodeId}#${incarnationId}`},
