--- a/packages/fakes/src/__tests__/store-rollback.test.ts
+++ b/packages/fakes/src/__tests__/store-rollback.test.ts
@@ -152,8 +152,8 @@
 		const result = await simulateRollback({
 			nodeCount: 5,
 			moment,
-			ageMs: 20_000,
-			reading: NodesReading.All,
+			ageMs: 5000,
+			reading: NodesReading.None,
 			hidesEras: true,
 		});
 		t.not(result.faults.length, 0);
--- a/packages/fakes/src/changed-answers.ts
+++ b/packages/fakes/src/changed-answers.ts
@@ -1,12 +1,19 @@
 import * as core from '@bilberrydoor/core';
+import type * as neverthrow from 'neverthrow';
 import type {DeliverReply} from './registry-fleet.js';
 import {createSeededRandom} from './seeded-random.js';
 
-/** Replaces the era of every answer, so that nodes know offsets only. */
+/** Hides the era of every answer, so that nodes know offsets only. */
+const hideEra = <Changes extends {readonly era: number}>(
+	answer: neverthrow.Result<Changes, core.RegistryError>,
+): neverthrow.Result<Changes, core.RegistryError> =>
+	answer.map(changes => ({...changes, era: 0})).mapErr(({kind, detail}) => ({kind, detail}));
+
+/** A store whose nodes compare offsets alone. */
 export const hideEras = (store: core.RegistryStore): core.RegistryStore => ({
 	...store,
-	readChanges: async (...parameters) => (await store.readChanges(...parameters)).map(read => ({...read, era: 0})),
-	readAll: async (...parameters) => (await store.readAll(...parameters)).map(read => ({...read, era: 0})),
+	readChanges: async (...parameters) => hideEra(await store.readChanges(...parameters)),
+	readAll: async (...parameters) => hideEra(await store.readAll(...parameters)),
 });
 
 /** Delays each answer by a random time, so that some arrive after the store has gone back. */
--- a/packages/fakes/src/rollback-watch.ts
+++ b/packages/fakes/src/rollback-watch.ts
@@ -3,7 +3,7 @@
 import type {createRegistryFleet} from './registry-fleet.js';
 import type {RollbackWriters} from './rollback-writers.js';
 
-type Fleet = ReturnType<typeof createRegistryFleet>;
+export type Fleet = ReturnType<typeof createRegistryFleet>;
 
 /** Index of the node that stops, and that the store must not list afterwards. */
 export const STOPPED_INDEX = 1;
--- a/packages/fakes/src/simulate-rollbacks.ts
+++ b/packages/fakes/src/simulate-rollbacks.ts
@@ -2,12 +2,10 @@
 import {createOlderReplies, delayAnswers, hideEras} from './changed-answers.js';
 import type {OpenReadEnding} from './fake-registry-store.js';
 import {createRegistryFleet} from './registry-fleet.js';
-import {createRollbackWatch, describeDifference, STOPPED_INDEX} from './rollback-watch.js';
+import {createRollbackWatch, describeDifference, STOPPED_INDEX, type Fleet} from './rollback-watch.js';
 import {createRollbackWriters, HEARTBEAT_MS, type RollbackWriters} from './rollback-writers.js';
 import {createVirtualClock} from './virtual-clock.js';
 
-type Fleet = ReturnType<typeof createRegistryFleet>;
-
 /** What happens just before the store goes back. */
 export enum RollbackMoment {
 	Idle = 'idle',
@@ -79,7 +77,10 @@
 /** How long some nodes are cut off. */
 const CUT_MS = 4000;
 
-/** When the operator writes the catalogue again after a rollback. */
+/** Time of the first changes after a rollback. Their offsets are ones that the nodes have read before. */
+const DRAIN_DELAY_MS = 200;
+
+/** When the operator writes the next version of the catalogue after a rollback. */
 const OPERATOR_DELAY_MS = 1000;
 
 /** Registrations expire after this time without a heartbeat. */
@@ -92,6 +93,8 @@
 const GONE_ID = 'gone';
 const LEAVING_ID = 'leaving';
 const NEW_ID = 'new';
+const SOON_DRAINING_ID = FIRST_TARGET_IDS[2]!;
+const SOON_REMOVED_ID = FIRST_TARGET_IDS[3]!;
 
 /** Removed 3 s before the rollback, so that copies of 5 s and 20 s restore it. */
 const GONE_BEFORE_MS = 3000;
@@ -215,14 +218,19 @@
 	const rankedIds = [...nodes.values()][0]!.registry.rankReaders(nodeCount).map(({nodeId}) => nodeId);
 	const blockedIds = selectBlocked[reading](rankedIds);
 	const cutIds = rankedIds.slice(0, cutCount);
+	let changedAtMs = 0;
 	const rollBack = async (): Promise<void> => {
 		store.isDown = true;
 		await advance(outageMs);
 		blockedIds.forEach(nodeId => store.refusedNodeIds.add(nodeId));
 		store.isDown = false;
 		store.rollBack(ageMs + outageMs, openReadEnding);
-		await advance(OPERATOR_DELAY_MS);
-		writers.writeCatalogue();
+		await advance(DRAIN_DELAY_MS);
+		writers.drain(SOON_DRAINING_ID);
+		writers.remove(SOON_REMOVED_ID);
+		await advance(OPERATOR_DELAY_MS - DRAIN_DELAY_MS);
+		writers.changeCatalogue();
+		changedAtMs = clock.monotonicMs();
 		await advance(BLOCK_MS - OPERATOR_DELAY_MS);
 		blockedIds.forEach(nodeId => store.refusedNodeIds.delete(nodeId));
 	};
@@ -249,44 +257,43 @@
 		Object.entries(registry.replicas)
 			.filter(([, replica]) => !hidesEras && replica.era() !== store.era)
 			.map(([topic]) => topic);
-	const isCaughtUp = (): boolean =>
-		[...nodes.values()].every(
-			node => describeDifference(fleet, writers, node) === '' && listOldTopics(node).length === 0,
-		);
+	const listDifferences = () =>
+		[...nodes].flatMap(([nodeId, node]) => {
+			const difference = [describeDifference(fleet, writers, node), ...listOldTopics(node)].filter(Boolean).join('; ');
+			return difference === '' ? [] : [{nodeId, difference}];
+		});
+	const addDifferences = (kind: string): void => {
+		listDifferences().forEach(({nodeId, difference}) => {
+			watch.addFault(kind, nodeId, difference);
+		});
+	};
+
 	const healedAtMs = clock.monotonicMs();
+	const inForceAtMs =
+		blockedIds.length + cutIds.length > 0 ? Number.POSITIVE_INFINITY : changedAtMs + IN_FORCE_LIMIT_MS;
 	let caughtUpAfterMs = Number.POSITIVE_INFINITY;
 	while (clock.monotonicMs() - healedAtMs < CATCH_UP_MS) {
-		caughtUpAfterMs = isCaughtUp()
-			? Math.min(caughtUpAfterMs, clock.monotonicMs() - healedAtMs)
-			: Number.POSITIVE_INFINITY;
-		await advance(STEP_MS);
-		if (clock.monotonicMs() - healedAtMs >= EXPIRY_MS - BLOCK_MS) {
-			writers.expire();
+		const elapsedMs = clock.monotonicMs() - healedAtMs;
+		caughtUpAfterMs = listDifferences().length > 0 ? Number.POSITIVE_INFINITY : Math.min(caughtUpAfterMs, elapsedMs);
+		if (clock.monotonicMs() >= inForceAtMs && clock.monotonicMs() - STEP_MS < inForceAtMs) {
+			addDifferences('changes just after the rollback not in force');
 		}
-	}
 
-	nodes.forEach((node, nodeId) => {
-		const difference = describeDifference(fleet, writers, node);
-		if (difference !== '') {
-			watch.addFault('other records', nodeId, difference);
+		if (elapsedMs >= EXPIRY_MS - BLOCK_MS) {
+			writers.expire();
 		}
 
-		listOldTopics(node).forEach(topic => {
-			watch.addFault('a topic of an older era', nodeId, topic);
-		});
-	});
+		await advance(STEP_MS);
+	}
+
+	addDifferences('other records');
 
 	// Offsets are assigned again, so changes now have the offsets of records that the nodes read before the rollback.
 	writers.changeCatalogue();
 	writers.remove(FIRST_TARGET_IDS[0]!);
 	writers.drain(FIRST_TARGET_IDS[1]!);
 	await advance(IN_FORCE_LIMIT_MS);
-	nodes.forEach((node, nodeId) => {
-		const difference = describeDifference(fleet, writers, node);
-		if (difference !== '') {
-			watch.addFault('changes after the rollback not in force', nodeId, difference);
-		}
-	});
+	addDifferences('changes after the rollback not in force');
 	fleet.stop();
 	return {faults: watch.list(), caughtUpAfterMs, peakStoreCallsPerSecond: peakCalls};
 };
