--- a/packages/adapters/src/__tests__/client-guard.test.ts
+++ b/packages/adapters/src/__tests__/client-guard.test.ts
@@ -57,8 +57,9 @@
 		return nodeServerResponse.RESPONSE_ALREADY_SENT;
 	});
 	const listener = await startHttpListener(app, {guard});
-	t.teardown(() => {
+	t.teardown(async () => {
 		listener.destroy();
+		await listener.close();
 	});
 	const connect = async () => {
 		const {host, port} = splitAddress(listener.address);
