--- a/packages/adapters/src/target/fleet-target-client.ts
+++ b/packages/adapters/src/target/fleet-target-client.ts
@@ -49,15 +49,18 @@
 const buildHeaders = (
 	{call, target, remainingMs}: core.FleetAttempt,
 	dialect: WireDialect,
-): Record<string, string | string[]> => ({
-	...headers.groupHeaders(call.headers),
-	host: call.host,
-	[dialect.requestIdHeader]: call.requestId,
-	[dialect.remainingMsHeader]: String(Math.max(1, Math.floor(remainingMs))),
-	[dialect.expectedTargetHeader]: target.targetId,
-	...(call.workspace !== undefined && {[dialect.workspaceHeader]: call.workspace}),
-	...(call.bodyLengthBytes !== undefined && {'content-length': String(call.bodyLengthBytes)}),
-});
+): Record<string, string | string[]> => {
+	const ownHeaders = {
+		host: call.host,
+		[dialect.requestIdHeader]: call.requestId,
+		[dialect.remainingMsHeader]: String(Math.max(1, Math.floor(remainingMs))),
+		[dialect.expectedTargetHeader]: target.targetId,
+		...(call.workspace !== undefined && {[dialect.workspaceHeader]: call.workspace}),
+		...(call.bodyLengthBytes !== undefined && {'content-length': String(call.bodyLengthBytes)}),
+	};
+	// The fleet's own headers come first: HTTP servers on Node.js drop the lines beyond the first 1,000 without a sign.
+	return {...ownHeaders, ...headers.groupHeaders(call.headers), ...ownHeaders};
+};
 
 /**
  * Opens the body for one attempt. A reader that throws destroys the stream, upon which undici closes the connection before
