fix(grants): a slot kept for other callers does not stand idle behind them

Cause: for a freed slot the waiting room passed over four calls. With more calls of another zone or region ahead that may not have a kept slot, it stood free until the check of all calls, up to 100 ms, while a permitted call waited.

Change: up to 36 calls are passed over; after four, those whose origin (zone, region, priority) got no target are passed over without an attempt. The new test in waiting-order.test.ts failed before and passes now.

--- a/packages/core/src/grants/waiting-room.ts
+++ b/packages/core/src/grants/waiting-room.ts
@@ -10,11 +10,27 @@
 /** Interval at which waiting calls are checked for a free target; set-aside periods and shed pauses end without an event. */
 const CHECK_MS = 100;
 
+type ServeLimits = {
+	/**
+	 * Calls that are passed over because they cannot use a free slot: they have tried its target, their node cannot reach it, or it is
+	 * kept for callers of another zone or region.
+	 */
+	readonly passedOverCount: number;
+	/** Calls that are passed over before those of an origin that got no target are passed over without an attempt. */
+	readonly triedCount: number;
+};
+
 /**
- * Calls that are passed over for a freed slot because they cannot use its target: they have tried it, or their node cannot reach
- * it. More of them are passed over in the check of each `CHECK_MS`.
+ * Limits for a freed slot, which keep its cost constant. A slot that is kept for other callers must not stand idle behind calls that
+ * may not have it, and attempts cost most.
  */
-const PASSED_OVER_LIMIT_COUNT = 4;
+const FREED_SLOT_LIMITS: ServeLimits = {passedOverCount: 36, triedCount: 4};
+
+/** Limits for the check of each `CHECK_MS`. */
+const CHECK_LIMITS: ServeLimits = {
+	passedOverCount: Number.POSITIVE_INFINITY,
+	triedCount: Number.POSITIVE_INFINITY,
+};
 
 /** Part of the slots that a prediction counts on although calls that go before have used more lately. */
 const MIN_SLOT_RATIO = 0.05;
@@ -82,6 +98,10 @@
 	return attemptIndex === 0 ? AttemptKind.First : AttemptKind.Retry;
 };
 
+/** Calls of one origin may get the same slots as far as these are kept for callers of a zone or region. */
+const readOrigin = ({request: {availabilityZone, isFromOtherRegion = false, priority}}: RoomCall): string =>
+	`${availabilityZone}/${isFromOtherRegion}/${priority}`;
+
 const rankOf = (call: WaitingCall, nowMs: number): WaitingRank => ({
 	priority: call.priority,
 	waitingClass: classify(call, nowMs),
@@ -153,14 +173,21 @@
 
 	const canServe = (): boolean => parts.hasRoom() || lastResortCount > 0;
 
-	const serveNext = (passedOverLimitCount: number): void => {
+	const serveNext = ({passedOverCount, triedCount}: ServeLimits): void => {
 		const passedOver: RoomCall[] = [];
-		while (passedOver.length < passedOverLimitCount && canServe()) {
+		const keptOrigins = new Set<string>();
+		while (passedOver.length < passedOverCount && canServe()) {
 			const call = queue.next(clock.monotonicMs());
 			if (!call) {
 				break;
 			}
 
+			if (passedOver.length >= triedCount && keptOrigins.has(readOrigin(call))) {
+				queue.remove(call);
+				passedOver.push(call);
+				continue;
+			}
+
 			const reply = answer(call);
 			if (reply?.isGranted) {
 				queue.take(call);
@@ -173,6 +200,9 @@
 				call.settle(reply);
 			} else {
 				passedOver.push(call);
+				if (call.request.excludedTargetIds.length === 0) {
+					keptOrigins.add(readOrigin(call));
+				}
 			}
 		}
 
@@ -186,7 +216,7 @@
 		isChecking = true;
 		while (queue.count() > 0) {
 			await clock.sleep(CHECK_MS);
-			serveNext(Number.POSITIVE_INFINITY);
+			serveNext(CHECK_LIMITS);
 		}
 
 		isChecking = false;
@@ -249,7 +279,7 @@
 		},
 		serve() {
 			if (queue.count() > 0) {
-				serveNext(PASSED_OVER_LIMIT_COUNT);
+				serveNext(FREED_SLOT_LIMITS);
 			}
 		},
 		count: queue.count,
--- a/packages/fakes/src/__tests__/waiting-order.test.ts
+++ b/packages/fakes/src/__tests__/waiting-order.test.ts
@@ -204,3 +204,20 @@
 	t.true((await clock.runUntilSettled(next, 150)).isGranted);
 	await clock.runUntilSettled(Promise.all(blocked), 2000);
 });
+
+// Load: 30 calls of the own region, then 8 waiting calls of another region, which may not have the last free slot, before one of the
+// own region. Guards against a slot that is kept for the own region and stands idle until the next check of all waiting calls.
+test('a freed slot that is kept for the own region goes to its call behind calls of another region', async t => {
+	const {clock, acquire, acquireGrant, report} = createDispatcherHarness(buildTargetPool(1, 1));
+	const held = await acquireGrant();
+	await Promise.all(Array.from({length: 30}, async () => acquire({waitLimitMs: 0})));
+	const limits = {waitLimitMs: 9000, remainingMs: 30_000};
+	const others = Array.from({length: 8}, async () =>
+		acquire({...limits, isFromOtherRegion: true, objectiveLeftMs: 9000}),
+	);
+	const own = acquire({...limits, objectiveLeftMs: 12_000});
+	await clock.advance(10);
+	report(held, core.GrantResult.Success, {durationMs: 10});
+	t.true((await clock.runUntilSettled(own, 20)).isGranted);
+	await clock.runUntilSettled(Promise.all(others), 10_000);
+});
