--- a/packages/core/src/grants/waiting-room.ts
+++ b/packages/core/src/grants/waiting-room.ts
@@ -1,7 +1,8 @@
 import * as ports from '../ports/index.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
 import {createGrantedWork, type WaitingRank} from '../waiting/granted-work.js';
-import {AttemptKind, classify, type WaitingCall} from '../waiting/waiting-call.js';
+import {createOvertakingWork} from '../waiting/overtaking-work.js';
+import {AttemptKind, classify, readLatestStartMs, type WaitingCall} from '../waiting/waiting-call.js';
 import {createWaitingQueue} from '../waiting/waiting-queue.js';
 import type {FleetRetryBudget} from './fleet-retry-budget.js';
 import {deny} from './deny.js';
@@ -9,14 +10,36 @@
 /** Interval at which waiting calls are checked for a free target; set-aside periods and shed pauses end without an event. */
 const CHECK_MS = 100;
 
+type ServeLimits = {
+	/**
+	 * Calls that are passed over because they cannot use a free slot: they have tried its target, their node cannot reach it, or it is
+	 * kept for callers of another zone or region.
+	 */
+	readonly passedOverCount: number;
+	/** Calls that are passed over before those of an origin that got no target are passed over without an attempt. */
+	readonly triedCount: number;
+};
+
 /**
- * Calls that are passed over for a freed slot because they cannot use its target: they have tried it, or their node cannot reach
- * it. More of them are passed over in the check of each `CHECK_MS`.
+ * Limits for a freed slot, which keep its cost constant. A slot that is kept for other callers must not stand idle behind calls that
+ * may not have it, and attempts cost most.
  */
-const PASSED_OVER_LIMIT_COUNT = 4;
+const FREED_SLOT_LIMITS: ServeLimits = {passedOverCount: 36, triedCount: 4};
+
+/** Limits for the check of each `CHECK_MS`. */
+const CHECK_LIMITS: ServeLimits = {
+	passedOverCount: Number.POSITIVE_INFINITY,
+	triedCount: Number.POSITIVE_INFINITY,
+};
+
+/** Part of the slots that a prediction counts on although calls that go before have used more lately. */
+const MIN_SLOT_RATIO = 0.05;
+
+/** A call with the time of its arrival. */
+type ArrivedCall = WaitingCall & {readonly arrivedAtMs: number};
 
 /** A call that waits for a slot. */
-type RoomCall = WaitingCall & {
+type RoomCall = ArrivedCall & {
 	readonly request: ports.AcquireGrantRequest;
 	/** Ends the wait. */
 	settle(reply: ports.AcquireGrantReply): void;
@@ -31,10 +54,24 @@
 	readonly tryGrant: (request: ports.AcquireGrantRequest) => ports.Grant | undefined;
 	/** Whether a target can take a call. */
 	readonly hasRoom: () => boolean;
+	/** Slots of the group's sound targets. */
+	readonly readSlotCount: () => number;
+	/** Time until the first pause ends if all targets pause, in ms. */
+	readonly shortestPauseMs: () => number;
+	/** Mean duration of the group's calls, in ms. */
+	readonly overallDurationMs: () => number;
 	/** Called when the number of waiting calls has changed. */
 	readonly recordCount: (waitingCount: number) => void;
 };
 
+/** Expected waits of a call. */
+export type WaitPrediction = {
+	/** Wait until the work that is ahead of it is done, in ms. */
+	readonly waitMs: number;
+	/** Wait if calls keep arriving that overtake it, as many as lately, in ms. */
+	readonly overtakenWaitMs: number;
+};
+
 /** Calls of a group that wait for a slot. */
 export type WaitingRoom = {
 	/**
@@ -45,10 +82,8 @@
 	/** Grants free slots to the calls that are next. */
 	serve(): void;
 	count(): number;
-	/** Work of the waiting calls that would get slots before a call of this request, in ms. */
-	workBeforeMs(request: ports.AcquireGrantRequest): number;
-	/** Slots that calls that go before those of this request's priority and class have used lately, on average. */
-	slotsBefore(request: ports.AcquireGrantRequest): number;
+	/** Expected waits of a call of this request. */
+	predict(request: ports.AcquireGrantRequest): WaitPrediction;
 	/** Accounts for a grant to a call that has not waited. */
 	recordGrant(request: ports.AcquireGrantRequest): void;
 	/** Usual duration of the request's route, in ms. */
@@ -63,6 +98,10 @@
 	return attemptIndex === 0 ? AttemptKind.First : AttemptKind.Retry;
 };
 
+/** Calls of one origin may get the same slots as far as these are kept for callers of a zone or region. */
+const readOrigin = ({request: {availabilityZone, isFromOtherRegion = false, priority}}: RoomCall): string =>
+	`${availabilityZone}/${isFromOtherRegion}/${priority}`;
+
 const rankOf = (call: WaitingCall, nowMs: number): WaitingRank => ({
 	priority: call.priority,
 	waitingClass: classify(call, nowMs),
@@ -72,14 +111,16 @@
 	const {clock, budget} = parts;
 	const queue = createWaitingQueue<RoomCall>();
 	const grantedWork = createGrantedWork();
+	const overtakingWork = createOvertakingWork();
 	let arrivalCount = 0;
 	let lastResortCount = 0;
 	let isChecking = false;
 
-	const describe = (request: ports.AcquireGrantRequest): WaitingCall => {
+	const describe = (request: ports.AcquireGrantRequest): ArrivedCall => {
 		const nowMs = clock.monotonicMs();
 		const workMs = Math.max(1, Math.round(parts.usualDurationMs(request.routeId)));
 		return {
+			arrivedAtMs: nowMs,
 			priority: request.priority,
 			workspace: request.workspace ?? '',
 			kind: readKind(request),
@@ -90,9 +131,32 @@
 		};
 	};
 
-	const recordWork = (call: WaitingCall): void => {
+	/** The calls among which a call is ordered by its latest start, and that start. */
+	const readFlow = (call: WaitingCall, nowMs: number) => {
+		const flow = {...rankOf(call, nowMs), workspace: call.workspace};
+		return {flow, latestStartMs: readLatestStartMs(call, flow.waitingClass)};
+	};
+
+	/** Expected waits of a call, from the work of the calls that get slots before it and of one that has to end. */
+	const predict = (call: ArrivedCall): WaitPrediction => {
+		const nowMs = clock.monotonicMs();
+		const slotCount = parts.readSlotCount();
+		const {flow, latestStartMs} = readFlow(call, nowMs);
+		const leftCount = Math.max(slotCount * MIN_SLOT_RATIO, slotCount - grantedWork.slotsBefore(flow, nowMs));
+		const workMs = parts.overallDurationMs() + queue.workBeforeMs(call, nowMs);
+		const ahead = {workMs, slotCount: Math.max(1, leftCount)};
+		const pauseMs = parts.shortestPauseMs();
+		return {
+			waitMs: pauseMs + ahead.workMs / ahead.slotCount,
+			overtakenWaitMs: pauseMs + overtakingWork.predictWaitMs(flow, latestStartMs - nowMs, ahead, nowMs),
+		};
+	};
+
+	const recordWork = (call: ArrivedCall): void => {
 		const nowMs = clock.monotonicMs();
-		grantedWork.record(rankOf(call, nowMs), call.workMs, nowMs);
+		const {flow, latestStartMs} = readFlow(call, nowMs);
+		grantedWork.record(flow, call.workMs, nowMs);
+		overtakingWork.record(flow, latestStartMs - call.arrivedAtMs, call.workMs, nowMs);
 	};
 
 	const isWithinReserve = ({request}: RoomCall): boolean => request.attemptIndex === 0 || budget.hasReservedRetry();
@@ -109,14 +173,21 @@
 
 	const canServe = (): boolean => parts.hasRoom() || lastResortCount > 0;
 
-	const serveNext = (passedOverLimitCount: number): void => {
+	const serveNext = ({passedOverCount, triedCount}: ServeLimits): void => {
 		const passedOver: RoomCall[] = [];
-		while (passedOver.length < passedOverLimitCount && canServe()) {
+		const keptOrigins = new Set<string>();
+		while (passedOver.length < passedOverCount && canServe()) {
 			const call = queue.next(clock.monotonicMs());
 			if (!call) {
 				break;
 			}
 
+			if (passedOver.length >= triedCount && keptOrigins.has(readOrigin(call))) {
+				queue.remove(call);
+				passedOver.push(call);
+				continue;
+			}
+
 			const reply = answer(call);
 			if (reply?.isGranted) {
 				queue.take(call);
@@ -129,6 +200,9 @@
 				call.settle(reply);
 			} else {
 				passedOver.push(call);
+				if (call.request.excludedTargetIds.length === 0) {
+					keptOrigins.add(readOrigin(call));
+				}
 			}
 		}
 
@@ -142,7 +216,7 @@
 		isChecking = true;
 		while (queue.count() > 0) {
 			await clock.sleep(CHECK_MS);
-			serveNext(Number.POSITIVE_INFINITY);
+			serveNext(CHECK_LIMITS);
 		}
 
 		isChecking = false;
@@ -193,7 +267,8 @@
 			const startLeftMs = call.deadlineStartMs - startedAtMs;
 			signal.addEventListener('abort', stop, {once: true});
 			enter(call);
-			await clock.sleep(Math.min(request.waitLimitMs, startLeftMs), controller.signal);
+			const limitMs = Math.min(request.waitLimitMs, startLeftMs);
+			await clock.sleep(limitMs, controller.signal);
 			signal.removeEventListener('abort', stop);
 			if (outcome.reply) {
 				return outcome.reply;
@@ -204,15 +279,11 @@
 		},
 		serve() {
 			if (queue.count() > 0) {
-				serveNext(PASSED_OVER_LIMIT_COUNT);
+				serveNext(FREED_SLOT_LIMITS);
 			}
 		},
 		count: queue.count,
-		workBeforeMs: request => queue.workBeforeMs(describe(request), clock.monotonicMs()),
-		slotsBefore(request) {
-			const nowMs = clock.monotonicMs();
-			return grantedWork.slotsBefore(rankOf(describe(request), nowMs), nowMs);
-		},
+		predict: request => predict(describe(request)),
 		recordGrant(request) {
 			recordWork(describe(request));
 		},
