test(grants): calls that are refused together are asked together

The test asked one call after the other. Since a call now waits once more in its own region, the time allotted to the first had passed when the second was refused, so both got the same time, as they should. Asked together, both must get different times, as before.

--- a/packages/fakes/src/__tests__/grant-denials.test.ts
+++ b/packages/fakes/src/__tests__/grant-denials.test.ts
@@ -30,12 +30,18 @@
 		peerClient,
 		dispatcher: {retryRatio: 2},
 	});
-	const acquire = async (given: Partial<core.CallGrantRequest> = {}): Promise<core.GrantAnswer> => {
-		const request = {...buildGrantRequest('request'), isBulk: false, ...given};
-		return clock.runUntilSettled(grants.acquire(request, new AbortController().signal), 10_000);
+	const acquireTogether = async (given: ReadonlyArray<Partial<core.CallGrantRequest>>): Promise<core.GrantAnswer[]> => {
+		const {signal} = new AbortController();
+		const answers = given.map(async fields =>
+			grants.acquire({...buildGrantRequest('request'), isBulk: false, ...fields}, signal),
+		);
+		return clock.runUntilSettled(Promise.all(answers), 10_000);
 	};
 
-	return {acquire, grants, requests};
+	const acquire = async (given: Partial<core.CallGrantRequest> = {}): Promise<core.GrantAnswer> =>
+		(await acquireTogether([given]))[0]!;
+
+	return {acquire, acquireTogether, grants, requests};
 };
 
 const RETRY = {attemptIndex: 1, isNewCall: false, repeatability: domain.Repeatability.Repeatable};
@@ -62,9 +68,13 @@
 
 // Guards against callers that are refused together and told to come back at the same time, or after a third of their time.
 test('calls that are refused by all regions get different times to come back, each within a third of their time', async t => {
-	const {acquire} = createHarness({isGranted: false, refusal: core.GrantRefusal.Busy, predictedWaitMs: 5000});
+	const {acquire, acquireTogether} = createHarness({
+		isGranted: false,
+		refusal: core.GrantRefusal.Busy,
+		predictedWaitMs: 5000,
+	});
 	t.true((await acquire()).isGranted);
-	const answers = [await acquire({remainingMs: 9000}), await acquire({remainingMs: 9000})];
+	const answers = await acquireTogether([{remainingMs: 9000}, {remainingMs: 9000}]);
 	const roomAfterMs = answers.map(answer => (answer.isGranted ? undefined : answer.roomAfterMs));
 	const isWithinThird = roomAfterMs.every(timeMs => timeMs !== undefined && timeMs <= 3000);
 	t.true(isWithinThird, `${roomAfterMs.join(', ')} ms`);
