--- a/packages/adapters/src/peer/fleet-message-schemas.ts
+++ b/packages/adapters/src/peer/fleet-message-schemas.ts
@@ -3,6 +3,7 @@
 import * as neverthrow from 'neverthrow';
 import * as zod from 'zod';
 import {decodeCatalogue, encodeCatalogue, cacheCatalogueText} from './catalogue-text.js';
+import {QUOTA_MESSAGE_SCHEMAS} from './quota-message-schemas.js';
 import {withFallback} from './with-fallback.js';
 
 const targetSchema = zod.object({
@@ -192,8 +193,6 @@
 	}),
 ]);
 
-const quotaSharesSchema = zod.object({partition: zod.int().nonnegative(), share: zod.int().nonnegative()});
-
 type MessageSchemas = {
 	readonly [Kind in core.FleetMessageKind]: {
 		readonly request: zod.ZodType<core.FleetMessages[Kind]['request']>;
@@ -240,28 +239,7 @@
 			storeEra: zod.object({era: eraSchema, ageMs: zod.number().nonnegative()}).optional(),
 		}) as zod.ZodType<core.PullRegistryReply>,
 	},
-	[core.FleetMessageKind.LeaseQuota]: {
-		request: zod.object({
-			workspace: zod.string(),
-			nodeId: zod.string(),
-			incarnationId: zod.string(),
-			sequence: zod.int().nonnegative(),
-			wantedCount: zod.int().nonnegative(),
-			isImmediate: zod.boolean(),
-			unusedCount: zod.int().nonnegative(),
-			returnedCount: zod.int().nonnegative(),
-		}),
-		reply: zod.object({
-			grantedCount: zod.int().nonnegative(),
-			isRenewed: zod.boolean(),
-			leaseMs: zod.number().nonnegative(),
-			nextTokenMs: zod.number().nonnegative(),
-		}),
-	},
-	[core.FleetMessageKind.ClaimQuotaShares]: {
-		request: zod.object({nodeId: zod.string(), shares: zod.array(quotaSharesSchema)}),
-		reply: zod.object({released: zod.array(quotaSharesSchema.extend({idleMs: zod.number().nonnegative()}))}),
-	},
+	...QUOTA_MESSAGE_SCHEMAS,
 };
 
 const encodePullRegistryReply = (reply: core.PullRegistryReply): unknown => {
--- a/packages/core/src/grants/group-dispatcher.ts
+++ b/packages/core/src/grants/group-dispatcher.ts
@@ -293,10 +293,7 @@
 		explain: request => ({
 			predictedWaitMs: Math.round(room.predict(request).waitMs),
 			waitingCount: room.count(),
-			targets: explainTargets(request, ledgers.listReady(), {
-				listPermitted: zones.listPermitted,
-				usableSlots: index.usableSlots,
-			}),
+			targets: explainTargets(request, ledgers.listReady(), {...zones, ...index}),
 		}),
 	};
 };
