--- a/packages/core/src/quotas/__tests__/share-account.test.ts
+++ b/packages/core/src/quotas/__tests__/share-account.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import * as fc from 'fast-check';
-import {createLeasePurse} from '../lease-purse.js';
+import {createLeasedTokens} from '../leased-tokens.js';
 import {DEFAULT_QUOTA_OPTIONS} from '../quota-options.js';
 import {createShareAccount, type LeaseDemand} from '../share-account.js';
 import {planShares} from '../share-plan.js';
@@ -81,14 +81,14 @@
 	fc.assert(
 		fc.property(fc.array(stepArbitrary, {minLength: 20, maxLength: 200}), steps => {
 			const account = createShareAccount(OPTIONS);
-			const purses = [createLeasePurse(), createLeasePurse()];
+			const tokensByEntry = [createLeasedTokens(), createLeasedTokens()];
 			const usedAtMs: number[] = [];
 			let nowMs = 0;
 			steps.forEach((step, sequence) => {
 				nowMs += step.waitMs;
-				const purse = purses[step.entry]!;
-				const returnedCount = step.isReturn && !step.isImmediate ? purse.removeAll('holder', nowMs) : 0;
-				const unusedCount = step.isImmediate ? 0 : purse.countOf('holder', nowMs);
+				const leasedTokens = tokensByEntry[step.entry]!;
+				const returnedCount = step.isReturn && !step.isImmediate ? leasedTokens.removeAll('holder', nowMs) : 0;
+				const unusedCount = step.isImmediate ? 0 : leasedTokens.countOf('holder', nowMs);
 				const {wantedCount, isImmediate} = step;
 				const entryId = `entry-${step.entry}`;
 				account.update(PLAN, HELD_LONG, nowMs);
@@ -98,10 +98,10 @@
 				);
 				if (isRenewed && !step.isReplyLost) {
 					const lifetimeMs = isImmediate ? OPTIONS.immediateLeaseMs : OPTIONS.leaseMs;
-					purse.add(isImmediate ? 'holder!' : 'holder', grantedCount, nowMs + lifetimeMs, nowMs);
+					leasedTokens.add(isImmediate ? 'holder!' : 'holder', grantedCount, nowMs + lifetimeMs, nowMs);
 				}
 
-				Array.from({length: step.usedCount}, () => purse.take(nowMs))
+				Array.from({length: step.usedCount}, () => leasedTokens.take(nowMs))
 					.filter(holderId => holderId !== undefined)
 					.forEach(() => {
 						usedAtMs.push(nowMs);
--- a/packages/core/src/quotas/holder-exchange.ts
+++ b/packages/core/src/quotas/holder-exchange.ts
@@ -2,7 +2,7 @@
 import type {PeerReachability} from '../registry/peer-reachability.js';
 import * as ports from '../ports/index.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
-import type {LeasePurse} from './lease-purse.js';
+import type {LeasedTokens} from './leased-tokens.js';
 import type {QuotaOptions} from './quota-options.js';
 import {planShares} from './share-plan.js';
 import {partitionOf, type ShareRanking} from './share-ranking.js';
@@ -34,7 +34,7 @@
 	listUsable(workspace: domain.FleetWorkspace): readonly domain.RegisteredNode[];
 	/** The holder from which tokens may be leased ahead of need now. */
 	findAhead(workspace: domain.FleetWorkspace): domain.RegisteredNode | undefined;
-	/** Reports or returns the unused tokens of a holder, and adds those that it leases to the purse. */
+	/** Reports or returns the unused tokens of a holder, and adds those that it leases to the leased ones. */
 	exchange(holder: domain.RegisteredNode, options: ExchangeOptions): Promise<void>;
 	/** Records that a token was used. */
 	noteUse(holderId: string): void;
@@ -72,9 +72,9 @@
 const AHEAD_PAUSE_MS = 250;
 
 export const createHolderExchange = (
-	options: HolderExchangeParts & {readonly workspace: string; readonly purse: LeasePurse},
+	options: HolderExchangeParts & {readonly workspace: string; readonly leasedTokens: LeasedTokens},
 ): HolderExchange => {
-	const {self, ranking, clock, random, readOptions, peerReachability, purse} = options;
+	const {self, ranking, clock, random, readOptions, peerReachability, leasedTokens} = options;
 	const holders = new Map<string, HolderState>();
 	/** Holders whose tokens were leased ahead and are used up, which these do not know yet. */
 	const spentHolderIds = new Set<string>();
@@ -144,7 +144,7 @@
 		const {nodeId} = holder;
 		const state = readHolder(nodeId);
 		const sentAtMs = clock.monotonicMs();
-		const returnedCount = isReturn ? purse.removeAll(nodeId, sentAtMs) : 0;
+		const returnedCount = isReturn ? leasedTokens.removeAll(nodeId, sentAtMs) : 0;
 		const message = {
 			workspace: options.workspace,
 			nodeId: self.nodeId,
@@ -152,7 +152,7 @@
 			sequence: state.sequence++,
 			wantedCount,
 			isImmediate,
-			unusedCount: isImmediate ? 0 : purse.countOf(nodeId, sentAtMs),
+			unusedCount: isImmediate ? 0 : leasedTokens.countOf(nodeId, sentAtMs),
 			returnedCount,
 		};
 		// Two requests ahead of need at the same time would each report without the tokens of the other.
@@ -169,7 +169,7 @@
 
 		if (reply.isRenewed) {
 			const key = isImmediate ? `${nodeId}${IMMEDIATE_MARK}` : nodeId;
-			purse.add(key, reply.grantedCount, sentAtMs + reply.leaseMs, nowMs);
+			leasedTokens.add(key, reply.grantedCount, sentAtMs + reply.leaseMs, nowMs);
 		}
 
 		if (!isImmediate) {
@@ -195,7 +195,7 @@
 		},
 		exchange,
 		noteUse(holderId) {
-			if (holders.has(holderId) && purse.countOf(holderId, clock.monotonicMs()) === 0) {
+			if (holders.has(holderId) && leasedTokens.countOf(holderId, clock.monotonicMs()) === 0) {
 				spentHolderIds.add(holderId);
 			}
 		},
--- a/packages/core/src/quotas/lease-purse.ts
+++ b/packages/core/src/quotas/leased-tokens.ts
@@ -1,7 +1,7 @@
 type Holding = {count: number; expiresAtMs: number};
 
 /** Unused tokens of one workspace at an entry node, by the node that leased them and how long they live. */
-export type LeasePurse = {
+export type LeasedTokens = {
 	/** Uses one token. Returns the holder that it is from; undefined if there is none. */
 	take(nowMs: number): string | undefined;
 	/** Tokens that are valid. */
@@ -15,7 +15,7 @@
 	listHolders(nowMs: number): readonly string[];
 };
 
-export const createLeasePurse = (): LeasePurse => {
+export const createLeasedTokens = (): LeasedTokens => {
 	const holdings = new Map<string, Holding>();
 
 	const removeExpired = (nowMs: number): void => {
--- a/packages/core/src/quotas/quota-entry.ts
+++ b/packages/core/src/quotas/quota-entry.ts
@@ -5,7 +5,7 @@
 	SHORTEST_PAUSE_MS,
 	type HolderExchangeParts,
 } from './holder-exchange.js';
-import {createLeasePurse} from './lease-purse.js';
+import {createLeasedTokens} from './leased-tokens.js';
 import {createRefusalSpread} from './refusal-spread.js';
 import {createUseEstimate} from './use-estimate.js';
 import type {QuotaDecision} from './workspace-quotas.js';
@@ -57,10 +57,10 @@
 
 export const createQuotaEntry = (parts: QuotaEntryParts & {readonly workspace: string}): QuotaEntry => {
 	const {self, ranking, clock, random, readOptions} = parts;
-	const purse = createLeasePurse();
+	const leasedTokens = createLeasedTokens();
 	const {listUsable, findAhead, exchange, noteUse, pendingCount, isFree, nextTokenMs} = createHolderExchange({
 		...parts,
-		purse,
+		leasedTokens,
 	});
 	const use = createUseEstimate();
 	const admitted = createUseEstimate();
@@ -73,12 +73,12 @@
 	let pauseMs = SHORTEST_PAUSE_MS;
 	let search: Promise<void> | undefined;
 
-	const missingCount = (): number => Math.max(0, waitingCount - purse.balance(clock.monotonicMs()));
+	const missingCount = (): number => Math.max(0, waitingCount - leasedTokens.balance(clock.monotonicMs()));
 
 	const wantedCountNow = (): number => {
 		const nowMs = clock.monotonicMs();
 		const aheadCount = Math.floor((use.ratePerSecond(nowMs) * LEASE_AHEAD_MS) / MS_PER_SECOND);
-		return Math.max(0, aheadCount - purse.balance(nowMs) - pendingCount());
+		return Math.max(0, aheadCount - leasedTokens.balance(nowMs) - pendingCount());
 	};
 
 	/** Leases tokens ahead of need from one holder, while the calls use those at hand. */
@@ -86,7 +86,7 @@
 		const nowMs = clock.monotonicMs();
 		const lowCount = (use.ratePerSecond(nowMs) * LOW_BALANCE_MS) / MS_PER_SECOND;
 		const wantedCount =
-			purse.balance(nowMs) + pendingCount() < lowCount && pauseMs === SHORTEST_PAUSE_MS ? wantedCountNow() : 0;
+			leasedTokens.balance(nowMs) + pendingCount() < lowCount && pauseMs === SHORTEST_PAUSE_MS ? wantedCountNow() : 0;
 		const holder = wantedCount > 0 ? findAhead(workspace) : undefined;
 		if (holder) {
 			void exchange(holder, {wantedCount});
@@ -146,7 +146,7 @@
 
 	const take = (workspace: domain.FleetWorkspace): boolean => {
 		const nowMs = clock.monotonicMs();
-		const holderId = purse.take(nowMs);
+		const holderId = leasedTokens.take(nowMs);
 		if (holderId === undefined) {
 			return false;
 		}
@@ -197,7 +197,7 @@
 				return;
 			}
 
-			const idle = purse
+			const idle = leasedTokens
 				.listHolders(nowMs)
 				.filter(holderId => isFree(holderId))
 				.flatMap(holderId => ranking.node(holderId) ?? []);
@@ -209,12 +209,12 @@
 				usePerSecond: use.ratePerSecond(nowMs),
 				admittedCount,
 				refusedCount,
-				unusedCount: purse.balance(nowMs),
+				unusedCount: leasedTokens.balance(nowMs),
 			};
 		},
 		isDisposable: () =>
 			clock.monotonicMs() - lastCallAtMs > DISPOSAL_MS &&
-			purse.balance(clock.monotonicMs()) === 0 &&
+			leasedTokens.balance(clock.monotonicMs()) === 0 &&
 			pendingCount() === 0,
 	};
 };
