test(clients): requests without an end, and connections that send without a pause

Cause: nothing covered heads over the limit, heads without an end, and empty lines without an end, neither as a flood nor as a few bytes now and then.

--- a/packages/daemon/src/fleet/__tests__/client-crowd.ts
+++ b/packages/daemon/src/fleet/__tests__/client-crowd.ts
@@ -1,8 +1,10 @@
 import * as fs from 'node:fs/promises';
 import * as net from 'node:net';
 import * as timersPromises from 'node:timers/promises';
+import * as core from '@bilberrydoor/core';
 import type {ExecutionContext} from 'ava';
-import {send, startFleet, type RunningNode} from './fleet-harness.js';
+import {send, startFleet, waitUntil, type RunningNode} from './fleet-harness.js';
+import {isPipeliningCallerAnswered} from './pipelining-caller.js';
 
 /** Flags of the run command in deploy/system.toml, with a smaller heap. */
 const NODE_FLAGS: readonly string[] = [
@@ -24,9 +26,19 @@
 const ATTEMPT_LIMIT_MS = 5000;
 const RETRY_PAUSE_MS = 250;
 
+/** Bytes that an endless sender writes at once. */
+const BLOCK_BYTES = 16_384;
+
+/** Shorter than the time limits for heads and for idle connections. */
+const TRICKLE_INTERVAL_MS = 500;
+
 /** A connection of a client that sends bytes and reads nothing. */
 export type CrowdClient = {
 	send(bytes: string | Uint8Array): void;
+	/** Sends the same bytes again and again, as fast as the node reads them. */
+	sendEndlessly(bytes: string): void;
+	/** Sends a few bytes now and then, for as long as the connection is open. */
+	trickle(bytes: string): void;
 	/** Closes or resets the connection. */
 	leave(way: 'close' | 'reset'): void;
 };
@@ -46,6 +58,23 @@
 		send(bytes) {
 			socket.write(bytes);
 		},
+		sendEndlessly(bytes) {
+			const block = bytes.repeat(Math.ceil(BLOCK_BYTES / bytes.length));
+			const fill = (): void => {
+				while (!socket.destroyed && socket.write(block));
+			};
+
+			socket.on('drain', fill);
+			fill();
+		},
+		trickle(bytes) {
+			const timer = setInterval(() => {
+				socket.write(bytes);
+			}, TRICKLE_INTERVAL_MS);
+			socket.once('close', () => {
+				clearInterval(timer);
+			});
+		},
 		leave(way) {
 			if (way === 'reset') {
 				socket.resetAndDestroy();
@@ -116,6 +145,45 @@
 
 export type Fleet = Awaited<ReturnType<typeof startFleet>>;
 
+export type CrowdOptions = {
+	/** Limits of the catalogue in force, where they differ from those of the stand-in. */
+	readonly catalogueLimits?: Readonly<Record<string, number>>;
+	/** Checks that a caller within the limits that sends ahead gets all its answers while the clients are connected. */
+	readonly hasPipeliningCaller?: boolean;
+	/** Checks that the node ends the connections of the clients although they keep sending. */
+	readonly mustEndClients?: boolean;
+};
+
+const countDescriptors = async ({process: {pid}}: RunningNode): Promise<number> =>
+	(await fs.readdir(`/proc/${pid}/fd`)).length;
+
+/** Descriptors that a node opens for its own callers, targets and peers while the clients are connected. */
+const OWN_DESCRIPTOR_COUNT = 15;
+
+const areClientsEnded = async (node: RunningNode, initialCount: number): Promise<boolean> => {
+	const endsAtMs = performance.now() + ANSWER_LIMIT_MS;
+	while (performance.now() < endsAtMs) {
+		if ((await countDescriptors(node)) <= initialCount + OWN_DESCRIPTOR_COUNT) {
+			return true;
+		}
+
+		await timersPromises.setTimeout(RETRY_PAUSE_MS);
+	}
+
+	return false;
+};
+
+const startNode = async (t: ExecutionContext, {catalogueLimits}: CrowdOptions): Promise<[Fleet, RunningNode]> => {
+	const fleet = await startFleet(t, {nodes: 1, targets: 1, flags: NODE_FLAGS, limits: MACHINE_LIMITS});
+	const node = fleet.nodes[0]!;
+	if (catalogueLimits) {
+		fleet.publishCatalogue(2, ['malipo'], {limits: catalogueLimits});
+		await waitUntil(() => node.listEvents(core.LogEvent.CatalogueInForce).length === 2);
+	}
+
+	return [fleet, node];
+};
+
 /**
  * Starts one node with lowered limits, lets clients act on it, and checks that the node lives, that its memory and descriptors
  * stayed under the limits of its machine, and that an ordinary request is answered while the clients are still connected and
@@ -124,13 +192,16 @@
 export const checkNodeUnderCrowd = async (
 	t: ExecutionContext,
 	act: (fleet: Fleet, node: RunningNode) => Promise<readonly CrowdClient[]>,
+	options: CrowdOptions = {},
 ): Promise<void> => {
-	const fleet = await startFleet(t, {nodes: 1, targets: 1, flags: NODE_FLAGS, limits: MACHINE_LIMITS});
-	const node = fleet.nodes[0]!;
+	const [fleet, node] = await startNode(t, options);
 	t.true(await isOrdinaryRequestAnswered(node, 'before'));
+	const initialCount = await countDescriptors(node);
 	const watch = watchProcess(node);
 	const clients = await act(fleet, node);
+	const isCallerAnswered = !options.hasPipeliningCaller || (await isPipeliningCallerAnswered(node));
 	const isAnsweredDuring = await isOrdinaryRequestAnswered(node, 'during');
+	const isCrowdEnded = !options.mustEndClients || (await areClientsEnded(node, initialCount));
 	clients.forEach((client, index) => {
 		client.leave(index % 2 === 0 ? 'close' : 'reset');
 	});
@@ -139,6 +210,8 @@
 	t.log(`${Math.round(peak.memoryBytes / BYTES_PER_MB)} MB, ${peak.descriptorCount} descriptors`);
 	t.deepEqual([node.process.exitCode, node.process.signalCode], [null, null], 'the node ended');
 	t.true(isAnsweredDuring, 'no answer while the clients were connected');
+	t.true(isCallerAnswered, 'the connection of a caller within the limits was closed without an answer');
+	t.true(isCrowdEnded, 'the connections of the clients were not ended');
 	t.true(isAnsweredAfter, 'no answer after the clients had left');
 	t.true(peak.memoryBytes < MACHINE_LIMITS.memory_mb * BYTES_PER_MB, `${peak.memoryBytes} bytes`);
 	t.true(peak.descriptorCount < MACHINE_LIMITS.max_fds, `${peak.descriptorCount} descriptors`);
