fix(clients): empty lines take no budget, and end with the connection's idle time

What callers saw: while 40 clients had sent 1,000 bytes of empty lines each, a caller within the limits that sent 24 requests ahead had its connection closed without an answer. After an answered request such clients stayed connected for as long as they sent a byte now and then.

After an answered request empty lines start no time limit of the HTTP server, and each byte starts the idle time anew. A part of 1 KiB also held up to 40 requests, so that a connection exceeded its limit of requests read ahead.

The parser gets at most one request at a time; empty lines are not counted as memory, end with 400 beyond the limit of a head, and are closed when the connection has been idle for the idle timeout. A head that has begun is read to its end, so that its time limit does not pass while its connection waits. The checks of stalled connections run after what arrived during a pause is read.

--- a/packages/adapters/src/__tests__/client-guard.test.ts
+++ b/packages/adapters/src/__tests__/client-guard.test.ts
@@ -18,6 +18,7 @@
 	stalledLimitMs: 500,
 };
 const ID_HEADER = 'x-request-id';
+const HEADER_LIMIT_BYTES = 16_384;
 const POLL_MS = 10;
 
 type Exchange = {readonly incoming: http.IncomingMessage; readonly outgoing: http.ServerResponse};
@@ -48,6 +49,7 @@
 			reached.push(limit);
 		},
 		requestIdHeader: ID_HEADER,
+		getHeaderLimitBytes: () => HEADER_LIMIT_BYTES,
 	});
 	const exchanges: Exchange[] = [];
 	const app = new hono.Hono<NodeBindings>();
--- a/packages/adapters/src/http/client-errors.ts
+++ b/packages/adapters/src/http/client-errors.ts
@@ -3,8 +3,9 @@
 import * as core from '@bilberrydoor/core';
 import type {ConnectionCloser} from './connection-closer.js';
 
-/** Errors that the HTTP server reports with an own status. All others are bytes that are not HTTP. */
-enum ClientErrorCode {
+/** Errors of what a connection's caller sent. Those without a status of their own, and all others, are answered with 400. */
+export enum ClientErrorCode {
+	EmptyLines = 'ERR_EMPTY_LINES',
 	HeadTooLarge = 'HPE_HEADER_OVERFLOW',
 	ChunkExtensionsTooLarge = 'HPE_CHUNK_EXTENSIONS_OVERFLOW',
 	TimedOut = 'ERR_HTTP_REQUEST_TIMEOUT',
--- a/packages/adapters/src/http/client-guard.ts
+++ b/packages/adapters/src/http/client-guard.ts
@@ -2,9 +2,10 @@
 import type * as net from 'node:net';
 import * as core from '@bilberrydoor/core';
 import {createArrivingBodies, type ArrivingBody} from './arriving-bodies.js';
+import {ClientErrorCode} from './client-errors.js';
 import {ClientLimit, type ClientLimitLog, type ClientLimits} from './client-limits.js';
 import type {ConnectionCloser} from './connection-closer.js';
-import {createConnectionReader, type ConnectionReader} from './connection-reader.js';
+import {createConnectionReader, type ConnectionReader, type PartLimits} from './connection-reader.js';
 import {createConnectionRoom} from './connection-room.js';
 import {createParseTurns} from './parse-turns.js';
 import {createUnreadAnswers} from './unread-answers.js';
@@ -34,6 +35,8 @@
 	readonly noteLimit: ClientLimitLog;
 	/** Header with the id of a request, which refusals repeat. */
 	readonly requestIdHeader: string;
+	/** Returns the largest allowed request head in bytes, according to the current catalogue. */
+	readonly getHeaderLimitBytes: () => number;
 };
 
 /** Memory that the handling of a request takes, and of each of its header lines, in bytes. */
@@ -52,6 +55,11 @@
 const RETRY_AFTER = {minimumMs: 1000, spreadMs: 2000};
 const MS_PER_SECOND = 1000;
 
+/** Errors with which connections end that exceed the limit of a part. */
+const PART_ERRORS: Partial<Record<ClientLimit, ClientErrorCode>> = {
+	[ClientLimit.EmptyLines]: ClientErrorCode.EmptyLines,
+};
+
 /** How many times the limit the server accepts. The room closes an idle connection for each one beyond the limit. */
 const ACCEPTED_RATIO = 2;
 
@@ -76,10 +84,24 @@
 	const readers = new WeakMap<net.Socket, ConnectionReader>();
 	let atWorkCount = 0;
 
-	setInterval(() => {
+	/** The HTTP server's own time limit starts anew with each byte. */
+	const closeIdleWithEmptyLines = (server: http.Server): void => {
+		room
+			.listIdle(server.keepAliveTimeout)
+			.filter(socket => readers.get(socket)?.hasOnlyEmptyLines())
+			.forEach(socket => {
+				noteLimit(ClientLimit.EmptyLines);
+				socket.destroy();
+			});
+	};
+
+	const check = (server: http.Server): void => {
 		answers.closeStalled();
 		bodies.closeStalled();
-	}, CHECK_INTERVAL_MS).unref();
+		closeIdleWithEmptyLines(server);
+	};
+
+	const getPartLimits = (): PartLimits => ({emptyLineLimitBytes: parts.getHeaderLimitBytes()});
 
 	const writeRefusal = (
 		incoming: http.IncomingMessage,
@@ -119,6 +141,10 @@
 			server.maxConnections = limits.connectionLimitCount * ACCEPTED_RATIO;
 			// Node.js drops further lines without a sign.
 			server.maxHeadersCount = limits.headerLineLimitCount + 1;
+			// After a pause of the process, what has arrived meanwhile is read before the checks.
+			setInterval(() => {
+				setImmediate(check, server);
+			}, CHECK_INTERVAL_MS).unref();
 			server.on('connection', socket => {
 				room.add(socket);
 				const reader = createConnectionReader(socket, {
@@ -135,6 +161,11 @@
 					onNoRoom() {
 						noteLimit(ClientLimit.ReadAhead);
 					},
+					getPartLimits,
+					onPartTooLarge(limit) {
+						noteLimit(limit);
+						server.emit('clientError', Object.assign(new Error(limit), {code: PART_ERRORS[limit]}), socket);
+					},
 				});
 				readers.set(socket, reader);
 			});
--- a/packages/adapters/src/http/client-limits.ts
+++ b/packages/adapters/src/http/client-limits.ts
@@ -4,6 +4,8 @@
 export enum ClientLimit {
 	/** More bytes were sent ahead than there is room for. */
 	ReadAhead = 'read-ahead',
+	/** Too many empty lines were sent before a request. */
+	EmptyLines = 'empty-lines',
 	/** A request has too many header lines. */
 	HeaderLines = 'header-lines',
 	/** There are too many connections. */
--- a/packages/adapters/src/http/connection-reader.ts
+++ b/packages/adapters/src/http/connection-reader.ts
@@ -1,6 +1,8 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 import * as core from '@bilberrydoor/core';
+import {ClientLimit} from './client-limits.js';
+import {createMessageScanner, MessagePart, type ScannedBytes} from './message-scanner.js';
 import type {ParseTurns} from './parse-turns.js';
 
 /** Reads a connection as fast as its requests are answered. */
@@ -9,6 +11,8 @@
 	noteRequest(incoming: http.IncomingMessage): void;
 	/** Continues reading if that was stopped and requests have been answered since. */
 	resume(): void;
+	/** Whether only empty lines have arrived since the last request. */
+	hasOnlyEmptyLines(): boolean;
 };
 
 export type ConnectionReaderOptions = {
@@ -22,17 +26,18 @@
 	readonly onArriving: () => void;
 	/** Called before the connection is closed because there is no room for what was sent ahead. */
 	readonly onNoRoom: () => void;
+	/** Returns the largest size of what may arrive before a request, of its head, and between the chunks of its body, in bytes. */
+	readonly getPartLimits: () => PartLimits;
+	/** Called when a limit is exceeded. The connection has to be ended. */
+	readonly onPartTooLarge: (limit: ClientLimit) => void;
 };
 
-/** Bytes that the parser gets at once: it parses all requests in them, at least 26 bytes each, before any can be answered. */
-const SLICE_BYTES = 1024;
-
-/** The same while a body without a length arrives, which small parts would slow down. */
-const CHUNKED_SLICE_BYTES = 4096;
+export type PartLimits = {
+	readonly emptyLineLimitBytes: number;
+};
 
 /** Memory that each line of a head takes while the head arrives, in bytes. */
 const LINE_BYTES = 200;
-const LINE_END = 10;
 
 /** Memory of an arriving head that is not counted in the budget, in bytes. It covers 70 lines of 30 bytes. */
 const FREE_HEAD_BYTES = 16_384;
@@ -43,40 +48,44 @@
 /** Bytes that Node.js still reads from a connection after it was told to stop. */
 const READ_BYTES = 16_384;
 
-const countLines = (bytes: Uint8Array): number => bytes.reduce((count, byte) => count + (byte === LINE_END ? 1 : 0), 0);
+const PARTS_OF_BODIES: ReadonlySet<MessagePart> = new Set([
+	MessagePart.Body,
+	MessagePart.ChunkLine,
+	MessagePart.ChunkData,
+	MessagePart.Trailers,
+]);
 
-const announcedBytesOf = ({headers}: http.IncomingMessage): number => Number(headers['content-length'] ?? 0);
+const findExceededLimit = (scanned: ScannedBytes, limits: PartLimits): ClientLimit | undefined => {
+	if (scanned.emptyLineBytes > limits.emptyLineLimitBytes) {
+		return ClientLimit.EmptyLines;
+	}
+
+	return undefined;
+};
 
 /**
- * Takes the place of the HTTP server's listener for data and passes the bytes on to it in parts. Node.js otherwise parses a whole
- * read of 64 KiB, which may hold 2,500 requests, before the first is answered.
+ * Takes the place of the HTTP server's listener for data and passes the bytes on to it in parts, of which each has at most one
+ * request. Node.js otherwise parses a whole read of 64 KiB, which may hold 2,500 requests, before the first is answered.
  */
 export const createConnectionReader = (socket: net.Socket, options: ConnectionReaderOptions): ConnectionReader => {
 	const [parse] = socket.listeners('data') as Array<(bytes: Uint8Array) => void>;
-	/** The request whose body arrives. A complete one is not kept, since its header lines take much memory. */
-	let arrivingRequest: http.IncomingMessage | undefined;
-	/** Bytes that certainly belong to the body of the last request. */
-	let bodyLeftBytes = 0;
-	/** Memory of the head that arrives. */
-	let headBytes = 0;
-	let countedHeadBytes = FREE_HEAD_BYTES;
-	let headHolds: core.Hold[] = [];
+	const scanner = createMessageScanner();
+	let countedFieldBytes = FREE_HEAD_BYTES;
+	let fieldHolds: core.Hold[] = [];
 	let aheadHold: core.Hold | undefined;
 	let isStopped = false;
 
+	/** A head that has begun is read to its end, so that its time limit does not pass while it is not read. */
+	const mayRead = (): boolean => scanner.part() !== MessagePart.EmptyLines || options.mayReadAhead();
+
 	const resume = (): void => {
 		// Set by the HTTP server while it waits for the caller to read; it resumes the connection itself then.
 		const isServerWaiting = '_paused' in socket && socket._paused === true;
-		if (isStopped && !isServerWaiting && !socket.destroyed && options.mayReadAhead()) {
+		if (isStopped && !isServerWaiting && !socket.destroyed && mayRead()) {
 			socket.resume();
 		}
 	};
 
-	const isBodyArriving = (): boolean => arrivingRequest !== undefined;
-
-	const nextSliceBytes = (): number =>
-		Math.max(bodyLeftBytes, isBodyArriving() && bodyLeftBytes === 0 ? CHUNKED_SLICE_BYTES : SLICE_BYTES);
-
 	const closeWithoutRoom = (): void => {
 		options.onNoRoom();
 		socket.destroy();
@@ -94,44 +103,49 @@
 		socket.unshift(rest);
 	};
 
-	const releaseHead = (): void => {
-		headHolds.forEach(hold => {
+	const releaseFields = (): void => {
+		fieldHolds.forEach(hold => {
 			hold.release();
 		});
-		headHolds = [];
-		headBytes = 0;
-		countedHeadBytes = FREE_HEAD_BYTES;
+		fieldHolds = [];
+		countedFieldBytes = FREE_HEAD_BYTES;
 	};
 
-	const countHead = (slice: Uint8Array): void => {
-		headBytes += slice.byteLength + countLines(slice) * LINE_BYTES;
-		while (headBytes > countedHeadBytes) {
+	/** Counts the memory of a head or of trailers. Empty lines before a request take none. */
+	const countFields = (): void => {
+		const {fieldBytes, fieldLineCount} = scanner.scanned();
+		const heldBytes = fieldBytes + fieldLineCount * LINE_BYTES;
+		while (heldBytes > countedFieldBytes) {
 			const hold = options.held.reserve(core.HeldKind.ReadAhead, HEAD_STEP_BYTES);
 			if (!hold) {
 				closeWithoutRoom();
 				return;
 			}
 
-			headHolds.push(hold);
-			countedHeadBytes += HEAD_STEP_BYTES;
+			fieldHolds.push(hold);
+			countedFieldBytes += HEAD_STEP_BYTES;
 		}
 	};
 
-	const parseSlice = (slice: Uint8Array): void => {
-		if (!isBodyArriving()) {
-			options.onArriving();
-			options.turns.count(slice.byteLength);
-			countHead(slice);
+	/** Scans the next part, and returns its end unless the part exceeds a limit. */
+	const scanPart = (bytes: Uint8Array, offset: number): number | undefined => {
+		const isBody = PARTS_OF_BODIES.has(scanner.part());
+		const end = scanner.scan(bytes, offset);
+		const exceeded = findExceededLimit(scanner.scanned(), options.getPartLimits());
+		if (exceeded) {
+			options.onPartTooLarge(exceeded);
+			return undefined;
 		}
 
-		bodyLeftBytes = Math.max(0, bodyLeftBytes - slice.byteLength);
-		if (!socket.destroyed) {
-			parse!.call(socket, slice);
+		if (!isBody) {
+			options.turns.count(end - offset);
+			if (scanner.scanned().fieldBytes > 0) {
+				options.onArriving();
+			}
 		}
 
-		if (arrivingRequest?.complete) {
-			arrivingRequest = undefined;
-		}
+		countFields();
+		return socket.destroyed ? undefined : end;
 	};
 
 	const handleData = (bytes: Uint8Array): void => {
@@ -139,19 +153,27 @@
 		isStopped = false;
 		let offset = 0;
 		while (offset < bytes.byteLength && !socket.destroyed && !options.isEnding()) {
-			if (!isBodyArriving() && !options.mayReadAhead()) {
+			if (!mayRead()) {
 				stop(bytes.subarray(offset));
 				return;
 			}
 
-			if (!isBodyArriving() && !options.turns.hasRoom()) {
+			if (!PARTS_OF_BODIES.has(scanner.part()) && !options.turns.hasRoom()) {
 				stop(bytes.subarray(offset));
 				options.turns.wait(resume);
 				return;
 			}
 
-			const end = offset + nextSliceBytes();
-			parseSlice(bytes.subarray(offset, end));
+			const end = scanPart(bytes, offset);
+			if (end === undefined) {
+				return;
+			}
+
+			parse!.call(socket, bytes.subarray(offset, end));
+			if (scanner.part() === MessagePart.EmptyLines) {
+				releaseFields();
+			}
+
 			offset = end;
 			// The parser stops while a body or an answer waits for its reader.
 			if (socket.isPaused() && offset < bytes.byteLength) {
@@ -165,16 +187,18 @@
 	socket.on('data', handleData);
 	socket.once('close', () => {
 		aheadHold?.release();
-		releaseHead();
+		releaseFields();
 	});
 
 	return {
-		noteRequest(incoming) {
-			arrivingRequest = incoming;
-			// Part of the body may be in the same slice as the end of the head.
-			bodyLeftBytes = Math.max(0, announcedBytesOf(incoming) - CHUNKED_SLICE_BYTES);
-			releaseHead();
+		noteRequest({headers}) {
+			scanner.startBody({
+				isChunked: headers['transfer-encoding'] !== undefined,
+				lengthBytes: Number(headers['content-length'] ?? 0),
+			});
+			releaseFields();
 		},
 		resume,
+		hasOnlyEmptyLines: () => scanner.part() === MessagePart.EmptyLines && scanner.scanned().emptyLineBytes > 0,
 	};
 };
--- a/packages/adapters/src/http/connection-room.ts
+++ b/packages/adapters/src/http/connection-room.ts
@@ -10,9 +10,11 @@
 	noteBusy(socket: net.Socket): void;
 	/** Notes that all requests are answered. */
 	noteIdle(socket: net.Socket): void;
+	/** Lists the connections that have been without a request for longer than a time, in ms. */
+	listIdle(durationMs: number): readonly net.Socket[];
 };
 
-const oldestOf = (sockets: ReadonlySet<net.Socket>): net.Socket | undefined => {
+const oldestOf = (sockets: Iterable<net.Socket>): net.Socket | undefined => {
 	const [oldest] = sockets;
 	return oldest;
 };
@@ -23,8 +25,8 @@
  */
 export const createConnectionRoom = (limitCount: number, onFull: () => void): ConnectionRoom => {
 	let openCount = 0;
-	/** Connections without requests, those that have been idle for longest first. */
-	const idle = new Set<net.Socket>();
+	/** Monotonic times since which connections have no requests, in ms. Those that have been idle for longest come first. */
+	const idle = new Map<net.Socket, number>();
 	/** Connections on which a head has begun, the oldest first. */
 	const arriving = new Set<net.Socket>();
 	const remove = (socket: net.Socket): void => {
@@ -34,7 +36,7 @@
 
 	const makeRoom = (socket: net.Socket): void => {
 		onFull();
-		const closed = oldestOf(idle) ?? oldestOf(arriving) ?? socket;
+		const closed = oldestOf(idle.keys()) ?? oldestOf(arriving) ?? socket;
 		remove(closed);
 		closed.destroy();
 	};
@@ -55,7 +57,7 @@
 			}
 
 			if (!socket.destroyed) {
-				idle.add(socket);
+				idle.set(socket, performance.now());
 			}
 		},
 		noteArriving(socket) {
@@ -67,8 +69,12 @@
 		noteIdle(socket) {
 			remove(socket);
 			if (!socket.destroyed) {
-				idle.add(socket);
+				idle.set(socket, performance.now());
 			}
 		},
+		listIdle(durationMs) {
+			const nowMs = performance.now();
+			return [...idle].filter(([, idleSinceMs]) => nowMs - idleSinceMs > durationMs).map(([socket]) => socket);
+		},
 	};
 };
--- a/packages/daemon/src/fleet/fleet-listeners.ts
+++ b/packages/daemon/src/fleet/fleet-listeners.ts
@@ -73,12 +73,15 @@
 export const startFleetListeners = async (options: FleetListenerOptions): Promise<FleetListeners> => {
 	const {settings, fleetPorts, node, shutdownState} = options;
 	const {clock, random, logger, metrics} = fleetPorts.ports;
+	const getHeaderLimitBytes = (): number =>
+		node.registry.catalogue()?.limits.headerLimitBytes ?? FRONT_HEADER_LIMIT_BYTES;
 	const guard = adapters.createClientGuard({
 		limits: deriveClientLimits(settings),
 		held: core.createHeldBytes(deriveHeldBytesOptions(settings)),
 		random,
 		noteLimit: adapters.createClientLimitLog({logger, metrics}),
 		requestIdHeader: platform.PLATFORM_DIALECT.requestIdHeader,
+		getHeaderLimitBytes,
 	});
 	const proxyApp = adapters.createProxyApp({
 		dialect: platform.PLATFORM_DIALECT,
@@ -86,7 +89,7 @@
 		clock,
 		random,
 		logger,
-		getHeaderLimitBytes: () => node.registry.catalogue()?.limits.headerLimitBytes ?? FRONT_HEADER_LIMIT_BYTES,
+		getHeaderLimitBytes,
 		getBodyLimitBytes: () => node.registry.catalogue()?.limits.bodyLimitBytes ?? INITIAL_BODY_LIMIT_BYTES,
 		isClosing: () => shutdownState.isLeaving,
 		guard,
