fix(clients): a head that is too large is refused before it has arrived

What callers saw: with 40 clients that sent header lines without an end, or spaces before a target or a value, the budget for bytes read ahead was taken until the time limit for heads, and others found no room.

Cause: the limit of the catalogue was applied to complete heads only. Until then 64 KiB were read; spaces before a target or a value count for no limit of the HTTP parser, and lines were counted when the head was complete.

Change: a head that has not arrived completely gets 431 when its bytes exceed the limit of the catalogue and 4 bytes for each of the permitted lines, or its lines their limit. A larger head that arrives whole within these bytes gets 431 with its id as before. Metric and log value `head-size`.

Result: before, the connections of two of the four cases of the new unit test (spaces, header lines) were open after 8 s, and the one with a large value was refused without an entry in the metric; the fourth, empty lines, was green since. All four are green.

--- a/packages/adapters/src/__tests__/client-guard.test.ts
+++ b/packages/adapters/src/__tests__/client-guard.test.ts
@@ -239,6 +239,25 @@
 	t.false(slow.isClosed);
 });
 
+// Guards against heads that fill the memory until their time limit, and against complete ones that are refused without their id.
+[
+	{name: 'a header value', start: 'GET / HTTP/1.1\r\nHost: a\r\nb: ', repeated: 'v', limit: ClientLimit.HeadSize},
+	{name: 'spaces that the parser does not count', start: 'GET ', repeated: ' ', limit: ClientLimit.HeadSize},
+	{name: 'header lines', start: 'GET / HTTP/1.1\r\nHost: a\r\n', repeated: 'b:\r\n', limit: ClientLimit.HeaderLines},
+	{name: 'empty lines', start: '', repeated: '\r\n', limit: ClientLimit.EmptyLines},
+].forEach(({name, start, repeated, limit}) => {
+	test(`a client that sends ${name} without end is refused at once`, async t => {
+		const server = await startServer(t, answerPath);
+		const client = await server.connect();
+		client.socket.write(start + repeated.repeat((2 * HEADER_LIMIT_BYTES) / repeated.length));
+		await waitUntil(() => client.isClosed);
+		t.regex(client.received, limit === ClientLimit.EmptyLines ? /^HTTP\/1\.1 400/ : /^HTTP\/1\.1 431/);
+		t.deepEqual(server.reached, [limit]);
+		t.deepEqual(server.exchanges, []);
+		t.is(server.held.usedRatio(), 0);
+	});
+});
+
 const UNREAD_LIMIT_BYTES = 16_000_000;
 
 // Guards against an ended connection that is read as fast as its caller sends until it is closed, which fills the memory.
--- a/packages/adapters/src/http/client-guard.ts
+++ b/packages/adapters/src/http/client-guard.ts
@@ -58,8 +58,13 @@
 /** Errors with which connections end that exceed the limit of a part. */
 const PART_ERRORS: Partial<Record<ClientLimit, ClientErrorCode>> = {
 	[ClientLimit.EmptyLines]: ClientErrorCode.EmptyLines,
+	[ClientLimit.HeadSize]: ClientErrorCode.HeadTooLarge,
+	[ClientLimit.HeaderLines]: ClientErrorCode.HeadTooLarge,
 };
 
+/** Bytes of a header line beside its name and its value, which the limit of a head does not count: the colon, a space and the end. */
+const LINE_FRAME_BYTES = 4;
+
 /** How many times the limit the server accepts. The room closes an idle connection for each one beyond the limit. */
 const ACCEPTED_RATIO = 2;
 
@@ -101,7 +106,14 @@
 		closeIdleWithEmptyLines(server);
 	};
 
-	const getPartLimits = (): PartLimits => ({emptyLineLimitBytes: parts.getHeaderLimitBytes()});
+	const getPartLimits = (): PartLimits => {
+		const headerLimitBytes = parts.getHeaderLimitBytes();
+		return {
+			emptyLineLimitBytes: headerLimitBytes,
+			headLimitBytes: headerLimitBytes + limits.headerLineLimitCount * LINE_FRAME_BYTES,
+			headerLineLimitCount: limits.headerLineLimitCount,
+		};
+	};
 
 	const writeRefusal = (
 		incoming: http.IncomingMessage,
--- a/packages/adapters/src/http/client-limits.ts
+++ b/packages/adapters/src/http/client-limits.ts
@@ -6,6 +6,8 @@
 	ReadAhead = 'read-ahead',
 	/** Too many empty lines were sent before a request. */
 	EmptyLines = 'empty-lines',
+	/** A head is too large, and has not arrived completely. */
+	HeadSize = 'head-size',
 	/** A request has too many header lines. */
 	HeaderLines = 'header-lines',
 	/** There are too many connections. */
--- a/packages/adapters/src/http/connection-reader.ts
+++ b/packages/adapters/src/http/connection-reader.ts
@@ -34,6 +34,9 @@
 
 export type PartLimits = {
 	readonly emptyLineLimitBytes: number;
+	/** Limit of a head that has not arrived completely. A complete one is refused with its id. */
+	readonly headLimitBytes: number;
+	readonly headerLineLimitCount: number;
 };
 
 /** Memory that each line of a head takes while the head arrives, in bytes. */
@@ -55,12 +58,17 @@
 	MessagePart.Trailers,
 ]);
 
-const findExceededLimit = (scanned: ScannedBytes, limits: PartLimits): ClientLimit | undefined => {
+const findExceededLimit = (part: MessagePart, scanned: ScannedBytes, limits: PartLimits): ClientLimit | undefined => {
 	if (scanned.emptyLineBytes > limits.emptyLineLimitBytes) {
 		return ClientLimit.EmptyLines;
 	}
 
-	return undefined;
+	// The request line is no header line.
+	if (part === MessagePart.Head && scanned.fieldLineCount > limits.headerLineLimitCount + 1) {
+		return ClientLimit.HeaderLines;
+	}
+
+	return part === MessagePart.Head && scanned.fieldBytes > limits.headLimitBytes ? ClientLimit.HeadSize : undefined;
 };
 
 /**
@@ -131,7 +139,7 @@
 	const scanPart = (bytes: Uint8Array, offset: number): number | undefined => {
 		const isBody = PARTS_OF_BODIES.has(scanner.part());
 		const end = scanner.scan(bytes, offset);
-		const exceeded = findExceededLimit(scanner.scanned(), options.getPartLimits());
+		const exceeded = findExceededLimit(scanner.part(), scanner.scanned(), options.getPartLimits());
 		if (exceeded) {
 			options.onPartTooLarge(exceeded);
 			return undefined;
