fix(clients): what lies between the chunks of a body is bounded

What callers saw: the connections of 40 clients that sent a chunk size of zeros without an end were still open after 60 s, and the node kept parsing.

Cause: the HTTP parser bounds the value of a chunk's size, but not its leading zeros, and the limit of bodies counts no bytes of chunk lines or trailers.

Beyond the limit of a head the connection ends. Metric and log value `chunk-overhead`.

--- a/packages/adapters/src/http/client-guard.ts
+++ b/packages/adapters/src/http/client-guard.ts
@@ -60,6 +60,7 @@
 	[ClientLimit.EmptyLines]: ClientErrorCode.EmptyLines,
 	[ClientLimit.HeadSize]: ClientErrorCode.HeadTooLarge,
 	[ClientLimit.HeaderLines]: ClientErrorCode.HeadTooLarge,
+	[ClientLimit.ChunkOverhead]: ClientErrorCode.ChunkExtensionsTooLarge,
 };
 
 /** Bytes of a header line beside its name and its value, which the limit of a head does not count: the colon, a space and the end. */
@@ -112,6 +113,7 @@
 			emptyLineLimitBytes: headerLimitBytes,
 			headLimitBytes: headerLimitBytes + limits.headerLineLimitCount * LINE_FRAME_BYTES,
 			headerLineLimitCount: limits.headerLineLimitCount,
+			chunkOverheadLimitBytes: headerLimitBytes,
 		};
 	};
 
--- a/packages/adapters/src/http/client-limits.ts
+++ b/packages/adapters/src/http/client-limits.ts
@@ -10,6 +10,8 @@
 	HeadSize = 'head-size',
 	/** A request has too many header lines. */
 	HeaderLines = 'header-lines',
+	/** Trailers, or what is between the chunks of a body, are too large. */
+	ChunkOverhead = 'chunk-overhead',
 	/** There are too many connections. */
 	Connections = 'connections',
 	/** There is no room for another request. */
--- a/packages/adapters/src/http/connection-reader.ts
+++ b/packages/adapters/src/http/connection-reader.ts
@@ -37,6 +37,7 @@
 	/** Limit of a head that has not arrived completely. A complete one is refused with its id. */
 	readonly headLimitBytes: number;
 	readonly headerLineLimitCount: number;
+	readonly chunkOverheadLimitBytes: number;
 };
 
 /** Memory that each line of a head takes while the head arrives, in bytes. */
@@ -63,6 +64,10 @@
 		return ClientLimit.EmptyLines;
 	}
 
+	if (scanned.chunkOverheadBytes > limits.chunkOverheadLimitBytes) {
+		return ClientLimit.ChunkOverhead;
+	}
+
 	// The request line is no header line.
 	if (part === MessagePart.Head && scanned.fieldLineCount > limits.headerLineLimitCount + 1) {
 		return ClientLimit.HeaderLines;
