fix(proxy): a call whose body is late is refused at its deadline

What callers saw: clients that sent a body, a chunk extension or zeros of a chunk size a byte at a time kept their part of the memory for bodies, while others find no room. Calls of a route with a timeout of 2 s were still open after 60 s.

Cause: the deadline was applied from the time at which a body had been read. The only limit before was that of the server for a whole request, 300 s.

Change: the admission of a call says when it can no longer be served. A body that has not arrived by then is refused with 408: it has not been sent to a target.

--- a/packages/adapters/src/front/proxy-app.ts
+++ b/packages/adapters/src/front/proxy-app.ts
@@ -3,12 +3,13 @@
 import * as domain from '@bilberrydoor/domain';
 import * as nodeServerResponse from '@hono/node-server/utils/response';
 import * as hono from 'hono';
+import * as neverthrow from 'neverthrow';
 import * as headers from '../http/headers.js';
 import type {ClientGuard} from '../http/client-guard.js';
 import type {NodeBindings} from '../http/http-listener.js';
 import type {WireDialect} from '../http/wire-dialect.js';
 import {writeBody} from '../http/write-body.js';
-import {BodyReadError, readCallBody} from './read-call-body.js';
+import {BodyReadError, readCallBody, type ReadBody} from './read-call-body.js';
 import {readCredential, removeIdentityHeaders} from './read-credential.js';
 
 export type ProxyAppOptions = {
@@ -59,6 +60,13 @@
 };
 const DEFAULT_FAILED_STATUS = 502;
 
+/** Statuses of calls whose body was not read, and which have not run. The connection of an incomplete body has ended. */
+const BODY_ERROR_STATUSES: Record<BodyReadError, number | undefined> = {
+	[BodyReadError.TooLarge]: 413,
+	[BodyReadError.TooLate]: 408,
+	[BodyReadError.Aborted]: undefined,
+};
+
 /** Size in bytes of the names and values of a request's head, as the HTTP parser counts them. */
 const measureHeadBytes = ({url = '', rawHeaders}: http.IncomingMessage): number =>
 	rawHeaders.reduce((sumBytes, text) => sumBytes + text.length, url.length);
@@ -137,6 +145,18 @@
 		},
 	};
 
+	/** Reads a body until its call's deadline. A call whose body arrives later cannot be served. */
+	const readBodyInTime = async (
+		incoming: http.IncomingMessage,
+		deadlineAtMs: number,
+		signal: AbortSignal,
+	): Promise<neverthrow.Result<ReadBody, BodyReadError>> => {
+		const timeoutMs = deadlineAtMs - clock.monotonicMs();
+		const limits = {heldBytes, totalBytes: options.getBodyLimitBytes()};
+		const timed = await core.runWithTimeout({clock, timeoutMs, signal}, async () => readCallBody(incoming, limits));
+		return timed.isTimedOut ? neverthrow.err(BodyReadError.TooLate) : timed.value;
+	};
+
 	const handleRequest = async (incoming: http.IncomingMessage, outgoing: http.ServerResponse): Promise<void> => {
 		const receivedAtMs = clock.monotonicMs();
 		const headerList = headers.pairRawHeaders(incoming.rawHeaders);
@@ -158,6 +178,7 @@
 			host: incoming.headers.host ?? '',
 			pathAndQuery: incoming.url ?? '/',
 			receivedAtMs,
+			deadlineMs: parseDeadline(headers.findHeader(headerList, dialect.remainingMsHeader)),
 			readCredential: () => readCredential(headerList),
 		};
 		const admission = await options.proxy.admit(head, controller.signal);
@@ -172,12 +193,13 @@
 			return;
 		}
 
-		const read = await readCallBody(incoming, {heldBytes, totalBytes: options.getBodyLimitBytes()});
+		const read = await readBodyInTime(incoming, admission.deadlineAtMs, controller.signal);
 		arriving?.endArrival();
 		if (read.isErr()) {
 			options.logger.info('request body refused', {event: core.LogEvent.BodyRefused, requestId, problem: read.error});
-			if (read.error === BodyReadError.TooLarge) {
-				writeEmptyResponse(outgoing, 413, requestId, {connection: 'close'});
+			const status = BODY_ERROR_STATUSES[read.error];
+			if (status !== undefined) {
+				writeEmptyResponse(outgoing, status, requestId, {connection: 'close'});
 			}
 
 			return;
@@ -192,7 +214,7 @@
 			pathAndQuery: head.pathAndQuery,
 			headers: admission.isKeyed ? removeIdentityHeaders(forwardable, dialect.workspaceHeader) : forwardable,
 			...body,
-			deadlineMs: parseDeadline(headers.findHeader(headerList, dialect.remainingMsHeader)),
+			deadlineMs: head.deadlineMs,
 			receivedAtMs,
 			workspace: admission.workspace,
 		};
--- a/packages/adapters/src/front/read-call-body.ts
+++ b/packages/adapters/src/front/read-call-body.ts
@@ -6,6 +6,8 @@
 export enum BodyReadError {
 	TooLarge = 'too-large',
 	Aborted = 'broken-off',
+	/** The body has not arrived before its call's deadline. */
+	TooLate = 'too-late',
 }
 
 export type BodyLimits = {
--- a/packages/core/src/proxy/call-admission.ts
+++ b/packages/core/src/proxy/call-admission.ts
@@ -14,6 +14,8 @@
 			readonly workspace?: string;
 			/** Whether the catalogue asks for keys, so that the caller's key and workspace headers must not reach a target. */
 			readonly isKeyed: boolean;
+			/** Monotonic time after which the call cannot be served, in ms. Its body has to arrive before. */
+			readonly deadlineAtMs: number;
 	  }
 	| {
 			readonly isAdmitted: false;
@@ -31,6 +33,12 @@
 	readonly quotas?: WorkspaceQuotas;
 };
 
+/** Monotonic time at which the caller or the operator no longer wants a call to be kept waiting, in ms. */
+export const computeDeadlineAtMs = (
+	{receivedAtMs, deadlineMs}: Pick<domain.CallHead, 'receivedAtMs' | 'deadlineMs'>,
+	{timeoutMs}: domain.HostRoute,
+): number => receivedAtMs + Math.min(deadlineMs ?? timeoutMs, timeoutMs);
+
 /** A route of the catalogue in force, or why there is none. */
 export type RouteResolution =
 	| {readonly isFound: true; readonly index: CatalogueIndex; readonly route: domain.HostRoute}
@@ -84,11 +92,12 @@
 
 	const admitToQuota = async (
 		{workspace}: Extract<Authentication, {isAccepted: true}>,
+		deadlineAtMs: number,
 		signal: AbortSignal,
 	): Promise<CallAdmission> => {
 		const decision = workspace ? await quotas.admit(workspace, signal) : {isAdmitted: true as const};
 		return decision.isAdmitted
-			? {isAdmitted: true, workspace: workspace?.name, isKeyed: true}
+			? {isAdmitted: true, workspace: workspace?.name, isKeyed: true, deadlineAtMs}
 			: {
 					isAdmitted: false,
 					ending: refuse(domain.RefusalReason.QuotaExceeded, decision.retryAfterMs),
@@ -106,13 +115,14 @@
 			}
 
 			const {index, route} = resolution;
+			const deadlineAtMs = computeDeadlineAtMs(head, route);
 			if (!index.workspaces) {
-				return {isAdmitted: true, isKeyed: false};
+				return {isAdmitted: true, isKeyed: false, deadlineAtMs};
 			}
 
 			const authentication = index.workspaces.authenticate(head.readCredential(), route.isPublic ?? false);
 			return authentication.isAccepted
-				? admitToQuota(authentication, signal)
+				? admitToQuota(authentication, deadlineAtMs, signal)
 				: {isAdmitted: false, ending: refuse(domain.RefusalReason.Unauthenticated)};
 		},
 	};
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -11,7 +11,7 @@
 import {ANSWER_VERDICTS, ERROR_VERDICTS, GRANT_REFUSAL_REASONS} from './attempt-verdicts.js';
 import {canSendBody, isBodyBroken, measureAnswer, measureBody} from './call-body.js';
 import type {CallState} from './call-state.js';
-import {createCallAdmissions, refuse, type CallAdmission} from './call-admission.js';
+import {computeDeadlineAtMs, createCallAdmissions, refuse, type CallAdmission} from './call-admission.js';
 import {createCatalogueIndex, type CatalogueIndex} from './catalogue-index.js';
 import {pickService} from './pick-service.js';
 import {DEFAULT_PROXY_OPTIONS, type ProxyOptions} from './proxy-options.js';
@@ -337,7 +337,7 @@
 			priority: index.workspaces ? combinePriorities(workspace?.priority, route.priority) : route.priority,
 			catalogueVersion: index.catalogue.version,
 			callerSignal: signal,
-			deadlineAtMs: call.receivedAtMs + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs),
+			deadlineAtMs: computeDeadlineAtMs(call, route),
 			excludedTargetIds: [],
 			usedAddresses: [],
 			isGrantRequested: false,
--- a/packages/daemon/src/fleet/__tests__/caller-limits.test.ts
+++ b/packages/daemon/src/fleet/__tests__/caller-limits.test.ts
@@ -37,3 +37,26 @@
 		t.deepEqual(targets[0]!.runIds, []);
 	});
 });
+
+const TRICKLE_INTERVAL_MS = 300;
+
+// Guards against a call whose body arrives so slowly that it is kept long after it can be served.
+[
+	{name: 'with a length', start: 'Content-Length: 1000\r\n\r\n', repeated: 'x'},
+	{name: 'in chunks', start: 'Transfer-Encoding: chunked\r\n\r\n', repeated: '1\r\nx\r\n'},
+].forEach(({name, start, repeated}) => {
+	test(`a body ${name} that has not arrived by the deadline of its call gets 408, and does not run`, async t => {
+		const {nodes, targets} = await startFleet(t, {nodes: 1, targets: 1});
+		const caller = await connectRawCaller(t, nodes[0]!);
+		const [headStart] = buildRequestParts('slow-body');
+		caller.send(`${headStart}${start}`);
+		const timer = setInterval(() => {
+			caller.send(repeated);
+		}, TRICKLE_INTERVAL_MS);
+		t.teardown(() => {
+			clearInterval(timer);
+		});
+		t.regex(await caller.closed, /^http\/1\.1 408 [^]*x-request-id: slow-body/i);
+		t.deepEqual(targets[0]!.arrivedIds, []);
+	});
+});
--- a/packages/domain/src/proxied-call.ts
+++ b/packages/domain/src/proxied-call.ts
@@ -50,7 +50,7 @@
 	| {readonly kind: CredentialKind.Key; /** SHA-256 digest of the key, in hexadecimal. */ readonly digest: string};
 
 /** The parts of a call that are known when its head has arrived. */
-export type CallHead = Pick<ProxiedCall, 'requestId' | 'host' | 'pathAndQuery' | 'receivedAtMs'> & {
+export type CallHead = Pick<ProxiedCall, 'requestId' | 'host' | 'pathAndQuery' | 'receivedAtMs' | 'deadlineMs'> & {
 	/** Computes a digest, so it is called only when the catalogue asks for keys. */
 	readonly readCredential: () => CallerCredential;
 };
