fix(clients): who holds most of what is read ahead is closed, not who comes next

What callers saw: 40 clients that sent 14,000 bytes of short header or trailer lines took the budget for bytes read ahead. A caller within the limits that sent 24 requests ahead had its connection closed without an answer.

Cause: whichever connection found no room was closed, whatever it held itself.

Change: the room for what is read ahead closes the connection that has used most of it, its bytes multiplied by the time for which it has held them. A connection that has used most itself gets no more. Nobody is closed when other kinds have taken the memory, since that makes no room.

--- a/packages/adapters/src/http/client-guard.ts
+++ b/packages/adapters/src/http/client-guard.ts
@@ -8,6 +8,7 @@
 import {createConnectionReader, type ConnectionReader, type PartLimits} from './connection-reader.js';
 import {createConnectionRoom} from './connection-room.js';
 import {createParseTurns} from './parse-turns.js';
+import {createReadAheadRoom} from './read-ahead-room.js';
 import {createUnreadAnswers} from './unread-answers.js';
 
 /** Limits what clients can make the process hold. */
@@ -87,6 +88,11 @@
 		noteLimit(ClientLimit.Connections);
 	});
 	const turns = createParseTurns();
+	const noteNoRoomAhead = (): void => {
+		noteLimit(ClientLimit.ReadAhead);
+	};
+
+	const readAhead = createReadAheadRoom({held, onClose: noteNoRoomAhead});
 	const readers = new WeakMap<net.Socket, ConnectionReader>();
 	let atWorkCount = 0;
 
@@ -162,7 +168,7 @@
 			server.on('connection', socket => {
 				room.add(socket);
 				const reader = createConnectionReader(socket, {
-					held,
+					reserve: sizeBytes => readAhead.reserve(socket, sizeBytes),
 					turns,
 					mayReadAhead() {
 						const limitCount = held.usedRatio() > CROWDED_RATIO ? 1 : limits.readAheadLimitCount;
@@ -172,9 +178,7 @@
 					onArriving() {
 						room.noteArriving(socket);
 					},
-					onNoRoom() {
-						noteLimit(ClientLimit.ReadAhead);
-					},
+					onNoRoom: noteNoRoomAhead,
 					getPartLimits,
 					onPartTooLarge(limit) {
 						noteLimit(limit);
--- a/packages/adapters/src/http/connection-reader.ts
+++ b/packages/adapters/src/http/connection-reader.ts
@@ -1,6 +1,6 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
-import * as core from '@bilberrydoor/core';
+import type * as core from '@bilberrydoor/core';
 import {ClientLimit} from './client-limits.js';
 import {createMessageScanner, MessagePart, type ScannedBytes} from './message-scanner.js';
 import type {ParseTurns} from './parse-turns.js';
@@ -16,7 +16,8 @@
 };
 
 export type ConnectionReaderOptions = {
-	readonly held: core.HeldBytes;
+	/** Reserves memory for what is read ahead of this connection, or returns undefined if there is no room. */
+	readonly reserve: (sizeBytes: number) => core.Hold | undefined;
 	readonly turns: ParseTurns;
 	/** Whether another request of the connection may be handled now. */
 	readonly mayReadAhead: () => boolean;
@@ -106,7 +107,7 @@
 
 	const stop = (rest: Uint8Array): void => {
 		isStopped = true;
-		aheadHold = options.held.reserve(core.HeldKind.ReadAhead, rest.byteLength + READ_BYTES);
+		aheadHold = options.reserve(rest.byteLength + READ_BYTES);
 		if (!aheadHold) {
 			closeWithoutRoom();
 			return;
@@ -129,7 +130,7 @@
 		const {fieldBytes, fieldLineCount} = scanner.scanned();
 		const heldBytes = fieldBytes + fieldLineCount * LINE_BYTES;
 		while (heldBytes > countedFieldBytes) {
-			const hold = options.held.reserve(core.HeldKind.ReadAhead, HEAD_STEP_BYTES);
+			const hold = options.reserve(HEAD_STEP_BYTES);
 			if (!hold) {
 				closeWithoutRoom();
 				return;
--- a/packages/core/src/shared/held-bytes.ts
+++ b/packages/core/src/shared/held-bytes.ts
@@ -34,6 +34,8 @@
 export type HeldBytes = {
 	/** Reserves memory, or returns undefined if there is no room. */
 	reserve(kind: HeldKind, sizeBytes: number): Hold | undefined;
+	/** Whether the share of a kind has no room for a reservation, whatever the other kinds hold. */
+	isShareFull(kind: HeldKind, sizeBytes: number): boolean;
 	/** Part of the budget that is held. */
 	usedRatio(): number;
 };
@@ -57,15 +59,15 @@
 		[HeldKind.Upload]: 0,
 		[HeldKind.Answer]: 0,
 	};
+	const usableRatioOf = (sizeBytes: number): number => (sizeBytes <= SMALL_BYTES ? 1 : LARGE_RATIO);
+	const isShareFull = (kind: HeldKind, sizeBytes: number): boolean =>
+		usedBytes[kind] + sizeBytes > kindLimitBytes[kind] * usableRatioOf(sizeBytes);
 	const sumBytes = (): number => Object.values(usedBytes).reduce((sum, bytes) => sum + bytes, 0);
 
 	return {
 		reserve(kind, sizeBytes) {
-			const usableRatio = sizeBytes <= SMALL_BYTES ? 1 : LARGE_RATIO;
-			const isRoom =
-				usedBytes[kind] + sizeBytes <= kindLimitBytes[kind] * usableRatio &&
-				sumBytes() + sizeBytes <= limitBytes * usableRatio;
-			if (!isRoom) {
+			const isBudgetFull = sumBytes() + sizeBytes > limitBytes * usableRatioOf(sizeBytes);
+			if (isBudgetFull || isShareFull(kind, sizeBytes)) {
 				return undefined;
 			}
 
@@ -78,6 +80,7 @@
 				},
 			};
 		},
+		isShareFull,
 		usedRatio: () => sumBytes() / limitBytes,
 	};
 };
