fix(clients): connections take turns by requests, and new ones come first

What callers saw: while 80 clients had sent 3,000 requests each ahead, an ordinary caller with a deadline of 4 s got no answer and no refusal on its first connection in 6 s, and then answers of any kind after 0.2 to 4.2 s.

Cause: one turn of the event loop parsed 64 KiB of heads, up to 2,500 short requests, of whichever connections had bytes, before new connections were accepted and read. Requests at work take a share that is smaller than a quarter of the budget, so that the rule for a crowded node never applied to them.

Change: a turn handles 32 requests at most. Connections without a request at work proceed before those that have one. A quarter of the share of requests counts as crowded too; from then on one request at a time is read from each connection.

--- a/packages/adapters/src/http/client-guard.ts
+++ b/packages/adapters/src/http/client-guard.ts
@@ -44,7 +44,7 @@
 const REQUEST_BYTES = 12_288;
 const HEADER_LINE_BYTES = 400;
 
-/** Part of the budget beyond which no request is read ahead of the one that is at work. */
+/** Part of the budget, and of the share of requests, beyond which no request is read ahead of the one that is at work. */
 const CROWDED_RATIO = 0.25;
 
 /** Requests at work beyond which further ones wait for the next turn of the event loop, in which their callers may have left. */
@@ -93,6 +93,8 @@
 	};
 
 	const readAhead = createReadAheadRoom({held, onClose: noteNoRoomAhead});
+	const isCrowded = (): boolean =>
+		held.usedRatio() > CROWDED_RATIO || held.shareRatio(core.HeldKind.Request) > CROWDED_RATIO;
 	const readers = new WeakMap<net.Socket, ConnectionReader>();
 	let atWorkCount = 0;
 
@@ -171,9 +173,9 @@
 					reserve: sizeBytes => readAhead.reserve(socket, sizeBytes),
 					turns,
 					mayReadAhead() {
-						const limitCount = held.usedRatio() > CROWDED_RATIO ? 1 : limits.readAheadLimitCount;
-						return connections.countRequests(socket) < limitCount;
+						return connections.countRequests(socket) < (isCrowded() ? 1 : limits.readAheadLimitCount);
 					},
+					hasRequests: () => connections.countRequests(socket) > 0,
 					isEnding: () => connections.isEnding(socket),
 					onArriving() {
 						room.noteArriving(socket);
--- a/packages/adapters/src/http/connection-reader.ts
+++ b/packages/adapters/src/http/connection-reader.ts
@@ -3,7 +3,7 @@
 import type * as core from '@bilberrydoor/core';
 import {ClientLimit} from './client-limits.js';
 import {createMessageScanner, MessagePart, type ScannedBytes} from './message-scanner.js';
-import type {ParseTurns} from './parse-turns.js';
+import {TurnKind, type ParseTurns} from './parse-turns.js';
 
 /** Reads a connection as fast as its requests are answered. */
 export type ConnectionReader = {
@@ -21,6 +21,8 @@
 	readonly turns: ParseTurns;
 	/** Whether another request of the connection may be handled now. */
 	readonly mayReadAhead: () => boolean;
+	/** Whether a request of the connection is at work. */
+	readonly hasRequests: () => boolean;
 	/** Whether the connection accepts no further requests. */
 	readonly isEnding: () => boolean;
 	/** Called when bytes of a head arrive. */
@@ -152,7 +154,7 @@
 		}
 
 		if (!isBody) {
-			options.turns.count(end - offset);
+			options.turns.countBytes(end - offset);
 			if (scanner.scanned().fieldBytes > 0) {
 				options.onArriving();
 			}
@@ -174,7 +176,7 @@
 
 			if (!PARTS_OF_BODIES.has(scanner.part()) && !options.turns.hasRoom()) {
 				stop(bytes.subarray(offset));
-				options.turns.wait(resume);
+				options.turns.wait(options.hasRequests() ? TurnKind.Ahead : TurnKind.First, resume);
 				return;
 			}
 
@@ -206,6 +208,7 @@
 
 	return {
 		noteRequest({headers}) {
+			options.turns.countRequest();
 			scanner.startBody({
 				isChunked: headers['transfer-encoding'] !== undefined,
 				lengthBytes: Number(headers['content-length'] ?? 0),
--- a/packages/adapters/src/http/parse-turns.ts
+++ b/packages/adapters/src/http/parse-turns.ts
@@ -1,11 +1,21 @@
-/** Bounds the heads that are parsed in one turn of the event loop, over all connections. */
+/** Order in which connections proceed. */
+export enum TurnKind {
+	/** All requests of the connection are answered. */
+	First = 'first',
+	/** The connection has a request at work. */
+	Ahead = 'ahead',
+}
+
+/** Bounds what is parsed and handled in one turn of the event loop, over all connections. */
 export type ParseTurns = {
 	/** Whether more may be parsed in this turn. */
 	hasRoom(): boolean;
-	/** Counts bytes that are parsed in this turn. */
-	count(sizeBytes: number): void;
-	/** Calls the function in a later turn, in the order of the calls. */
-	wait(proceed: () => void): void;
+	/** Counts bytes of heads that are parsed in this turn. */
+	countBytes(sizeBytes: number): void;
+	/** Counts a request that is handled in this turn. */
+	countRequest(): void;
+	/** Calls the function in a later turn, by its kind and in the order of the calls. */
+	wait(kind: TurnKind, proceed: () => void): void;
 };
 
 /**
@@ -14,12 +24,16 @@
  */
 const TURN_BYTES = 65_536;
 
+/** Requests that are handled in one turn, so that new connections are read soon however many requests others have sent. */
+const TURN_REQUEST_COUNT = 32;
+
 /** Connections that proceed in one turn. */
 const PROCEEDING_COUNT = 16;
 
 export const createParseTurns = (): ParseTurns => {
-	const waiting: Array<() => void> = [];
+	const waiting: Readonly<Record<TurnKind, Array<() => void>>> = {[TurnKind.First]: [], [TurnKind.Ahead]: []};
 	let leftBytes = TURN_BYTES;
+	let leftRequestCount = TURN_REQUEST_COUNT;
 	let isTurnEndScheduled = false;
 
 	const scheduleTurnEnd = (): void => {
@@ -29,25 +43,35 @@
 		}
 	};
 
+	const takeProceeding = (): ReadonlyArray<() => void> => {
+		const first = waiting[TurnKind.First].splice(0, PROCEEDING_COUNT);
+		return [...first, ...waiting[TurnKind.Ahead].splice(0, PROCEEDING_COUNT - first.length)];
+	};
+
 	const endTurn = (): void => {
 		isTurnEndScheduled = false;
 		leftBytes = TURN_BYTES;
-		waiting.splice(0, PROCEEDING_COUNT).forEach(proceed => {
+		leftRequestCount = TURN_REQUEST_COUNT;
+		takeProceeding().forEach(proceed => {
 			proceed();
 		});
-		if (waiting.length > 0) {
+		if (Object.values(waiting).some(({length}) => length > 0)) {
 			scheduleTurnEnd();
 		}
 	};
 
 	return {
-		hasRoom: () => leftBytes > 0,
-		count(sizeBytes) {
+		hasRoom: () => leftBytes > 0 && leftRequestCount > 0,
+		countBytes(sizeBytes) {
 			leftBytes -= sizeBytes;
 			scheduleTurnEnd();
 		},
-		wait(proceed) {
-			waiting.push(proceed);
+		countRequest() {
+			leftRequestCount--;
+			scheduleTurnEnd();
+		},
+		wait(kind, proceed) {
+			waiting[kind].push(proceed);
 			scheduleTurnEnd();
 		},
 	};
--- a/packages/core/src/shared/held-bytes.ts
+++ b/packages/core/src/shared/held-bytes.ts
@@ -38,6 +38,8 @@
 	isShareFull(kind: HeldKind, sizeBytes: number): boolean;
 	/** Part of the budget that is held. */
 	usedRatio(): number;
+	/** Part of a kind's share that is held. */
+	shareRatio(kind: HeldKind): number;
 };
 
 export type HeldBytesOptions = {
@@ -82,5 +84,6 @@
 		},
 		isShareFull,
 		usedRatio: () => sumBytes() / limitBytes,
+		shareRatio: kind => usedBytes[kind] / kindLimitBytes[kind],
 	};
 };
