test(clients): a refused head is released when the server's side has closed

The client is closed by the end of its connection, and the server releases what it holds of the head when its side is closed too, a moment later. The test now waits until nothing is held.

--- a/packages/adapters/src/__tests__/client-guard.test.ts
+++ b/packages/adapters/src/__tests__/client-guard.test.ts
@@ -254,7 +254,7 @@
 		t.regex(client.received, limit === ClientLimit.EmptyLines ? /^HTTP\/1\.1 400/ : /^HTTP\/1\.1 431/);
 		t.deepEqual(server.reached, [limit]);
 		t.deepEqual(server.exchanges, []);
-		t.is(server.held.usedRatio(), 0);
+		await waitUntil(() => server.held.usedRatio() === 0);
 	});
 });
 
