fix(clients): calls that were sent ahead yield to those of other callers

What callers saw: while 80 clients sent requests without a pause on the route of the highest priority, each ordinary call on another route was refused.

Cause: calls of the first route go before all others, and each connection has its next request ready when one is answered. A few connections thereby took all slots of a group for as long as they liked.

Change: the reader of a connection knows which requests arrived before the answers ahead of them were sent. Such a call goes behind all others while slots are short. Callers that wait for their answers are not concerned, and neither is anybody while slots are free.

--- a/packages/adapters/src/__tests__/client-guard.test.ts
+++ b/packages/adapters/src/__tests__/client-guard.test.ts
@@ -105,6 +105,33 @@
 	t.deepEqual(server.reached, []);
 });
 
+// Guards against regular requests that go behind others, and against requests sent ahead that do not.
+test('a request counts as sent ahead if it arrives before the answers ahead of it', async t => {
+	const aheadPaths: unknown[] = [];
+	const server = await startServer(t, async (exchange, guard) => {
+		if (guard.isSentAhead(exchange.incoming)) {
+			aheadPaths.push(exchange.incoming.url);
+		}
+
+		await timersPromises.setTimeout(POLL_MS);
+		await answerPath(exchange, guard);
+	});
+	const client = await server.connect();
+	const send = async (paths: readonly string[]): Promise<void> => {
+		client.received = '';
+		client.socket.write(paths.map(path => buildRequest(path)).join(''));
+		await waitUntil(() => listPaths(client.received).length === paths.length);
+	};
+
+	await send(['/alone']);
+	await send(['/alone-again']);
+	// More than are handled at once.
+	const paths = PATHS.slice(0, 3 * LIMITS.readAheadLimitCount);
+	await send(paths);
+	await send(['/alone-at-last']);
+	t.deepEqual(aheadPaths, paths.slice(1));
+});
+
 // Guards against requests that are handled without a bound, and that are handled on for a connection that has closed.
 test('a connection has a bounded number of requests at work, which end with it', async t => {
 	const server = await startServer(t, () => undefined);
--- a/packages/adapters/src/front/proxy-app.ts
+++ b/packages/adapters/src/front/proxy-app.ts
@@ -217,6 +217,7 @@
 			deadlineMs: head.deadlineMs,
 			receivedAtMs,
 			workspace: admission.workspace,
+			isSentAhead: options.guard?.isSentAhead(incoming),
 		};
 		try {
 			const ending = await options.proxy.handle(call, controller.signal);
--- a/packages/adapters/src/http/client-guard.ts
+++ b/packages/adapters/src/http/client-guard.ts
@@ -25,6 +25,8 @@
 	holdBody(incoming: http.IncomingMessage, outgoing: http.ServerResponse, limitBytes: number): ArrivingBody | undefined;
 	/** Counts an answer until it is sent. Connections with many unread bytes are closed if there is no room for it. */
 	holdAnswer(outgoing: http.ServerResponse, sizeBytes: number): void;
+	/** Whether a request was sent before the answers ahead of it on its connection. */
+	isSentAhead(incoming: http.IncomingMessage): boolean;
 	/** Answers a request for which there is no room. It has not run. */
 	refuse(incoming: http.IncomingMessage, outgoing: http.ServerResponse): void;
 };
@@ -96,6 +98,7 @@
 	const isCrowded = (): boolean =>
 		held.usedRatio() > CROWDED_RATIO || held.shareRatio(core.HeldKind.Request) > CROWDED_RATIO;
 	const readers = new WeakMap<net.Socket, ConnectionReader>();
+	const sentAhead = new WeakSet<http.IncomingMessage>();
 	let atWorkCount = 0;
 
 	/** The HTTP server's own time limit starts anew with each byte. */
@@ -159,6 +162,7 @@
 		refuse,
 		holdBody: bodies.hold,
 		holdAnswer: answers.hold,
+		isSentAhead: incoming => sentAhead.has(incoming),
 		watch(server, connections) {
 			server.maxConnections = limits.connectionLimitCount * ACCEPTED_RATIO;
 			// Node.js drops further lines without a sign.
@@ -175,7 +179,7 @@
 					mayReadAhead() {
 						return connections.countRequests(socket) < (isCrowded() ? 1 : limits.readAheadLimitCount);
 					},
-					hasRequests: () => connections.countRequests(socket) > 0,
+					countRequests: () => connections.countRequests(socket),
 					isEnding: () => connections.isEnding(socket),
 					onArriving() {
 						room.noteArriving(socket);
@@ -193,7 +197,10 @@
 		admit(incoming, outgoing, {connections, handle}) {
 			const {socket} = incoming;
 			const reader = readers.get(socket);
-			reader?.noteRequest(incoming);
+			if (reader?.noteRequest(incoming)) {
+				sentAhead.add(incoming);
+			}
+
 			room.noteBusy(socket);
 			atWorkCount++;
 			const hold = held.reserve(core.HeldKind.Request, measureRequest(incoming));
--- a/packages/adapters/src/http/connection-reader.ts
+++ b/packages/adapters/src/http/connection-reader.ts
@@ -7,8 +7,8 @@
 
 /** Reads a connection as fast as its requests are answered. */
 export type ConnectionReader = {
-	/** Notes a request whose head has just been parsed. */
-	noteRequest(incoming: http.IncomingMessage): void;
+	/** Notes a request whose head has just been parsed. Returns whether it was sent before the answers ahead of it. */
+	noteRequest(incoming: http.IncomingMessage): boolean;
 	/** Continues reading if that was stopped and requests have been answered since. */
 	resume(): void;
 	/** Whether only empty lines have arrived since the last request. */
@@ -21,8 +21,8 @@
 	readonly turns: ParseTurns;
 	/** Whether another request of the connection may be handled now. */
 	readonly mayReadAhead: () => boolean;
-	/** Whether a request of the connection is at work. */
-	readonly hasRequests: () => boolean;
+	/** Requests of the connection that are at work. */
+	readonly countRequests: () => number;
 	/** Whether the connection accepts no further requests. */
 	readonly isEnding: () => boolean;
 	/** Called when bytes of a head arrive. */
@@ -90,6 +90,9 @@
 	let fieldHolds: core.Hold[] = [];
 	let aheadHold: core.Hold | undefined;
 	let isStopped = false;
+	/** Whether the bytes that are handled, and those that wait, arrived before the answers ahead of them were sent. */
+	let isAhead = false;
+	let isRestAhead = false;
 
 	/** A head that has begun is read to its end, so that its time limit does not pass while it is not read. */
 	const mayRead = (): boolean => scanner.part() !== MessagePart.EmptyLines || options.mayReadAhead();
@@ -167,16 +170,20 @@
 	const handleData = (bytes: Uint8Array): void => {
 		aheadHold?.release();
 		isStopped = false;
+		isAhead = isRestAhead;
+		isRestAhead = false;
 		let offset = 0;
 		while (offset < bytes.byteLength && !socket.destroyed && !options.isEnding()) {
 			if (!mayRead()) {
+				isRestAhead = true;
 				stop(bytes.subarray(offset));
 				return;
 			}
 
 			if (!PARTS_OF_BODIES.has(scanner.part()) && !options.turns.hasRoom()) {
+				isRestAhead = isAhead;
 				stop(bytes.subarray(offset));
-				options.turns.wait(options.hasRequests() ? TurnKind.Ahead : TurnKind.First, resume);
+				options.turns.wait(options.countRequests() > 0 ? TurnKind.Ahead : TurnKind.First, resume);
 				return;
 			}
 
@@ -193,6 +200,7 @@
 			offset = end;
 			// The parser stops while a body or an answer waits for its reader.
 			if (socket.isPaused() && offset < bytes.byteLength) {
+				isRestAhead = isAhead;
 				socket.unshift(bytes.subarray(offset));
 				return;
 			}
@@ -214,6 +222,8 @@
 				lengthBytes: Number(headers['content-length'] ?? 0),
 			});
 			releaseFields();
+			// The request itself is at work already.
+			return isAhead || options.countRequests() > 1;
 		},
 		resume,
 		hasOnlyEmptyLines: () => scanner.part() === MessagePart.EmptyLines && scanner.scanned().emptyLineBytes > 0,
--- a/packages/core/src/proxy/call-proxy.ts
+++ b/packages/core/src/proxy/call-proxy.ts
@@ -6,7 +6,7 @@
 import type {Registry} from '../registry/registry.js';
 import {runWithTimeout} from '../shared/run-with-timeout.js';
 import {STOP_REASON} from '../shared/stop-reason.js';
-import {combinePriorities} from '../workspaces/combine-priorities.js';
+import {combinePriorities, yieldPriority} from '../workspaces/combine-priorities.js';
 import {limitAnswerTime} from './limit-answer-time.js';
 import {ANSWER_VERDICTS, ERROR_VERDICTS, GRANT_REFUSAL_REASONS} from './attempt-verdicts.js';
 import {canSendBody, isBodyBroken, measureAnswer, measureBody} from './call-body.js';
@@ -330,11 +330,12 @@
 
 		const {route, index} = resolution;
 		const workspace = index.workspaces?.find(call.workspace ?? '');
+		const priority = index.workspaces ? combinePriorities(workspace?.priority, route.priority) : route.priority;
 		const state: CallState = {
 			call,
 			route,
 			service: pickService(route.shares, parts.random.fraction()),
-			priority: index.workspaces ? combinePriorities(workspace?.priority, route.priority) : route.priority,
+			priority: call.isSentAhead ? yieldPriority(priority) : priority,
 			catalogueVersion: index.catalogue.version,
 			callerSignal: signal,
 			deadlineAtMs: computeDeadlineAtMs(call, route),
--- a/packages/domain/src/proxied-call.ts
+++ b/packages/domain/src/proxied-call.ts
@@ -33,6 +33,8 @@
 	readonly receivedAtMs: number;
 	/** Workspace of the caller's key; absent if the call needs no key and has none. */
 	readonly workspace?: string;
+	/** Whether the caller sent the request before the answers ahead of it on its connection. */
+	readonly isSentAhead?: boolean;
 };
 
 /** What a caller presents to identify its workspace. */
