fix(clients): answers close no other connections while uploads hold the memory

What callers saw: nothing yet, found while reading who pays for whose memory.

Cause: an answer without room closes the connections with the most unread bytes until there is room, also when bodies of requests have taken the whole budget. Then each answer closed all others that were being sent.

Change: connections are closed for an answer only if the share of answers is full. Otherwise the answer is sent without being counted; it still has to be read in time.

--- a/packages/adapters/src/http/unread-answers.ts
+++ b/packages/adapters/src/http/unread-answers.ts
@@ -5,7 +5,7 @@
 
 /** Bounds the answers that wait until their callers read them. */
 export type UnreadAnswers = {
-	/** Counts an answer until it is sent. If there is no room, the connections with the most unread bytes are closed. */
+	/** Counts an answer until it is sent. If the share of answers is full, the connections with the most unread bytes are closed. */
 	hold(outgoing: http.ServerResponse, sizeBytes: number): void;
 	/** Closes the connections of callers that have read nothing for too long. */
 	closeStalled(): void;
@@ -18,6 +18,8 @@
 	readonly holds: Set<core.Hold>;
 };
 
+const createUncountedHold = (): core.Hold => ({release: () => undefined});
+
 export const createUnreadAnswers = (parts: {
 	readonly held: core.HeldBytes;
 	readonly stalledLimitMs: number;
@@ -47,9 +49,11 @@
 		return largest !== undefined;
 	};
 
+	/** Closing other connections makes no room while other kinds have taken the memory. The answer is not counted then. */
 	const reserve = (socket: net.Socket, sizeBytes: number): core.Hold | undefined => {
+		const isShareFull = (): boolean => parts.held.isShareFull(core.HeldKind.Answer, sizeBytes);
 		let hold = parts.held.reserve(core.HeldKind.Answer, sizeBytes);
-		while (!hold && !socket.destroyed && closeLargest()) {
+		while (!hold && isShareFull() && !socket.destroyed && closeLargest()) {
 			hold = parts.held.reserve(core.HeldKind.Answer, sizeBytes);
 		}
 
@@ -59,9 +63,9 @@
 	return {
 		hold(outgoing, sizeBytes) {
 			const {socket} = outgoing.req;
-			const hold = reserve(socket, sizeBytes);
-			if (!hold || socket.destroyed) {
-				hold?.release();
+			const hold = reserve(socket, sizeBytes) ?? createUncountedHold();
+			if (socket.destroyed) {
+				hold.release();
 				return;
 			}
 
