fix(adapters): grouping headers takes time in proportion to their number

Cause: values of one name were copied for each further line, so that a head took the square of its lines: 16.8 of 20 s of the processor in a profile. A header named like a property of objects, such as constructor, got that property as its first value.

Change: values are collected in a map.

--- a/packages/adapters/src/http/headers.ts
+++ b/packages/adapters/src/http/headers.ts
@@ -38,12 +38,18 @@
 
 /** Groups values by name, in the form that `writeHead` and undici accept. */
 export const groupHeaders = (headers: domain.HeaderList): Record<string, string | string[]> => {
-	const grouped: Record<string, string | string[]> = {};
+	const valuesByName = new Map<string, string[]>();
 	headers.forEach(([name, value]) => {
-		const existing = grouped[name];
-		grouped[name] = existing === undefined ? value : [existing, value].flat();
+		const values = valuesByName.get(name);
+		if (values) {
+			values.push(value);
+		} else {
+			valuesByName.set(name, [value]);
+		}
 	});
-	return grouped;
+	return Object.fromEntries(
+		[...valuesByName].map(([name, values]) => [name, values.length === 1 ? values[0]! : values]),
+	);
 };
 
 /** Converts grouped headers to pairs of name and value. */
