fix(clients): a head that has begun is finished before others begin

Cause: connections took turns by 1 KiB of their heads, so that hundreds of heads were held half-read at the same time.

Change: a connection whose head has begun proceeds first. It waits for its turn only while it has bytes, so that a slow client holds nobody up.

--- a/packages/adapters/src/__tests__/parse-turns.test.ts
+++ b/packages/adapters/src/__tests__/parse-turns.test.ts
@@ -5,7 +5,7 @@
 const REQUEST_COUNT = 32;
 
 // Guards against a new connection that is read only after all that others have sent ahead.
-test('a connection without a request at work proceeds before those that have one', async t => {
+test('a head that has begun proceeds first, then connections without a request at work, then the others', async t => {
 	const turns = createParseTurns();
 	const proceeded: string[] = [];
 	const wait = (kind: TurnKind, name: string): void => {
@@ -19,9 +19,10 @@
 	});
 	wait(TurnKind.First, 'first-0');
 	wait(TurnKind.First, 'first-1');
+	wait(TurnKind.Begun, 'begun');
 	await timersPromises.setImmediate();
-	t.deepEqual(proceeded.slice(0, 3), ['first-0', 'first-1', 'ahead-0']);
-	while (proceeded.length < 42) {
+	t.deepEqual(proceeded.slice(0, 4), ['begun', 'first-0', 'first-1', 'ahead-0']);
+	while (proceeded.length < 43) {
 		await timersPromises.setImmediate();
 	}
 
--- a/packages/adapters/src/http/connection-reader.ts
+++ b/packages/adapters/src/http/connection-reader.ts
@@ -97,6 +97,14 @@
 	/** A head that has begun is read to its end, so that its time limit does not pass while it is not read. */
 	const mayRead = (): boolean => scanner.part() !== MessagePart.EmptyLines || options.mayReadAhead();
 
+	const readTurnKind = (): TurnKind => {
+		if (scanner.part() === MessagePart.Head) {
+			return TurnKind.Begun;
+		}
+
+		return options.countRequests() > 0 ? TurnKind.Ahead : TurnKind.First;
+	};
+
 	const resume = (): void => {
 		// Set by the HTTP server while it waits for the caller to read; it resumes the connection itself then.
 		const isServerWaiting = '_paused' in socket && socket._paused === true;
@@ -183,7 +191,7 @@
 			if (!PARTS_OF_BODIES.has(scanner.part()) && !options.turns.hasRoom()) {
 				isRestAhead = isAhead;
 				stop(bytes.subarray(offset));
-				options.turns.wait(options.countRequests() > 0 ? TurnKind.Ahead : TurnKind.First, resume);
+				options.turns.wait(readTurnKind(), resume);
 				return;
 			}
 
--- a/packages/adapters/src/http/parse-turns.ts
+++ b/packages/adapters/src/http/parse-turns.ts
@@ -1,5 +1,7 @@
 /** Order in which connections proceed. */
 export enum TurnKind {
+	/** A head has begun. It is finished before others begin, since its lines take memory until then. */
+	Begun = 'begun',
 	/** All requests of the connection are answered. */
 	First = 'first',
 	/** The connection has a request at work. */
@@ -27,11 +29,17 @@
 /** Requests that are handled in one turn, so that new connections are read soon however many requests others have sent. */
 const TURN_REQUEST_COUNT = 32;
 
+const TURN_ORDER: readonly TurnKind[] = [TurnKind.Begun, TurnKind.First, TurnKind.Ahead];
+
 /** Connections that proceed in one turn. */
 const PROCEEDING_COUNT = 16;
 
 export const createParseTurns = (): ParseTurns => {
-	const waiting: Readonly<Record<TurnKind, Array<() => void>>> = {[TurnKind.First]: [], [TurnKind.Ahead]: []};
+	const waiting: Readonly<Record<TurnKind, Array<() => void>>> = {
+		[TurnKind.Begun]: [],
+		[TurnKind.First]: [],
+		[TurnKind.Ahead]: [],
+	};
 	let leftBytes = TURN_BYTES;
 	let leftRequestCount = TURN_REQUEST_COUNT;
 	let isTurnEndScheduled = false;
@@ -43,10 +51,11 @@
 		}
 	};
 
-	const takeProceeding = (): ReadonlyArray<() => void> => {
-		const first = waiting[TurnKind.First].splice(0, PROCEEDING_COUNT);
-		return [...first, ...waiting[TurnKind.Ahead].splice(0, PROCEEDING_COUNT - first.length)];
-	};
+	const takeProceeding = (): ReadonlyArray<() => void> =>
+		TURN_ORDER.reduce<Array<() => void>>(
+			(taken, kind) => [...taken, ...waiting[kind].splice(0, PROCEEDING_COUNT - taken.length)],
+			[],
+		);
 
 	const endTurn = (): void => {
 		isTurnEndScheduled = false;
