fix(http): requests with an unknown expectation are counted like all others

What callers saw: a client that sent several such requests with bodies on one connection got 431, and the requests behind them no answer.

Cause: the HTTP server answered them with 417 by itself. They counted neither as requests at work nor for the reader, which took their bodies for heads.

Change: they pass through the same admission, and then get 417.

--- a/packages/adapters/src/__tests__/client-guard.test.ts
+++ b/packages/adapters/src/__tests__/client-guard.test.ts
@@ -304,3 +304,18 @@
 	// The buffers of the system hold a few MB.
 	t.true(client.socket.bytesWritten < UNREAD_LIMIT_BYTES, `${client.socket.bytesWritten} bytes`);
 });
+
+// Guards against requests that the HTTP server refuses by itself, whose bodies are then taken for heads.
+test('requests with an unknown expectation are refused, and those behind them are answered', async t => {
+	const server = await startServer(t, answerPath);
+	const client = await server.connect();
+	const body = 'x\r\n'.repeat(HEADER_LIMIT_BYTES);
+	const refused = `POST /x HTTP/1.1\r\nHost: a\r\nExpect: x\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+	client.socket.write(refused.repeat(3) + buildRequest('/last'));
+	await waitUntil(() => client.isClosed || listPaths(client.received).length > 0);
+	t.deepEqual(client.received.match(/HTTP\/1\.1 \d{3}/g), [
+		...Array.from({length: 3}, () => 'HTTP/1.1 417'),
+		'HTTP/1.1 200',
+	]);
+	t.deepEqual(server.reached, []);
+});
--- a/packages/adapters/src/http/http-listener.ts
+++ b/packages/adapters/src/http/http-listener.ts
@@ -41,6 +41,9 @@
 	keepAliveMs: 65_000,
 };
 
+/** Status of requests that expect something else than `100-continue`. */
+const EXPECTATION_FAILED_STATUS = 417;
+
 /** Longest interval at which the time limits of requests are checked, in ms. */
 const TIMEOUT_CHECK_INTERVAL_MS = 250;
 
@@ -74,6 +77,19 @@
 	const options = {...DEFAULT_HTTP_LISTENER_OPTIONS, ...given};
 	const connections = createConnectionCloser();
 	const handleRequest = nodeServer.getRequestListener(app.fetch, {overrideGlobalObjects: false});
+	const admit = (incoming: http.IncomingMessage, outgoing: http.ServerResponse, handle: () => void): void => {
+		if (!connections.accept(incoming, outgoing)) {
+			return;
+		}
+
+		if (options.guard) {
+			options.guard.admit(incoming, outgoing, {connections, handle});
+			return;
+		}
+
+		handle();
+	};
+
 	const server = http.createServer(
 		{
 			headersTimeout: options.headersTimeoutMs,
@@ -84,22 +100,17 @@
 			noDelay: true,
 		},
 		(incoming, outgoing) => {
-			if (!connections.accept(incoming, outgoing)) {
-				return;
-			}
-
-			const handle = (): void => {
+			admit(incoming, outgoing, () => {
 				void handleRequest(incoming, outgoing);
-			};
-
-			if (options.guard) {
-				options.guard.admit(incoming, outgoing, {connections, handle});
-				return;
-			}
-
-			handle();
+			});
 		},
 	);
+	// The HTTP server would answer these by itself, and not count them.
+	server.on('checkExpectation', (incoming: http.IncomingMessage, outgoing: http.ServerResponse) => {
+		admit(incoming, outgoing, () => {
+			outgoing.writeHead(EXPECTATION_FAILED_STATUS, {'content-length': '0'}).end();
+		});
+	});
 	server.maxConnections = options.connectionLimit;
 	server.on('connection', connections.track);
 	options.guard?.watch(server, connections);
